--- /dev/null
+++ b/crowwing/contract.py
@@ -0,0 +1,111 @@
+"""The types between the decision module and whatever carries its tickets. No decisions live here.
+
+Times are whole microseconds on one clock that only goes forward.
+"""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+
+class Repeat(Enum):
+    """What may happen to a ticket that comes again."""
+
+    REDOABLE = auto()
+    LABELLED = auto()
+    IRREVERSIBLE = auto()
+
+
+class Halt(Enum):
+    """What becomes of running work that is stopped."""
+
+    NONE = auto()
+    DISCARD = auto()
+    FREEZE = auto()
+
+
+class Signal(Enum):
+    """How those who send read the free value: not at all, or as one of three kinds."""
+
+    NONE = auto()
+    FLOOR = auto()
+    ALLOWANCE = auto()
+    WEIGHT = auto()
+
+
+class Outcome(Enum):
+    """How a run or a call ended, as far as its repetition matters."""
+
+    GOOD = auto()
+    FAILED = auto()
+    NEVER_RAN = auto()
+    UNSURE = auto()
+    STOPPED = auto()
+
+
+class Step(Enum):
+    """What the module asks for. A result is (step, ticket or None, figure)."""
+
+    RUN = auto()
+    HALT = auto()
+    DISMISS = auto()  # figure: for how long to stay away; another backend may be tried
+    DISMISS_ALL = auto()  # the same, and no other backend should be tried
+    FORFEIT = auto()
+    CALL = auto()  # figure: give up after
+    GO_ON = auto()
+    KEEP = auto()  # figure: for how long
+    FORGET = auto()
+    SHARE = auto()
+    READY = auto()  # health checks are answered good, from store
+    UNREADY = auto()  # health checks are answered bad, from store
+    FREE_VALUE = auto()  # figure: the value
+    IDLE = auto()  # figure: close connections idle for so long
+    WAKE = auto()  # figure: in so long
+    NOTE = auto()  # figure: a line of text
+
+
+Result = tuple[Step, "object | None", "int | float | str"]
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficType:
+    """One traffic type of a deployment."""
+
+    credit: float
+    late_credit: float  # part of the credit between the expected time and the outer limit
+    expected_time: int
+    outer_limit: int
+    repeat: Repeat
+    window: int  # labelled: how long a repeat may follow
+    calls: bool  # may call what lies below
+    credit_without: float  # part of the credit that is left without its calls
+
+
+@dataclass(frozen=True, slots=True)
+class Premises:
+    """The facts that a backend is told at its start."""
+
+    types: tuple[TrafficType, ...]
+    shares: tuple[float, ...]  # tickets a second within each customer's share, over the fleet
+    over_share_credit: float
+    fleet: int
+    callers: int
+    cores: int
+    memory_kb: float
+    run_factor: float
+    key_kb: float
+    halt: Halt
+    signal: Signal
+    signal_for: int
+    stay_away_most: int  # 0: advice to stay away is not passed on
+    idle_most: int
+    crowd: float  # tickets on the cores for each core that a warm backend survives
+    crowd_over: int
+    cold: bool
+    cold_from: float
+    cold_for: int
+    calls_share: float  # this backend's part of the calls that what lies below survives; 0: none
+    calls_over: int
+    lingers: int
+    fresh_for: int
+    answer_slack: int
+    grace: int
--- /dev/null
+++ b/crowwing/drill/__main__.py
@@ -0,0 +1,28 @@
+"""The command: batches on standard input, replies on standard output, until the input ends."""
+
+import sys
+
+from crowwing.drill import frames
+from crowwing.drill.adapter import Adapter, BadPremises, InternalError
+
+
+def main() -> int:
+    source, sink = sys.stdin.buffer, sys.stdout.buffer
+    adapter = Adapter()
+    try:
+        while (batch := frames.read_batch(source)) is not None:
+            frames.write_reply(sink, adapter.batch(*batch))
+    except (frames.BadFrame, BadPremises) as wrong:
+        print(f"crowwing.drill: {wrong}", file=sys.stderr)
+        return 2
+    except InternalError as defect:
+        frames.write_reply(sink, [frames.text(defect.who, str(defect), internal=True)])
+        print(f"crowwing.drill: internal error in instance {defect.who}: {defect}", file=sys.stderr)
+        return 1
+    except (BrokenPipeError, KeyboardInterrupt):
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/crowwing/drill/adapter.py
@@ -0,0 +1,219 @@
+"""Hosts instances of the decision module: decodes events into calls and encodes results. No decisions."""
+
+import json
+import random
+from collections.abc import Callable
+
+from crowwing.contract import Halt, Outcome, Premises, Repeat, Result, Signal, Step, TrafficType
+from crowwing.drill import frames
+from crowwing.logic import LoadManager, Ticket
+
+_OUTCOMES = {
+    100: Outcome.GOOD,
+    301: Outcome.FAILED,
+    302: Outcome.NEVER_RAN,
+    303: Outcome.UNSURE,
+    304: Outcome.NEVER_RAN,
+    305: Outcome.UNSURE,
+    306: Outcome.STOPPED,
+    307: Outcome.NEVER_RAN,
+}
+_REPEATS = {"safe": Repeat.REDOABLE, "keyed": Repeat.LABELLED, "unsafe": Repeat.IRREVERSIBLE}
+_HALTS = {"none": Halt.NONE, "discard": Halt.DISCARD, "freeze": Halt.FREEZE}
+_SIGNALS = {
+    "none": Signal.NONE,
+    "floor": Signal.FLOOR,
+    "allowance": Signal.ALLOWANCE,
+    "weight": Signal.WEIGHT,
+}
+_run, _halt = frames.packer(1060, "IQ"), frames.packer(1090, "IQ")
+_dismiss, _forfeit = frames.packer(1050, "IQdB"), frames.packer(1140, "IQ")
+_call, _go_on = frames.packer(1040, "IQd"), frames.packer(1070, "IQ")
+_keep, _forget = frames.packer(1030, "IQd"), frames.packer(1020, "IQ")
+_share, _health = frames.packer(1130, "IQ"), frames.packer(1120, "IBB")
+_free_value, _idle = frames.packer(1080, "If"), frames.packer(1110, "Id")
+_wake = frames.packer(1010, "IdI")
+
+_ENCODE: dict[Step, Callable[[int, Ticket | None, int | float | str], bytes]] = {
+    Step.RUN: lambda who, t, _: _run(who, t.id),
+    Step.HALT: lambda who, t, _: _halt(who, t.id),
+    Step.DISMISS: lambda who, t, away: _dismiss(who, t.id, away / 1000, 0),
+    Step.DISMISS_ALL: lambda who, t, away: _dismiss(who, t.id, away / 1000, 1),
+    Step.FORFEIT: lambda who, t, _: _forfeit(who, t.id),
+    Step.CALL: lambda who, t, most: _call(who, t.id, most / 1000),
+    Step.GO_ON: lambda who, t, _: _go_on(who, t.id),
+    Step.KEEP: lambda who, t, span: _keep(who, t.id, span / 1000),
+    Step.FORGET: lambda who, t, _: _forget(who, t.id),
+    Step.SHARE: lambda who, t, _: _share(who, t.id),
+    Step.READY: lambda who, _t, _f: _health(who, 1, 1),
+    Step.UNREADY: lambda who, _t, _f: _health(who, 0, 1),
+    Step.FREE_VALUE: lambda who, _, value: _free_value(who, value),
+    Step.IDLE: lambda who, _, span: _idle(who, span / 1000),
+    Step.WAKE: lambda who, _, span: _wake(who, span / 1000, 0),
+    Step.NOTE: lambda who, _, words: frames.text(who, words),
+}
+
+
+class BadPremises(ValueError):
+    """The settings at start cannot be read."""
+
+
+class InternalError(Exception):
+    """The decision module failed; `who` is the instance it failed in."""
+
+    def __init__(self, who: int, words: str) -> None:
+        super().__init__(words)
+        self.who = who
+
+
+def us(ms: float) -> int:
+    return round(ms * 1000)
+
+
+def premises(raw: bytes) -> tuple[Premises, list[str]]:
+    """What the settings say, in the module's words, and the names of the gauges."""
+    try:
+        told = json.loads(raw)
+        info, rules, caps = told["family_info"], told["invariants"], told.get("caps", {})
+        calls = info.get("class_calls") or []
+        without = info.get("worth_without") or []
+        below = info.get("downstream", "none") != "none"
+        types = tuple(
+            TrafficType(
+                credit=float(lane.get("worth", 1)),
+                late_credit=float(lane.get("late_worth", 0)),
+                expected_time=us(lane["promise"]),
+                outer_limit=us(lane["deadline"]),
+                repeat=_REPEATS[lane["semantics"]],
+                window=us(lane.get("dedup_window", 0)),
+                calls=below and (bool(calls[n]) if n < len(calls) else True),
+                credit_without=float(without[n]) if n < len(without) else 0.0,
+            )
+            for n, lane in enumerate(told["lanes"])
+        )
+        facts = Premises(
+            types=types,
+            shares=tuple(float(realm.get("quota_per_s", 0)) for realm in told.get("realms") or ()),
+            over_share_credit=float(told.get("over_share_worth", 1)),
+            fleet=int(told.get("servers", 1)),
+            callers=int(info.get("callers", 1)),
+            cores=int(info["cpus"]),
+            memory_kb=float(info["ram_kb"]),
+            run_factor=float(info.get("run_factor", 1)),
+            key_kb=float(info.get("key_kb", 0)),
+            halt=_HALTS[info.get("halt", "none")],
+            signal=_SIGNALS[info.get("signal", "none")],
+            signal_for=us(info.get("heeded", 0)),
+            stay_away_most=us(caps.get("max_retry_after", 0)) if caps.get("retry_after") else 0,
+            idle_most=us(info.get("keepalive_max", 0)),
+            crowd=float(rules["fall_multiple"]),
+            crowd_over=us(rules["fall"]),
+            cold=bool(info.get("cold", False)),
+            cold_from=float(rules.get("cold_from", 1)),
+            cold_for=us(rules.get("cold", 0)),
+            calls_share=float(info.get("calls_out", 0)) if info.get("downstream") == "one_for_all" else 0.0,
+            calls_over=us(info.get("calls_over", 0)),
+            lingers=us(info.get("lingers", 0)),
+            fresh_for=us(info.get("fresh_for", 0)),
+            answer_slack=us(rules.get("answer_slack", 0)),
+            grace=us(rules.get("stop_sending_within", 0)),
+        )
+        return facts, list(info.get("gauges") or ())
+    except KeyError as missing:
+        raise BadPremises(f"settings: missing or unknown {missing}") from None
+    except (ValueError, TypeError, AttributeError, RecursionError) as wrong:
+        raise BadPremises(f"settings: {wrong}") from None
+
+
+class Host:
+    """One life of one backend: its manager and its open tickets, which each answer empties."""
+
+    __slots__ = ("manager", "tickets", "gauges")
+
+    def __init__(self, now: int, entropy: int, settings: bytes) -> None:
+        facts, names = premises(settings)
+        self.gauges = names
+        self.tickets: dict[int, Ticket] = {}
+        self.manager = LoadManager(facts, now, random.Random(entropy))
+
+    def hear(self, now: int, event: tuple) -> list[Result]:
+        code = event[0]
+        if code == frames.ARRIVAL:
+            (_, _, op_id, grade, team, key, due, _, kb, rank, attrs, by, age, repeats) = event
+            types = self.manager.facts.types
+            if grade >= len(types):
+                raise frames.BadFrame(f"ARRIVAL names traffic type {grade} of {len(types)}")
+            ticket = self.manager.take(
+                now, op_id, grade, team, rank, kb, now - us(age), us(due), by, repeats, key, bool(attrs & 4),
+                bool(attrs & 2),
+            )  # fmt: skip
+            self.tickets[op_id] = ticket
+            return []
+        if code == frames.RING:
+            return self.manager.wake(now, dict(zip(self.gauges, event[3], strict=False)))
+        if code == frames.SIGTERM:
+            return self.manager.leave(now, us(event[2]))
+        ticket = self.tickets.get(event[2])
+        if ticket is None:
+            return []
+        if code == frames.FINISHED:
+            return ticket.ended(now, us(event[3]), _outcome(event[4]))
+        if code == frames.WANTS_CALL:
+            return ticket.needs_call(now)
+        if code == frames.DEP_REPLY:
+            return ticket.called(now, us(event[3]), _outcome(event[4]))
+        return ticket.gone(now)
+
+    def turn(self, now: int) -> list[Result]:
+        results = self.manager.turn(now)
+        self.tickets = {op_id: t for op_id, t in self.tickets.items() if not t.closed}
+        return results
+
+
+def _outcome(code: int) -> Outcome:
+    if code not in _OUTCOMES:
+        raise frames.BadFrame(f"unknown outcome {code}")
+    return _OUTCOMES[code]
+
+
+class Adapter:
+    """All instances of this process; an EXIT empties the table."""
+
+    def __init__(self) -> None:
+        self.hosts: dict[int, Host] = {}
+
+    def batch(self, clock: float, events: list[tuple]) -> list[bytes]:
+        now = us(clock)
+        touched: dict[int, list[bytes]] = {}
+        for event in events:
+            code, who = event[0], event[1]
+            if code == frames.EXIT:
+                self.hosts.pop(who, None)
+                touched.pop(who, None)
+                continue
+            out = touched.setdefault(who, [])
+            if code == frames.HELLO:
+                del out[:]
+                self.hosts[who] = self._guard(who, Host, now, event[2], event[3])
+                self._encode(who, self.hosts[who].manager.begin(now), out)
+            elif who not in self.hosts:
+                raise frames.BadFrame(f"event {code} for instance {who}, which has not started")
+            else:
+                self._encode(who, self._guard(who, self.hosts[who].hear, now, event), out)
+        for who, out in touched.items():
+            if who in self.hosts:
+                self._encode(who, self._guard(who, self.hosts[who].turn, now), out)
+        return [record for out in touched.values() for record in out]
+
+    @staticmethod
+    def _guard(who: int, call: Callable, *given: object) -> object:
+        try:
+            return call(*given)
+        except (frames.BadFrame, BadPremises):
+            raise
+        except Exception as defect:
+            raise InternalError(who, f"{type(defect).__name__}: {defect}") from defect
+
+    @staticmethod
+    def _encode(who: int, results: list[Result], out: list[bytes]) -> None:
+        out.extend(_ENCODE[step](who, ticket, figure) for step, ticket, figure in results)
--- /dev/null
+++ b/crowwing/logic.py
@@ -0,0 +1,488 @@
+"""All decisions of a backend: what it takes, runs and turns away. The mechanism is Cinnamon (docs/design.md).
+
+One LoadManager serves one life of one backend; the types it speaks in are in contract.py. Call begin() once, then,
+for each moment at which something happened: take() for each ticket read (it gives the Ticket on which all its
+later news is a call), the news, wake() for the timer asked for, leave() for the notice to stop, and last turn(), which
+decides. Each but take() returns the list of (step, ticket, figure) to carry out, in order. Times are whole
+microseconds. Drop a ticket once it is `closed`. Nothing here knows a wire, a clock or another instance.
+"""
+
+from collections import deque
+from random import Random
+
+from crowwing.contract import Halt, Outcome, Premises, Repeat, Result, Signal, Step, TrafficType
+
+WAKE_EVERY = 20_000  # the watch over outer limits and gauges
+SAMPLES = 64  # ended runs a traffic type that its P90 is taken from
+ENOUGH = 8  # ended runs before a P90 counts
+TIMEOUT_P90 = 1.0  # queue timeout, in P90s
+CUT_RISE, CUT_FALL, CUT_MOST = 0.8, 0.25, 5 / 6  # of the rank scale a second; tier t0 is never cut
+STRETCH = 1.3  # the run latency, against an uncrowded one, that the limit is steered to
+KP, KI, KD = 0.5, 0.6, 0.05  # the limit's PID, in cores
+CLIMB = 0.25  # of the idle cores added to the limit at each wake while work waits
+SURVIVE = 0.75  # the part of the deadly crowd, memory or calls that is ever used
+SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
+SLOWED = 1.7  # an uncrowded run against its usual time, from which the trouble is taken for local
+CALL_CROWDED = 2.5  # a call's latency against its usual one from which what lies below is crowded
+CALL_TRIES = 3
+
+NEW, HELD, RUNNING, ASKING, CALLING, PAUSED, SHARING, OVER = range(8)
+
+
+class Ticket:
+    """The handle of one ticket; its news comes as calls."""
+
+    __slots__ = (
+        "id", "kind", "type", "team", "rank", "kb", "weight", "read", "arrived", "due", "aim", "by", "repeats",
+        "key", "write", "state", "answered", "closed", "ran", "began", "crowd", "asked", "below", "tries",
+        "not_before", "halted", "manager",
+    )  # fmt: skip
+
+    def __init__(self, manager: "LoadManager", op_id: int, kind: int, kb: float, now: int) -> None:
+        self.manager, self.id, self.kind, self.kb, self.read = manager, op_id, kind, kb, now
+        self.type: TrafficType = manager.facts.types[kind]
+        self.state, self.weight = NEW, 0.0
+        self.answered = self.closed = self.ran = False
+        self.began = self.crowd = self.asked = self.below = self.tries = self.not_before = self.halted = 0
+
+    def ended(self, now: int, took: int, outcome: Outcome) -> list[Result]:
+        """A run or a share is over."""
+        m, was = self.manager, self.state
+        if self.closed or was not in (RUNNING, ASKING, CALLING, SHARING):
+            return []
+        if was == CALLING:
+            m.let_linger(self, now)
+        if outcome is Outcome.STOPPED and not self.answered:  # we halted it: back in the hold
+            freeze = m.facts.halt is Halt.FREEZE
+            m.move(self, PAUSED if freeze else HELD, keeps_weight=freeze)
+            return []
+        out: list[Result] = []
+        if was != SHARING and not self.answered and outcome in (Outcome.GOOD, Outcome.FAILED):
+            m.learn(self, took, outcome is Outcome.GOOD)
+            if self.id in m.kept and self.type.repeat is Repeat.REDOABLE:  # a shared read stays fresh for a while
+                m.keep(self, now, m.facts.fresh_for if outcome is Outcome.GOOD else 0, out)
+        m.close(self)
+        return out
+
+    def needs_call(self, now: int) -> list[Result]:
+        """The run needs what lies below; it waits outside the limit."""
+        if self.state == RUNNING and not self.answered:
+            self.asked = now
+            self.tries = 0
+            self.manager.move(self, ASKING, keeps_weight=True)
+        return []
+
+    def called(self, now: int, took: int, outcome: Outcome) -> list[Result]:
+        """A call came back; after a good one the run goes on by itself."""
+        if self.state != CALLING:
+            return []
+        m, out = self.manager, []
+        if outcome is Outcome.UNSURE:
+            m.let_linger(self, now)
+        m.learn_call(took, outcome)
+        if outcome is Outcome.GOOD:
+            self.below += now - self.asked
+            m.move(self, RUNNING, keeps_weight=True)
+        elif not self.answered:
+            m.move(self, ASKING, keeps_weight=True)
+            again = outcome is Outcome.NEVER_RAN or self.type.repeat is Repeat.REDOABLE
+            if self.type.credit_without > 0:
+                m.go_on(self, now, out)
+            elif again and self.tries < CALL_TRIES:
+                self.not_before = now + m.call_usual
+            else:
+                m.forfeit(self, now, out)
+        return out
+
+    def gone(self, now: int) -> list[Result]:
+        """The caller has given up; nothing is owed any more."""
+        if self.closed or self.answered:
+            return []
+        self.answered, out = True, []
+        if self.state in (NEW, HELD, PAUSED, SHARING):
+            self.manager.close(self)
+        elif self.state == RUNNING and self.type.repeat is Repeat.REDOABLE:
+            self.manager.halt(self, now, out)
+        return out
+
+
+class LoadManager:
+    """Decides for one backend."""
+
+    def __init__(self, facts: Premises, now: int, chance: Random) -> None:
+        self.facts, self.random = facts, chance.random
+        self.open: dict[int, Ticket] = {}  # emptied by each ticket's end
+        self.arrivals: list[Ticket] = []  # read since the last turn, which empties it
+        self.queues: list[list[Ticket]] = [[] for _ in facts.types]  # emptied by release, timeout and outer limit
+        self.asking: list[Ticket] = []  # at a call that is not out yet; emptied by calls and bounds
+        self.kept: dict[int, int] = {}  # entry -> when it runs out, which empties it
+        self.unrun: set[int] = set()  # dismissed in this turn, whose end empties it
+        self.lingering: deque[int] = deque()  # calls given up; emptied as they leave
+        self.counts = [0] * 8  # open tickets by state
+        self.memory = 0.0
+        self.born, self.next_watch, self.next_step = now, now, now
+        self.cut, self.limit, self.error, self.last_error = 0.0, float(facts.cores), 0.0, 0.0
+        self.stretch, self.errors, self.on_cores, self.busy = 1.0, 0.0, 0.0, 0.0
+        self.runs: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in facts.types]
+        self.timeout = [t.expected_time for t in facts.types]
+        self.median = [0] * len(facts.types)
+        self.usual = [0.0] * len(facts.types)  # uncrowded run latency of late
+        self.lifelong = [0.0] * len(facts.types)  # the same over this life
+        self.longest = [0] * len(facts.types)  # most time a caller was seen to leave us
+        self.call_room, self.call_usual = max(1.0, facts.calls_share * SURVIVE), 0
+        self.call_rest = 0  # no call before, where the share is under one call
+        self.budget = [float(quota) for quota in facts.shares]  # a second of each share
+        self.budget_at = now
+        self.ease, self.told, self.shed = 1.0, -1.0, 0.0
+        self.notice, self.stop = 0, 0
+
+    # What comes in
+
+    def begin(self, now: int) -> list[Result]:
+        out: list[Result] = [(Step.READY, None, 0), (Step.WAKE, None, WAKE_EVERY)]
+        self.ease = self.speed(now)
+        self.tell(out)
+        return out
+
+    def take(
+        self, now: int, op_id: int, kind: int, team: int, rank: float, kb: float, arrived: int, due: int, by: int,
+        repeats: int, key: int, write: bool, marked: bool,
+    ) -> Ticket:  # fmt: skip
+        """A ticket has been read; `due` is 0 where its caller's patience is not told."""
+        t = Ticket(self, op_id, kind, kb, now)
+        t.team, t.rank, t.arrived, t.by, t.repeats, t.key, t.write = team, rank, arrived, by, repeats, key, write
+        t.due = max(now, due or arrived + t.type.outer_limit)
+        left = t.due - arrived
+        self.longest[kind] = max(left, self.longest[kind])
+        t.aim = arrived - (self.longest[kind] - left) + t.type.expected_time  # an older try has less time left
+        self.open[op_id] = t
+        self.arrivals.append(t)
+        self.counts[NEW] += 1
+        self.weigh(t, kb)
+        return t
+
+    def leave(self, now: int, stop: int) -> list[Result]:
+        """The notice to leave: the process is stopped at `stop`."""
+        self.notice, self.stop = now, stop
+        out: list[Result] = [(Step.UNREADY, None, 0)]
+        self.tell(out)
+        return out
+
+    def wake(self, now: int, gauges: dict[str, float]) -> list[Result]:
+        self.on_cores += 0.3 * (gauges.get("on_cores", self.counts[RUNNING]) - self.on_cores)
+        self.busy = gauges.get("core_use", 1.0)
+        self.steer(now)
+        out: list[Result] = [(Step.WAKE, None, WAKE_EVERY)]
+        self.tell(out)
+        return out
+
+    # The ordinary path
+
+    def turn(self, now: int) -> list[Result]:
+        """Everything that happened now is known: judge arrivals, the hold and calls, and start what fits."""
+        out: list[Result] = []
+        if now >= self.next_watch:
+            self.watch(now, out)
+        for t in self.arrivals:
+            if t.closed or self.seen_before(t, now, out):
+                continue
+            t.rank *= self.share_left(t, now)
+            if t.rank < self.cut:
+                self.dismiss(t, now, out)
+            elif self.barred(t, now):
+                self.dismiss(t, now, out, elsewhere=True)
+            elif self.memory > SURVIVE * self.facts.memory_kb or not self.keepable(t, now, out):
+                self.dismiss(t, now, out)
+            else:
+                self.move(t, HELD)
+        self.arrivals.clear()
+        for queue in self.queues:
+            for t in queue[:]:
+                if now >= self.patience(t):
+                    self.dismiss(t, now, out)
+        waiting = sorted((t for queue in self.queues for t in queue), key=lambda t: -t.rank)
+        for t in waiting:
+            if self.counts[RUNNING] >= int(self.limit) or self.counts[RUNNING] + self.counts[CALLING] >= self.ceiling(now):
+                break
+            if not self.fits(t):
+                continue
+            if t.state == HELD and t.type.repeat is Repeat.REDOABLE and self.facts.fresh_for and t.key and not t.write:
+                self.keep(t, now, t.due - now + self.facts.fresh_for, out)
+            t.began, t.ran, t.below, t.crowd = now, True, 0, self.counts[RUNNING]
+            self.move(t, RUNNING)
+            out.append((Step.RUN, t, 0))
+        self.ask_below(now, out)
+        self.unrun.clear()
+        return out
+
+    def patience(self, t: Ticket) -> int:
+        """Until when a held ticket is worth holding: its queue timeout, and while an answer can still earn."""
+        if t.ran and t.type.repeat is not Repeat.REDOABLE:
+            return t.due
+        return min(t.read + self.timeout[t.kind], max(t.aim, t.read) - self.median[t.kind] // 2, t.due - self.median[t.kind] // 2)
+
+    def fits(self, t: Ticket) -> bool:
+        """Whether memory and the line before what lies below leave room for one more run."""
+        more = 0.0 if t.state == PAUSED else t.kb * (self.facts.run_factor - 1)
+        if self.memory + more > SURVIVE * self.facts.memory_kb:
+            return False
+        return not (t.type.calls and t.type.credit_without == 0) or len(self.asking) < self.facts.cores
+
+    # Feedback
+
+    def steer(self, now: int) -> None:
+        """One step of the loops: P90s and timeouts, the limit, the cut, the free value."""
+        if now < self.next_step:
+            return
+        dt = WAKE_EVERY / 1e6
+        self.next_step = now + WAKE_EVERY
+        f = self.facts
+        for kind, runs in enumerate(self.runs):
+            if len(runs) >= ENOUGH:
+                ranked = sorted(runs)
+                self.median[kind] = ranked[len(ranked) // 2]
+                self.timeout[kind] = min(round(TIMEOUT_P90 * ranked[len(ranked) * 9 // 10]), f.types[kind].expected_time)
+        held = self.counts[HELD] + self.counts[PAUSED]
+        bound = self.counts[RUNNING] >= int(self.limit)
+        error = STRETCH - self.stretch - self.errors
+        idle = f.cores - self.on_cores
+        if held and idle > 0:
+            self.limit += CLIMB * idle
+        elif bound or error < 0:
+            self.limit += f.cores * (KP * (error - self.last_error) + KI * error * dt)
+        self.last_error = error
+        most = self.ceiling(now)
+        stuck = self.limit >= most or (error <= 0 and idle <= 0) or idle <= -0.1 * f.cores
+        self.limit = min(max(self.limit, f.cores), most)
+        outwait = max(((now - t.read) / max(1, self.timeout[t.kind]) for q in self.queues for t in q), default=0.0)
+        if outwait > 0.9 and self.busy > 0.9 and stuck:
+            self.cut = min(CUT_MOST, self.cut + CUT_RISE * dt * outwait)
+        elif outwait < 0.5:
+            self.cut = max(0.0, self.cut - CUT_FALL * dt)
+        pressed = self.cut > 0 or self.errors > SICK or outwait > 0.9
+        self.ease = max(0.1, self.ease * 0.98) if pressed else min(1.0, self.ease + 0.02)
+        if f.cold:
+            self.ease = min(self.ease, self.speed(now))
+
+    def learn(self, t: Ticket, took: int, good: bool) -> None:
+        """A run ended by itself. Failed runs are quick: they count as errors, never as latency."""
+        self.errors += 0.05 * ((0.0 if good else 1.0) - self.errors)
+        if not good:
+            return
+        k = t.kind
+        self.runs[k].append(took)
+        own = took - t.below
+        if t.crowd <= self.facts.cores:
+            self.usual[k] += 0.05 * (own - self.usual[k]) if self.usual[k] else own
+            self.lifelong[k] += 0.005 * (own - self.lifelong[k]) if self.lifelong[k] else own
+        if self.usual[k]:
+            self.stretch += 0.08 * (own / self.usual[k] - self.stretch)
+
+    def slowed(self) -> bool:
+        """Whether uncrowded runs take far longer than usual here: a trouble of this backend, not of the fleet."""
+        pairs = list(zip(self.usual, self.lifelong, strict=True))
+        return sum(u for u, _ in pairs) > SLOWED * sum(life for _, life in pairs) > 0
+
+    def tell(self, out: list[Result]) -> None:
+        """Sets the free value where it moved."""
+        f = self.facts
+        ease = 0.0 if self.notice else self.ease
+        value = {
+            Signal.NONE: -1.0,
+            Signal.FLOOR: 1.0 if self.notice else self.cut,
+            Signal.ALLOWANCE: ease * 4 * f.cores,
+            Signal.WEIGHT: ease,
+        }[f.signal]
+        if f.signal is not Signal.NONE and abs(value - self.told) > 0.05 * max(value, self.told):
+            self.told = value
+            out.append((Step.FREE_VALUE, None, value))
+
+    # Guards
+
+    def speed(self, now: int) -> float:
+        """The least share of its speed that this backend can have now."""
+        f = self.facts
+        if not f.cold or now >= self.born + f.cold_for:
+            return 1.0
+        return f.cold_from + (1 - f.cold_from) * (now - self.born) / f.cold_for
+
+    def ceiling(self, now: int) -> int:
+        """The crowd on the cores that is never passed; cold cores survive less."""
+        return max(1, int(SURVIVE * self.facts.cores * (1 + (self.facts.crowd - 1) * self.speed(now))))
+
+    def barred(self, t: Ticket, now: int) -> bool:
+        """What is better off at another backend: after the grace of a drain, and while runs fail here."""
+        if self.notice:
+            late = t.arrived > self.notice + self.facts.grace
+            return late or now + 2 * self.median[t.kind] + 2 * WAKE_EVERY > self.stop
+        return self.errors > SICK and self.random() > PROBE
+
+    def share_left(self, t: Ticket, now: int) -> float:
+        """What a ticket's rank is worth: beyond its customer's share, no more than its credit there."""
+        if not self.budget:
+            return 1.0
+        passed, self.budget_at = (now - self.budget_at) / 1e6, now
+        for team, quota in enumerate(self.facts.shares):
+            rate = 1.3 * quota / max(1, self.facts.fleet)
+            self.budget[team] = min(2 * rate, self.budget[team] + rate * passed)
+        if self.budget[t.team] < 1:
+            return self.facts.over_share_credit
+        self.budget[t.team] -= 1
+        return 1.0
+
+    def seen_before(self, t: Ticket, now: int, out: list[Result]) -> bool:
+        """Repeats: what has run is shared, and a labelled ticket takes the place of its held earlier try."""
+        first = self.open.get(t.repeats)
+        if not t.repeats or t.repeats in self.unrun or t.type.repeat is Repeat.IRREVERSIBLE:
+            return False
+        if first is not None and first.state in (NEW, HELD) and not first.ran:
+            if t.type.repeat is Repeat.LABELLED and first.state == HELD and self.keepable(t, now, out):
+                self.kept.pop(first.id, None)
+                self.dismiss(first, now, out)
+            return False
+        self.move(t, SHARING)
+        t.ran = True
+        out.append((Step.SHARE, t, 0))
+        return True
+
+    def keepable(self, t: Ticket, now: int, out: list[Result]) -> bool:
+        """A labelled ticket is known by its entry from its reading on; without room for one it may not run."""
+        if t.type.repeat is not Repeat.LABELLED or t.id in self.kept:
+            return True
+        span = t.arrived + t.type.window - now + WAKE_EVERY
+        return span <= 0 or self.keep(t, now, span, out)
+
+    def keep(self, t: Ticket, now: int, span: int, out: list[Result]) -> bool:
+        if span <= 0:
+            if self.kept.pop(t.id, None) is not None:
+                out.append((Step.FORGET, t, 0))
+        elif t.id in self.kept or self.used() + self.facts.key_kb <= SURVIVE * self.facts.memory_kb:
+            self.kept[t.id] = now + span
+            out.append((Step.KEEP, t, span))
+        return span > 0 and t.id in self.kept
+
+    def used(self) -> float:
+        return self.memory + len(self.kept) * self.facts.key_kb
+
+    def watch(self, now: int, out: list[Result]) -> None:
+        """Outer limits, entries that ran out, calls that left; stopped work that did not stop."""
+        self.next_watch = now + WAKE_EVERY // 2
+        early = max(0, 2 * WAKE_EVERY - self.facts.answer_slack)
+        last = self.stop - 3 * WAKE_EVERY if self.notice else now + 1
+        for t in list(self.open.values()):
+            if t.answered:
+                if t.state == RUNNING and t.halted and now > t.halted + 5 * WAKE_EVERY:
+                    self.halt(t, now, out)
+            elif now >= t.due - early or now >= last:
+                if t.state in (NEW, HELD) and not t.ran:
+                    self.dismiss(t, now, out)
+                else:
+                    self.forfeit(t, now, out)
+        self.kept = {op_id: until for op_id, until in self.kept.items() if until > now}
+        while self.lingering and self.lingering[0] <= now:
+            self.lingering.popleft()
+
+    # Calls
+
+    def ask_below(self, now: int, out: list[Result]) -> None:
+        """Makes calls, highest rank first, within this backend's share and what the callee takes at ease."""
+        f = self.facts
+        for t in sorted(self.asking, key=lambda t: -t.rank):
+            used = self.counts[CALLING] + len(self.lingering)
+            crowd = self.counts[RUNNING] + self.counts[CALLING]
+            rest = self.median[t.kind] // 2
+            bound = (t.aim if now + rest < t.aim else t.due) - rest - now
+            if now < t.not_before:
+                continue
+            if bound <= 0 and t.type.credit_without == 0:
+                self.forfeit(t, now, out)
+            elif not f.calls_share or (used < int(self.call_room) and now >= self.call_rest):
+                if crowd >= self.ceiling(now):
+                    break
+                span = min(max(bound, WAKE_EVERY), t.due - now)
+                if 0 < f.calls_share < 1:  # share under one call: short calls with rests between
+                    span = min(span, max(1000, round(f.calls_share * f.calls_over / 4) - f.lingers))
+                    self.call_rest = now + round((span + f.lingers) / (SURVIVE * f.calls_share))
+                t.tries += 1
+                t.asked = now
+                self.move(t, CALLING, keeps_weight=True)
+                out.append((Step.CALL, t, max(1000, span)))
+            elif t.type.credit_without > 0 and (now - t.asked > 4 * self.call_usual or bound <= 0):
+                self.go_on(t, now, out)
+
+    def go_on(self, t: Ticket, now: int, out: list[Result]) -> None:
+        if self.counts[RUNNING] + self.counts[CALLING] < self.ceiling(now):
+            self.move(t, RUNNING, keeps_weight=True)
+            t.below += now - t.asked
+            out.append((Step.GO_ON, t, 0))
+
+    def learn_call(self, took: int, outcome: Outcome) -> None:
+        """The room for calls shrinks while they take far longer than usual or fail, and grows back at ease."""
+        most = max(1.0, SURVIVE * self.facts.calls_share)
+        if outcome is Outcome.GOOD:
+            slow = self.call_usual and took > CALL_CROWDED * self.call_usual
+            weight = 0.002 if slow else 0.05
+            self.call_usual = round(self.call_usual + weight * (took - self.call_usual)) or took
+        else:
+            slow = True
+        self.call_room = max(1.0, self.call_room * 0.95) if slow else min(most, self.call_room + 0.1)
+
+    def let_linger(self, t: Ticket, now: int) -> None:
+        self.lingering.append(now + self.facts.lingers)
+
+    # Answers and accounts
+
+    def dismiss(self, t: Ticket, now: int, out: list[Result], elsewhere: bool = False) -> None:
+        """A final no, with advice: how long to stay away, and whether another backend may do better."""
+        if t.ran and t.type.repeat is not Repeat.REDOABLE or t.state == PAUSED:
+            return self.forfeit(t, now, out)
+        if t.id in self.kept:
+            self.keep(t, now, 0, out)
+        elsewhere = elsewhere or self.slowed() or self.speed(now) < 1 or bool(self.notice)
+        away = self.facts.stay_away_most if elsewhere else round(self.facts.stay_away_most * self.cut)
+        out.append((Step.DISMISS if elsewhere else Step.DISMISS_ALL, t, away))
+        t.answered = True
+        self.unrun.add(t.id)
+        self.close(t)
+        return None
+
+    def forfeit(self, t: Ticket, now: int, out: list[Result]) -> None:
+        """A final error for what may have run; its work is stopped where that can be done."""
+        out.append((Step.FORFEIT, t, 0))
+        t.answered = True
+        if t.state == RUNNING:
+            self.halt(t, now, out)
+        elif t.state not in (ASKING, CALLING):
+            self.close(t)
+
+    def halt(self, t: Ticket, now: int, out: list[Result]) -> None:
+        if self.facts.halt is not Halt.NONE:
+            t.halted = now
+            out.append((Step.HALT, t, 0))
+
+    def move(self, t: Ticket, state: int, keeps_weight: bool = False) -> None:
+        """Takes a ticket to another state, its place and its memory with it."""
+        if t.state in (HELD, PAUSED):
+            self.queues[t.kind].remove(t)
+        elif t.state == ASKING:
+            self.asking.remove(t)
+        self.counts[t.state] -= 1
+        t.state = state
+        self.counts[state] += 1
+        if state in (HELD, PAUSED):
+            self.queues[t.kind].append(t)
+        elif state == ASKING:
+            self.asking.append(t)
+        if not keeps_weight:
+            self.weigh(t, t.kb * self.facts.run_factor if state == RUNNING else t.kb)
+
+    def weigh(self, t: Ticket, kb: float) -> None:
+        self.memory += kb - t.weight
+        t.weight = kb
+
+    def close(self, t: Ticket) -> None:
+        self.move(t, OVER)
+        self.weigh(t, 0.0)
+        self.counts[OVER] = 0
+        t.closed = True
+        self.open.pop(t.id, None)
