--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -128,7 +128,6 @@
         self.median = [0] * len(facts.types)
         self.usual = [0.0] * len(facts.types)  # uncrowded run latency of late
         self.lifelong = [0.0] * len(facts.types)  # the same over this life
-        self.longest = [0] * len(facts.types)  # most time a caller was seen to leave us
         self.call_room, self.call_usual = max(1.0, facts.calls_share * SURVIVE), 0
         self.call_rest = 0  # no call before, where the share is under one call
         self.budget = [float(quota) for quota in facts.shares]  # a second of each share
@@ -152,9 +151,7 @@
         t = Ticket(self, op_id, kind, kb, now)
         t.team, t.rank, t.arrived, t.by, t.repeats, t.key, t.write = team, rank, arrived, by, repeats, key, write
         t.due = max(now, due or arrived + t.type.outer_limit)
-        left = t.due - arrived
-        self.longest[kind] = max(left, self.longest[kind])
-        t.aim = arrived - (self.longest[kind] - left) + t.type.expected_time  # an older try has less time left
+        t.aim = min(t.due, arrived + t.type.expected_time)
         self.open[op_id] = t
         self.arrivals.append(t)
         self.counts[NEW] += 1
@@ -219,7 +216,7 @@
         """Until when a held ticket is worth holding: its queue timeout, and while an answer can still earn."""
         if t.ran and t.type.repeat is not Repeat.REDOABLE:
             return t.due
-        return min(t.read + self.timeout[t.kind], max(t.aim, t.read) - self.median[t.kind] // 2, t.due - self.median[t.kind] // 2)
+        return min(t.read + self.timeout[t.kind], t.aim - self.median[t.kind] // 2)
 
     def fits(self, t: Ticket) -> bool:
         """Whether memory and the line before what lies below leave room for one more run."""
