--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -128,7 +128,9 @@
         self.median = [0] * len(facts.types)
         self.usual = [0.0] * len(facts.types)  # uncrowded run latency of late
         self.lifelong = [0.0] * len(facts.types)  # the same over this life
-        self.call_room, self.call_usual = max(1.0, facts.calls_share * SURVIVE), 0
+        self.ended_runs = [0] * len(facts.types)
+        self.call_room = max(1.0, facts.calls_share * SURVIVE)
+        self.call_usual, self.call_late, self.ended_calls = 0, 0.0, 0
         self.call_rest = 0  # no call before, where the share is under one call
         self.budget = [float(quota) for quota in facts.shares]  # a second of each share
         self.budget_at = now
@@ -270,8 +272,9 @@
         self.runs[k].append(took)
         own = took - t.below
         if t.crowd <= self.facts.cores:
-            self.usual[k] += 0.05 * (own - self.usual[k]) if self.usual[k] else own
-            self.lifelong[k] += 0.005 * (own - self.lifelong[k]) if self.lifelong[k] else own
+            self.ended_runs[k] += 1
+            self.usual[k] += max(0.05, 1 / self.ended_runs[k]) * (own - self.usual[k])
+            self.lifelong[k] += max(0.002, 1 / self.ended_runs[k]) * (own - self.lifelong[k])
         if self.usual[k]:
             self.stretch += 0.08 * (own / self.usual[k] - self.stretch)
 
@@ -416,13 +419,12 @@
     def learn_call(self, took: int, outcome: Outcome) -> None:
         """The room for calls shrinks while they take far longer than usual or fail, and grows back at ease."""
         most = max(1.0, SURVIVE * self.facts.calls_share)
-        if outcome is Outcome.GOOD:
-            slow = self.call_usual and took > CALL_CROWDED * self.call_usual
-            weight = 0.002 if slow else 0.05
-            self.call_usual = round(self.call_usual + weight * (took - self.call_usual)) or took
-        else:
-            slow = True
-        self.call_room = max(1.0, self.call_room * 0.95) if slow else min(most, self.call_room + 0.1)
+        if outcome is not Outcome.NEVER_RAN:
+            self.ended_calls += 1
+            self.call_late += max(0.1, 1 / self.ended_calls) * (took - self.call_late)
+            self.call_usual = round(self.call_usual + max(0.003, 1 / self.ended_calls) * (took - self.call_usual))
+        slow = outcome is not Outcome.GOOD or self.call_late > CALL_CROWDED * self.call_usual
+        self.call_room = max(1.0, self.call_room * 0.97) if slow else min(most, self.call_room + 0.1)
 
     def let_linger(self, t: Ticket, now: int) -> None:
         self.lingering.append(now + self.facts.lingers)
