Count waits from a ticket's arrival on the machine, unread time included

Cause: time spent unread did not count as wait, so the cut slept while a reading line built up and tickets came out of it too old.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -134,7 +134,7 @@
         self.call_rest = 0  # no call before, where the share is under one call
         self.budget = [float(quota) for quota in facts.shares]  # a second of each share
         self.budget_at = now
-        self.ease, self.told, self.shed = 1.0, -1.0, 0.0
+        self.ease, self.told, self.waited = 1.0, -1.0, 0.0
         self.notice, self.stop = 0, 0
 
     # What comes in
@@ -198,6 +198,7 @@
         for queue in self.queues:
             for t in queue[:]:
                 if now >= self.patience(t):
+                    self.waited = max(self.waited, (now - t.arrived) / max(1, self.timeout[t.kind]))
                     self.dismiss(t, now, out)
         waiting = sorted((t for queue in self.queues for t in queue), key=lambda t: -t.rank)
         for t in waiting:
@@ -218,7 +219,7 @@
         """Until when a held ticket is worth holding: its queue timeout, and while an answer can still earn."""
         if t.ran and t.type.repeat is not Repeat.REDOABLE:
             return t.due
-        return min(t.read + self.timeout[t.kind], t.aim - self.median[t.kind] // 2)
+        return min(t.arrived + self.timeout[t.kind], t.aim - self.median[t.kind] // 2)
 
     def fits(self, t: Ticket) -> bool:
         """Whether memory and the line before what lies below leave room for one more run."""
@@ -253,7 +254,8 @@
         most = self.ceiling(now)
         stuck = self.limit >= most or (error <= 0 and idle <= 0) or idle <= -0.1 * f.cores
         self.limit = min(max(self.limit, f.cores), most)
-        outwait = max(((now - t.read) / max(1, self.timeout[t.kind]) for q in self.queues for t in q), default=0.0)
+        outwait = max([self.waited] + [(now - t.arrived) / max(1, self.timeout[t.kind]) for q in self.queues for t in q])
+        self.waited = 0.0
         if outwait > 0.9 and self.busy > 0.9 and stuck:
             self.cut = min(CUT_MOST, self.cut + CUT_RISE * dt * outwait)
         elif outwait < 0.5:
