Let the queue timeout leave room for the run itself

Cause: with crowded runs the P90 came near the expected time, so a ticket could be held for a P90 and then answer late; the timeout is now a P90, or what a P90 run leaves of the time tickets come with where that is less.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -125,6 +125,7 @@
         self.stretch, self.errors, self.on_cores, self.busy = 1.0, 0.0, 0.0, 0.0
         self.runs: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in facts.types]
         self.timeout = [t.expected_time for t in facts.types]
+        self.span = [t.expected_time for t in facts.types]  # the time that tickets come with
         self.median = [0] * len(facts.types)
         self.usual = [0.0] * len(facts.types)  # uncrowded run latency of late
         self.lifelong = [0.0] * len(facts.types)  # the same over this life
@@ -154,6 +155,7 @@
         t.team, t.rank, t.arrived, t.by, t.repeats, t.key, t.write = team, rank, arrived, by, repeats, key, write
         t.due = max(now, due or arrived + t.type.outer_limit)
         t.aim = min(t.due, arrived + t.type.expected_time)
+        self.span[kind] += round(0.05 * (t.aim - arrived - self.span[kind]))
         self.open[op_id] = t
         self.arrivals.append(t)
         self.counts[NEW] += 1
@@ -241,7 +243,9 @@
             if len(runs) >= ENOUGH:
                 ranked = sorted(runs)
                 self.median[kind] = ranked[len(ranked) // 2]
-                self.timeout[kind] = min(round(TIMEOUT_P90 * ranked[len(ranked) * 9 // 10]), f.types[kind].expected_time)
+                p90 = round(TIMEOUT_P90 * ranked[len(ranked) * 9 // 10])
+                span = self.span[kind]
+                self.timeout[kind] = max(span // 8, min(p90, span - p90))
         held = self.counts[HELD] + self.counts[PAUSED]
         bound = self.counts[RUNNING] >= int(self.limit)
         error = STRETCH - self.stretch - self.errors
