Set the allowance by a water level over the callers' tickets here

Cause: the value was an integrator on late news and swung between its ends, idling and flooding the cores in turn. Now it is what lets all callers together fill limit and hold, heaviest first to give way.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -21,6 +21,7 @@
 KP, KI, KD = 0.5, 0.6, 0.05  # the limit's PID, in cores
 CLIMB = 0.25  # of the idle cores added to the limit at each wake while work waits
 SURVIVE = 0.75  # the part of the deadly crowd, memory or calls that is ever used
+HOLD = 1.0  # held tickets a core that callers are let to bring
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
 SLOWED = 1.7  # an uncrowded run against its usual time, from which the trouble is taken for local
 CALL_CROWDED = 2.5  # a call's latency against its usual one from which what lies below is crowded
@@ -135,15 +136,14 @@
         self.call_rest = 0  # no call before, where the share is under one call
         self.budget = [float(quota) for quota in facts.shares]  # a second of each share
         self.budget_at = now
-        self.ease, self.told, self.waited = 1.0, -1.0, 0.0
+        self.told, self.waited = -1.0, 0.0
         self.notice, self.stop = 0, 0
 
     # What comes in
 
     def begin(self, now: int) -> list[Result]:
         out: list[Result] = [(Step.READY, None, 0), (Step.WAKE, None, WAKE_EVERY)]
-        self.ease = self.speed(now)
-        self.tell(out)
+        self.tell(now, out)
         return out
 
     def take(
@@ -166,7 +166,7 @@
         """The notice to leave: the process is stopped at `stop`."""
         self.notice, self.stop = now, stop
         out: list[Result] = [(Step.UNREADY, None, 0)]
-        self.tell(out)
+        self.tell(now, out)
         return out
 
     def wake(self, now: int, gauges: dict[str, float]) -> list[Result]:
@@ -174,7 +174,7 @@
         self.busy = gauges.get("core_use", 1.0)
         self.steer(now)
         out: list[Result] = [(Step.WAKE, None, WAKE_EVERY)]
-        self.tell(out)
+        self.tell(now, out)
         return out
 
     # The ordinary path
@@ -264,10 +264,6 @@
             self.cut = min(CUT_MOST, self.cut + CUT_RISE * dt * outwait)
         elif outwait < 0.5:
             self.cut = max(0.0, self.cut - CUT_FALL * dt)
-        pressed = self.cut > 0 or self.errors > SICK or outwait > 0.9
-        self.ease = max(0.1, self.ease * 0.98) if pressed else min(1.0, self.ease + 0.02)
-        if f.cold:
-            self.ease = min(self.ease, self.speed(now))
 
     def learn(self, t: Ticket, took: int, good: bool) -> None:
         """A run ended by itself. Failed runs are quick: they count as errors, never as latency."""
@@ -289,20 +285,35 @@
         pairs = list(zip(self.usual, self.lifelong, strict=True))
         return sum(u for u, _ in pairs) > SLOWED * sum(life for _, life in pairs) > 0
 
-    def tell(self, out: list[Result]) -> None:
+    def tell(self, now: int, out: list[Result]) -> None:
         """Sets the free value where it moved."""
         f = self.facts
-        ease = 0.0 if self.notice else self.ease
+        room = (self.limit + HOLD * f.cores) * self.speed(now) * (PROBE if self.errors > SICK else 1.0)
+        room = 0.0 if self.notice else room + self.counts[ASKING] + self.counts[CALLING]
         value = {
             Signal.NONE: -1.0,
             Signal.FLOOR: 1.0 if self.notice else self.cut,
-            Signal.ALLOWANCE: ease * 4 * f.cores,
-            Signal.WEIGHT: ease,
+            Signal.ALLOWANCE: self.level(room),
+            Signal.WEIGHT: min(1.0, room / max(1, len(self.open))),
         }[f.signal]
         if f.signal is not Signal.NONE and abs(value - self.told) > 0.05 * max(value, self.told):
             self.told = value
             out.append((Step.FREE_VALUE, None, value))
 
+    def level(self, room: float) -> float:
+        """The most that each caller may have here so that all together fill the room: the heaviest give way first."""
+        out: dict[int, int] = {}
+        for t in self.open.values():
+            out[t.by] = out.get(t.by, 0) + 1
+        heavy = max(out.values(), default=0)
+        if len(self.open) <= room:
+            return heavy + room - len(self.open)
+        for n, has in enumerate(sorted(out.values())):
+            if has * (len(out) - n) >= room:
+                return room / (len(out) - n)
+            room -= has
+        return float(heavy)
+
     # Guards
 
     def speed(self, now: int) -> float:
