--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -21,7 +21,7 @@
 KP, KI, KD = 0.5, 0.6, 0.05  # the limit's PID, in cores
 CLIMB = 0.25  # of the idle cores added to the limit at each wake while work waits
 SURVIVE = 0.75  # the part of the deadly crowd, memory or calls that is ever used
-HOLD = 1.0  # held tickets a core that callers are let to bring
+HOLD = 0.3  # held tickets a core that callers are let to bring
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
 SLOWED = 1.7  # an uncrowded run against its usual time, from which the trouble is taken for local
 CALL_CROWDED = 2.5  # a call's latency against its usual one from which what lies below is crowded
@@ -288,7 +288,7 @@
     def tell(self, now: int, out: list[Result]) -> None:
         """Sets the free value where it moved."""
         f = self.facts
-        room = (self.limit + HOLD * f.cores) * self.speed(now) * (PROBE if self.errors > SICK else 1.0)
+        room = (self.limit + (HOLD - self.cut) * f.cores) * self.speed(now) * (PROBE if self.errors > SICK else 1.0)
         room = 0.0 if self.notice else room + self.counts[ASKING] + self.counts[CALLING]
         value = {
             Signal.NONE: -1.0,
