--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -210,7 +210,7 @@
                 continue
             if t.state == HELD and t.type.repeat is Repeat.REDOABLE and self.facts.fresh_for and t.key and not t.write:
                 self.keep(t, now, t.due - now + self.facts.fresh_for, out)
-            t.began, t.ran, t.below, t.crowd = now, True, 0, self.counts[RUNNING]
+            t.began, t.ran, t.below, t.crowd = now, True, 0, max(self.counts[RUNNING], self.on_cores)
             self.move(t, RUNNING)
             out.append((Step.RUN, t, 0))
         self.ask_below(now, out)
@@ -247,12 +247,11 @@
                 span = self.span[kind]
                 self.timeout[kind] = max(span // 8, min(p90, span - p90))
         held = self.counts[HELD] + self.counts[PAUSED]
-        bound = self.counts[RUNNING] >= int(self.limit)
         error = STRETCH - self.stretch - self.errors
         idle = f.cores - self.on_cores
         if held and idle > 0:
             self.limit += CLIMB * idle
-        elif bound or error < 0:
+        elif error < 0:
             self.limit += f.cores * (KP * (error - self.last_error) + KI * error * dt)
         self.last_error = error
         most = self.ceiling(now)
@@ -273,10 +272,10 @@
         k = t.kind
         self.runs[k].append(took)
         own = took - t.below
-        if t.crowd <= self.facts.cores:
-            self.ended_runs[k] += 1
-            self.usual[k] += max(0.05, 1 / self.ended_runs[k]) * (own - self.usual[k])
-            self.lifelong[k] += max(0.002, 1 / self.ended_runs[k]) * (own - self.lifelong[k])
+        self.ended_runs[k] += 1
+        weight = max(0.05 if t.crowd <= self.facts.cores else 0.002, 1 / self.ended_runs[k])
+        self.usual[k] += weight * (own - self.usual[k])
+        self.lifelong[k] += max(0.002, 1 / self.ended_runs[k]) * (own - self.lifelong[k])
         if self.usual[k]:
             self.stretch += 0.08 * (own / self.usual[k] - self.stretch)
 
