Count what lies unread against the allowance, and weigh callers by what they send

Should also cover cold starts. Could hold callers back after a pause, for as long as the mean of unread time remembers it.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -137,6 +137,8 @@
         self.budget = [float(quota) for quota in facts.shares]  # a second of each share
         self.budget_at = now
         self.told, self.waited = -1.0, 0.0
+        self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
+        self.unread, self.read_rate = 0.0, 0.0
         self.notice, self.stop = 0, 0
 
     # What comes in
@@ -156,6 +158,8 @@
         t.due = max(now, due or arrived + t.type.outer_limit)
         t.aim = min(t.due, arrived + t.type.expected_time)
         self.span[kind] += round(0.05 * (t.aim - arrived - self.span[kind]))
+        self.unread += 0.1 * (now - arrived - self.unread)
+        self.weights[by] = self.weights.get(by, 0.0) + 1.0
         self.open[op_id] = t
         self.arrivals.append(t)
         self.counts[NEW] += 1
@@ -238,6 +242,8 @@
             return
         dt = WAKE_EVERY / 1e6
         self.next_step = now + WAKE_EVERY
+        self.weights = {by: 0.98 * w for by, w in self.weights.items() if w > 0.01}
+        self.read_rate = sum(self.weights.values()) * 0.02 / dt
         f = self.facts
         for kind, runs in enumerate(self.runs):
             if len(runs) >= ENOUGH:
@@ -300,18 +306,20 @@
             out.append((Step.FREE_VALUE, None, value))
 
     def level(self, room: float) -> float:
-        """The most that each caller may have here so that all together fill the room: the heaviest give way first."""
-        out: dict[int, int] = {}
-        for t in self.open.values():
-            out[t.by] = out.get(t.by, 0) + 1
-        heavy = max(out.values(), default=0)
-        if len(self.open) <= room:
-            return heavy + room - len(self.open)
-        for n, has in enumerate(sorted(out.values())):
-            if has * (len(out) - n) >= room:
-                return room / (len(out) - n)
-            room -= has
-        return float(heavy)
+        """The most that each caller may have here so that all together fill the room: the heaviest give way first.
+
+        What is not read yet is here too: by Little's law, as much as is read in the time that a ticket lay unread.
+        """
+        here = len(self.open) + self.read_rate * self.unread / 1e6
+        parts = sorted(self.weights.values())
+        scale = here / max(1e-9, sum(parts))
+        if here <= room:
+            return max(parts, default=0.0) * scale + room - here
+        for n, part in enumerate(parts):
+            if part * scale * (len(parts) - n) >= room:
+                return room / (len(parts) - n)
+            room -= part * scale
+        return room
 
     # Guards
 
