Bound the mean of calls in hand, not their number

Guards against a share that is under one call; should also cover shares made for a far larger fleet; could do harm where the share is cut far too small.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -25,7 +25,7 @@
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
 SLOWED = 1.7  # an uncrowded run against its usual time, from which the trouble is taken for local
 CALL_CROWDED = 2.5  # a call's latency against its usual one from which what lies below is crowded
-CALL_TRIES = 3
+CALL_TRIES, CALL_PATIENCE = 3, 6  # tries of a call, and its bound in recent mean latencies
 
 NEW, HELD, RUNNING, ASKING, CALLING, PAUSED, SHARING, OVER = range(8)
 
@@ -36,7 +36,7 @@
     __slots__ = (
         "id", "kind", "type", "team", "rank", "kb", "weight", "read", "arrived", "due", "aim", "by", "repeats",
         "key", "write", "state", "answered", "closed", "ran", "began", "crowd", "asked", "below", "tries",
-        "not_before", "halted", "manager",
+        "not_before", "halted", "call_until", "manager",
     )  # fmt: skip
 
     def __init__(self, manager: "LoadManager", op_id: int, kind: int, kb: float, now: int) -> None:
@@ -44,7 +44,7 @@
         self.type: TrafficType = manager.facts.types[kind]
         self.state, self.weight = NEW, 0.0
         self.answered = self.closed = self.ran = False
-        self.began = self.crowd = self.asked = self.below = self.tries = self.not_before = self.halted = 0
+        self.call_until = self.began = self.crowd = self.asked = self.below = self.tries = self.not_before = self.halted = 0
 
     def ended(self, now: int, took: int, outcome: Outcome) -> list[Result]:
         """A run or a share is over."""
@@ -121,7 +121,7 @@
         self.lingering: deque[int] = deque()  # calls given up; emptied as they leave
         self.counts = [0] * 8  # open tickets by state
         self.memory = 0.0
-        self.born, self.next_watch, self.next_step = now, now, now
+        self.born, self.next_watch, self.next_step, self.last_step = now, now, now, now
         self.cut, self.limit, self.error, self.last_error = 0.0, float(facts.cores), 0.0, 0.0
         self.stretch, self.errors, self.on_cores, self.busy = 1.0, 0.0, 0.0, 0.0
         self.runs: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in facts.types]
@@ -131,9 +131,10 @@
         self.usual = [0.0] * len(facts.types)  # uncrowded run latency of late
         self.lifelong = [0.0] * len(facts.types)  # the same over this life
         self.ended_runs = [0] * len(facts.types)
-        self.call_room = max(1.0, facts.calls_share * SURVIVE)
+        self.most_calls = max(facts.cores / 2, SURVIVE * facts.calls_share)
+        self.call_room = self.most_calls
         self.call_usual, self.call_late, self.ended_calls = 0, 0.0, 0
-        self.call_rest = 0  # no call before, where the share is under one call
+        self.in_hand: deque[tuple[int, float]] = deque()  # call time by step, over the time the share is a mean of
         self.budget = [float(quota) for quota in facts.shares]  # a second of each share
         self.budget_at = now
         self.told, self.waited = -1.0, 0.0
@@ -241,6 +242,10 @@
         if now < self.next_step:
             return
         dt = WAKE_EVERY / 1e6
+        self.in_hand.append((now, (now - self.last_step) * (self.counts[CALLING] + len(self.lingering))))
+        while self.in_hand[0][0] < now - self.facts.calls_over:
+            self.in_hand.popleft()
+        self.last_step = now
         self.next_step = now + WAKE_EVERY
         self.weights = {by: 0.98 * w for by, w in self.weights.items() if w > 0.01}
         self.read_rate = sum(self.weights.values()) * 0.02 / dt
@@ -413,6 +418,7 @@
         f = self.facts
         for t in sorted(self.asking, key=lambda t: -t.rank):
             used = self.counts[CALLING] + len(self.lingering)
+            spare = self.spare_calls(now)
             crowd = self.counts[RUNNING] + self.counts[CALLING]
             rest = self.median[t.kind] // 2
             bound = (t.aim if now + rest < t.aim else t.due) - rest - now
@@ -420,20 +426,26 @@
                 continue
             if bound <= 0 and t.type.credit_without == 0:
                 self.forfeit(t, now, out)
-            elif not f.calls_share or (used < int(self.call_room) and now >= self.call_rest):
+            elif not f.calls_share or (used < int(self.call_room) and spare > self.call_usual):
                 if crowd >= self.ceiling(now):
                     break
                 span = min(max(bound, WAKE_EVERY), t.due - now)
-                if 0 < f.calls_share < 1:  # share under one call: short calls with rests between
-                    span = min(span, max(1000, round(f.calls_share * f.calls_over / 4) - f.lingers))
-                    self.call_rest = now + round((span + f.lingers) / (SURVIVE * f.calls_share))
+                if f.calls_share:
+                    span = round(min(span, spare, max(f.calls_over / 8, CALL_PATIENCE * self.call_late)))
                 t.tries += 1
-                t.asked = now
+                t.asked, t.call_until = now, now + span
                 self.move(t, CALLING, keeps_weight=True)
                 out.append((Step.CALL, t, max(1000, span)))
             elif t.type.credit_without > 0 and (now - t.asked > 4 * self.call_usual or bound <= 0):
                 self.go_on(t, now, out)
 
+    def spare_calls(self, now: int) -> float:
+        """Call time that can still be spent: the mean stays in the share even if each call out lasts to its bound."""
+        f = self.facts
+        ahead = sum(t.call_until + f.lingers - now for t in self.open.values() if t.state == CALLING)
+        ahead += sum(until - now for until in self.lingering)
+        return SURVIVE * f.calls_share * f.calls_over - sum(area for _, area in self.in_hand) - ahead - f.lingers
+
     def go_on(self, t: Ticket, now: int, out: list[Result]) -> None:
         if self.counts[RUNNING] + self.counts[CALLING] < self.ceiling(now):
             self.move(t, RUNNING, keeps_weight=True)
@@ -442,13 +454,12 @@
 
     def learn_call(self, took: int, outcome: Outcome) -> None:
         """The room for calls shrinks while they take far longer than usual or fail, and grows back at ease."""
-        most = max(1.0, SURVIVE * self.facts.calls_share)
         if outcome is not Outcome.NEVER_RAN:
             self.ended_calls += 1
             self.call_late += max(0.1, 1 / self.ended_calls) * (took - self.call_late)
             self.call_usual = round(self.call_usual + max(0.003, 1 / self.ended_calls) * (took - self.call_usual))
         slow = outcome is not Outcome.GOOD or self.call_late > CALL_CROWDED * self.call_usual
-        self.call_room = max(1.0, self.call_room * 0.97) if slow else min(most, self.call_room + 0.1)
+        self.call_room = max(1.0, self.call_room * 0.97) if slow else min(self.most_calls, self.call_room + 0.1)
 
     def let_linger(self, t: Ticket, now: int) -> None:
         self.lingering.append(now + self.facts.lingers)
