Give the cut's loop a proportional part and a slow memory

Guards against limit cycles whatever sets them off; could do harm by shedding too little in a short burst.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -16,7 +16,9 @@
 SAMPLES = 64  # ended runs a traffic type that its P90 is taken from
 ENOUGH = 8  # ended runs before a P90 counts
 TIMEOUT_P90 = 1.0  # queue timeout, in P90s
-CUT_RISE, CUT_FALL, CUT_MOST = 0.8, 0.25, 5 / 6  # of the rank scale a second; tier t0 is never cut
+CUT_FROM = 0.6  # the wait, in queue timeouts, that the cut's loop is steered to
+CUT_NOW, CUT_RISE, CUT_FALL, CUT_IDLE = 0.4, 0.3, 0.15, 0.5  # its gains: at once, and a second
+CUT_MOST = 5 / 6  # of the rank scale: tier t0 is never cut
 STRETCH = 1.3  # the run latency, against an uncrowded one, that the limit is steered to
 KP, KI, KD = 0.5, 0.6, 0.05  # the limit's PID, in cores
 CLIMB = 0.25  # of the idle cores added to the limit at each wake while work waits
@@ -122,7 +124,7 @@
         self.counts = [0] * 8  # open tickets by state
         self.memory = 0.0
         self.born, self.next_watch, self.next_step, self.last_step = now, now, now, now
-        self.cut, self.limit, self.error, self.last_error = 0.0, float(facts.cores), 0.0, 0.0
+        self.cut, self.cut_base, self.limit, self.last_error = 0.0, 0.0, float(facts.cores), 0.0
         self.stretch, self.errors, self.on_cores, self.busy = 1.0, 0.0, 0.0, 0.0
         self.runs: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in facts.types]
         self.timeout = [t.expected_time for t in facts.types]
@@ -270,10 +272,13 @@
         self.limit = min(max(self.limit, f.cores), most)
         outwait = max([self.waited] + [(now - t.arrived) / max(1, self.timeout[t.kind]) for q in self.queues for t in q])
         self.waited = 0.0
-        if outwait > 0.9 and self.busy > 0.9 and stuck:
-            self.cut = min(CUT_MOST, self.cut + CUT_RISE * dt * outwait)
-        elif outwait < 0.5:
-            self.cut = max(0.0, self.cut - CUT_FALL * dt)
+        over = min(1.0, outwait - CUT_FROM)
+        if over > 0 and self.busy > 0.9 and stuck:
+            self.cut_base = min(CUT_MOST, self.cut_base + CUT_RISE * dt * over)
+        else:  # waits clear: faster while cores idle
+            over = min(over, 0.0)
+            self.cut_base = max(0.0, self.cut_base + dt * (CUT_FALL * over - max(0.0, idle) / f.cores * CUT_IDLE))
+        self.cut = min(CUT_MOST, self.cut_base + CUT_NOW * max(0.0, over))
 
     def learn(self, t: Ticket, took: int, good: bool) -> None:
         """A run ended by itself. Failed runs are quick: they count as errors, never as latency."""
