--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -24,6 +24,7 @@
 CLIMB = 0.25  # of the idle cores added to the limit at each wake while work waits
 SURVIVE = 0.75  # the part of the deadly crowd, memory or calls that is ever used
 HOLD = 0.3  # held tickets a core that callers are let to bring
+JAM_OVER, JAM_UNDER = 0.6, 0.3  # the time tickets lie unread, of what they come with: leave the list, come back
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
 SLOWED = 1.7  # an uncrowded run against its usual time, from which the trouble is taken for local
 CALL_CROWDED = 2.5  # a call's latency against its usual one from which what lies below is crowded
@@ -139,7 +140,7 @@
         self.in_hand: deque[tuple[int, float]] = deque()  # call time by step, over the time the share is a mean of
         self.budget = [float(quota) for quota in facts.shares]  # a second of each share
         self.budget_at = now
-        self.told, self.waited = -1.0, 0.0
+        self.told, self.waited, self.ready = -1.0, 0.0, True
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
         self.unread, self.read_rate = 0.0, 0.0
         self.notice, self.stop = 0, 0
@@ -181,6 +182,16 @@
         self.busy = gauges.get("core_use", 1.0)
         self.steer(now)
         out: list[Result] = [(Step.WAKE, None, WAKE_EVERY)]
+        if self.on_cores < self.facts.cores / 2:  # cores with room read at once
+            self.unread *= 0.9
+        # Guards against a reading line so long that tickets come out of it too old to run: no answer reaches a
+        # caller in time, so no advice does; only the list still can. Should also cover pauses and floods. Could do
+        # harm where all backends jam together and leave the list in step.
+        late = self.unread / min(self.span)
+        jammed = late > (JAM_OVER if self.ready else JAM_UNDER) or self.errors > SICK
+        if jammed == self.ready and not self.notice:
+            self.ready = not jammed
+            out.append((Step.READY if self.ready else Step.UNREADY, None, 0))
         self.tell(now, out)
         return out
 
