Tidy the module; take a high stretch for a local trouble

The limit's loop gets its D term; a held ticket whose caller goes has its entry forgotten; entries count against memory for new work; calls of answered tickets are no longer made.

--- a/crowwing/drill/adapter.py
+++ b/crowwing/drill/adapter.py
@@ -143,9 +143,10 @@
             types = self.manager.facts.types
             if grade >= len(types):
                 raise frames.BadFrame(f"ARRIVAL names traffic type {grade} of {len(types)}")
+            if self.manager.facts.shares and team >= len(self.manager.facts.shares):
+                raise frames.BadFrame(f"ARRIVAL names customer {team} of {len(self.manager.facts.shares)}")
             ticket = self.manager.take(
-                now, op_id, grade, team, rank, kb, now - us(age), us(due), by, repeats, key, bool(attrs & 4),
-                bool(attrs & 2),
+                now, op_id, grade, team, rank, kb, now - us(age), us(due), by, repeats, key, bool(attrs & 4)
             )  # fmt: skip
             self.tickets[op_id] = ticket
             return []
--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -1,10 +1,10 @@
 """All decisions of a backend: what it takes, runs and turns away. The mechanism is Cinnamon (docs/design.md).
 
-One LoadManager serves one life of one backend; the types it speaks in are in contract.py. Call begin() once, then,
-for each moment at which something happened: take() for each ticket read (it gives the Ticket on which all its
-later news is a call), the news, wake() for the timer asked for, leave() for the notice to stop, and last turn(), which
-decides. Each but take() returns the list of (step, ticket, figure) to carry out, in order. Times are whole
-microseconds. Drop a ticket once it is `closed`. Nothing here knows a wire, a clock or another instance.
+One LoadManager serves one life of one backend, in the types of contract.py. Call begin() once, then for each
+moment at which something happened: take() for each ticket read (gives the Ticket on which all its later
+news is a call), that news, wake() for the timer asked for, leave() for the notice to stop, and last turn(),
+which decides. All but take() return the list of (step, ticket, figure) to carry out, in order. Times are in
+microseconds. Drop a ticket once it is `closed`. Nothing here knows a wire or another instance.
 """
 
 from collections import deque
@@ -15,7 +15,7 @@
 WAKE_EVERY = 20_000  # the watch over outer limits and gauges
 SAMPLES = 64  # ended runs a traffic type that its P90 is taken from
 ENOUGH = 8  # ended runs before a P90 counts
-TIMEOUT_P90 = 1.0  # queue timeout, in P90s
+TIMEOUT_P90 = 1.0  # queue timeout, in P90s of the run
 CUT_FROM = 0.6  # the wait, in queue timeouts, that the cut's loop is steered to
 CUT_NOW, CUT_RISE, CUT_FALL, CUT_IDLE = 0.4, 0.3, 0.15, 0.5  # its gains: at once, and a second
 CUT_MOST = 5 / 6  # of the rank scale: tier t0 is never cut
@@ -24,9 +24,9 @@
 CLIMB = 0.25  # of the idle cores added to the limit at each wake while work waits
 SURVIVE = 0.75  # the part of the deadly crowd, memory or calls that is ever used
 HOLD = 0.3  # held tickets a core that callers are let to bring
-JAM_OVER, JAM_UNDER = 0.6, 0.3  # the time tickets lie unread, of what they come with: leave the list, come back
+JAM_OVER, JAM_UNDER = 0.6, 0.3  # unread time, in the time tickets come with: leave the list, come back
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
-SLOWED = 1.7  # an uncrowded run against its usual time, from which the trouble is taken for local
+SLOWED = 1.7  # run latency, against an uncrowded one, from which the trouble is taken for local
 CALL_CROWDED = 2.5  # a call's latency against its usual one from which what lies below is crowded
 CALL_TRIES, CALL_PATIENCE = 3, 6  # tries of a call, and its bound in recent mean latencies
 
@@ -36,18 +36,12 @@
 class Ticket:
     """The handle of one ticket; its news comes as calls."""
 
-    __slots__ = (
-        "id", "kind", "type", "team", "rank", "kb", "weight", "read", "arrived", "due", "aim", "by", "repeats",
-        "key", "write", "state", "answered", "closed", "ran", "began", "crowd", "asked", "below", "tries",
-        "not_before", "halted", "call_until", "manager",
-    )  # fmt: skip
-
-    def __init__(self, manager: "LoadManager", op_id: int, kind: int, kb: float, now: int) -> None:
-        self.manager, self.id, self.kind, self.kb, self.read = manager, op_id, kind, kb, now
+    def __init__(self, manager: "LoadManager", op_id: int, kind: int, kb: float) -> None:
+        self.manager, self.id, self.kind, self.kb = manager, op_id, kind, kb
         self.type: TrafficType = manager.facts.types[kind]
-        self.state, self.weight = NEW, 0.0
+        self.state, self.weight, self.crowd = OVER, 0.0, 0.0
         self.answered = self.closed = self.ran = False
-        self.call_until = self.began = self.crowd = self.asked = self.below = self.tries = self.not_before = self.halted = 0
+        self.asked = self.below = self.tries = self.not_before = self.halted = self.call_until = 0
 
     def ended(self, now: int, took: int, outcome: Outcome) -> list[Result]:
         """A run or a share is over."""
@@ -55,7 +49,7 @@
         if self.closed or was not in (RUNNING, ASKING, CALLING, SHARING):
             return []
         if was == CALLING:
-            m.let_linger(self, now)
+            m.lingering.append(now + m.facts.lingers)
         if outcome is Outcome.STOPPED and not self.answered:  # we halted it: back in the hold
             freeze = m.facts.halt is Halt.FREEZE
             m.move(self, PAUSED if freeze else HELD, keeps_weight=freeze)
@@ -63,7 +57,7 @@
         out: list[Result] = []
         if was != SHARING and not self.answered and outcome in (Outcome.GOOD, Outcome.FAILED):
             m.learn(self, took, outcome is Outcome.GOOD)
-            if self.id in m.kept and self.type.repeat is Repeat.REDOABLE:  # a shared read stays fresh for a while
+            if self.id in m.kept and self.type.repeat is Repeat.REDOABLE:  # stays fresh a while
                 m.keep(self, now, m.facts.fresh_for if outcome is Outcome.GOOD else 0, out)
         m.close(self)
         return out
@@ -71,8 +65,7 @@
     def needs_call(self, now: int) -> list[Result]:
         """The run needs what lies below; it waits outside the limit."""
         if self.state == RUNNING and not self.answered:
-            self.asked = now
-            self.tries = 0
+            self.asked, self.tries = now, 0
             self.manager.move(self, ASKING, keeps_weight=True)
         return []
 
@@ -82,7 +75,7 @@
             return []
         m, out = self.manager, []
         if outcome is Outcome.UNSURE:
-            m.let_linger(self, now)
+            m.lingering.append(now + m.facts.lingers)
         m.learn_call(took, outcome)
         if outcome is Outcome.GOOD:
             self.below += now - self.asked
@@ -104,6 +97,9 @@
             return []
         self.answered, out = True, []
         if self.state in (NEW, HELD, PAUSED, SHARING):
+            if not self.ran:  # a repeat read in this moment may run in its place
+                self.manager.unrun.add(self.id)
+                self.manager.keep(self, now, 0, out)
             self.manager.close(self)
         elif self.state == RUNNING and self.type.repeat is Repeat.REDOABLE:
             self.manager.halt(self, now, out)
@@ -117,27 +113,27 @@
         self.facts, self.random = facts, chance.random
         self.open: dict[int, Ticket] = {}  # emptied by each ticket's end
         self.arrivals: list[Ticket] = []  # read since the last turn, which empties it
-        self.queues: list[list[Ticket]] = [[] for _ in facts.types]  # emptied by release, timeout and outer limit
+        self.queues: list[list[Ticket]] = [[] for _ in facts.types]  # emptied by release and timeout
         self.asking: list[Ticket] = []  # at a call that is not out yet; emptied by calls and bounds
         self.kept: dict[int, int] = {}  # entry -> when it runs out, which empties it
-        self.unrun: set[int] = set()  # dismissed in this turn, whose end empties it
+        self.unrun: set[int] = set()  # let go without a run in this turn, whose end empties it
         self.lingering: deque[int] = deque()  # calls given up; emptied as they leave
         self.counts = [0] * 8  # open tickets by state
         self.memory = 0.0
-        self.born, self.next_watch, self.next_step, self.last_step = now, now, now, now
-        self.cut, self.cut_base, self.limit, self.last_error = 0.0, 0.0, float(facts.cores), 0.0
+        self.born = self.next_watch = self.last_step = now
+        self.cut, self.cut_base, self.limit = 0.0, 0.0, float(facts.cores)
+        self.last_error = self.error_before = 0.0
         self.stretch, self.errors, self.on_cores, self.busy = 1.0, 0.0, 0.0, 0.0
         self.runs: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in facts.types]
         self.timeout = [t.expected_time for t in facts.types]
         self.span = [t.expected_time for t in facts.types]  # the time that tickets come with
         self.median = [0] * len(facts.types)
         self.usual = [0.0] * len(facts.types)  # uncrowded run latency of late
-        self.lifelong = [0.0] * len(facts.types)  # the same over this life
         self.ended_runs = [0] * len(facts.types)
         self.most_calls = max(facts.cores / 2, SURVIVE * facts.calls_share)
         self.call_room = self.most_calls
         self.call_usual, self.call_late, self.ended_calls = 0, 0.0, 0
-        self.in_hand: deque[tuple[int, float]] = deque()  # call time by step, over the time the share is a mean of
+        self.in_hand: deque[tuple[int, float]] = deque()  # call time by step, for as long as the share's mean
         self.budget = [float(quota) for quota in facts.shares]  # a second of each share
         self.budget_at = now
         self.told, self.waited, self.ready = -1.0, 0.0, True
@@ -152,13 +148,25 @@
         self.tell(now, out)
         return out
 
-    def take(
-        self, now: int, op_id: int, kind: int, team: int, rank: float, kb: float, arrived: int, due: int, by: int,
-        repeats: int, key: int, write: bool, marked: bool,
-    ) -> Ticket:  # fmt: skip
+    def take(  # fmt: skip
+        self,
+        now: int,
+        op_id: int,
+        kind: int,
+        team: int,
+        rank: float,
+        kb: float,
+        arrived: int,
+        due: int,
+        by: int,
+        repeats: int,
+        key: int,
+        write: bool,
+    ) -> Ticket:
         """A ticket has been read; `due` is 0 where its caller's patience is not told."""
-        t = Ticket(self, op_id, kind, kb, now)
-        t.team, t.rank, t.arrived, t.by, t.repeats, t.key, t.write = team, rank, arrived, by, repeats, key, write
+        t = Ticket(self, op_id, kind, kb)
+        t.team, t.rank, t.arrived, t.by = team, rank, arrived, by
+        t.repeats, t.key, t.write = repeats, key, write
         t.due = max(now, due or arrived + t.type.outer_limit)
         t.aim = min(t.due, arrived + t.type.expected_time)
         self.span[kind] += round(0.05 * (t.aim - arrived - self.span[kind]))
@@ -166,8 +174,7 @@
         self.weights[by] = self.weights.get(by, 0.0) + 1.0
         self.open[op_id] = t
         self.arrivals.append(t)
-        self.counts[NEW] += 1
-        self.weigh(t, kb)
+        self.move(t, NEW)
         return t
 
     def leave(self, now: int, stop: int) -> list[Result]:
@@ -184,9 +191,9 @@
         out: list[Result] = [(Step.WAKE, None, WAKE_EVERY)]
         if self.on_cores < self.facts.cores / 2:  # cores with room read at once
             self.unread *= 0.9
-        # Guards against a reading line so long that tickets come out of it too old to run: no answer reaches a
-        # caller in time, so no advice does; only the list still can. Should also cover pauses and floods. Could do
-        # harm where all backends jam together and leave the list in step.
+        # Guards against a reading line so long that tickets come out of it too old to run: no answer reaches
+        # a caller in time, so no advice does; only the list still can. Should also cover pauses and floods.
+        # Could do harm where all backends jam together and leave the list in step.
         late = self.unread / min(self.span)
         jammed = late > (JAM_OVER if self.ready else JAM_UNDER) or self.errors > SICK
         if jammed == self.ready and not self.notice:
@@ -210,7 +217,7 @@
                 self.dismiss(t, now, out)
             elif self.barred(t, now):
                 self.dismiss(t, now, out, elsewhere=True)
-            elif self.memory > SURVIVE * self.facts.memory_kb or not self.keepable(t, now, out):
+            elif self.used() > SURVIVE * self.facts.memory_kb or not self.keepable(t, now, out):
                 self.dismiss(t, now, out)
             else:
                 self.move(t, HELD)
@@ -220,15 +227,14 @@
                 if now >= self.patience(t):
                     self.waited = max(self.waited, (now - t.arrived) / max(1, self.timeout[t.kind]))
                     self.dismiss(t, now, out)
-        waiting = sorted((t for queue in self.queues for t in queue), key=lambda t: -t.rank)
-        for t in waiting:
-            if self.counts[RUNNING] >= int(self.limit) or self.counts[RUNNING] + self.counts[CALLING] >= self.ceiling(now):
+        for t in sorted((t for queue in self.queues for t in queue), key=lambda t: -t.rank):
+            if self.counts[RUNNING] >= int(self.limit) or self.crowd() >= self.ceiling(now):
                 break
             if not self.fits(t):
                 continue
-            if t.state == HELD and t.type.repeat is Repeat.REDOABLE and self.facts.fresh_for and t.key and not t.write:
+            if self.facts.fresh_for and t.key and not t.write and t.type.repeat is Repeat.REDOABLE:
                 self.keep(t, now, t.due - now + self.facts.fresh_for, out)
-            t.began, t.ran, t.below, t.crowd = now, True, 0, max(self.counts[RUNNING], self.on_cores)
+            t.ran, t.below, t.crowd = True, 0, max(self.counts[RUNNING], self.on_cores)
             self.move(t, RUNNING)
             out.append((Step.RUN, t, 0))
         self.ask_below(now, out)
@@ -236,7 +242,7 @@
         return out
 
     def patience(self, t: Ticket) -> int:
-        """Until when a held ticket is worth holding: its queue timeout, and while an answer can still earn."""
+        """Until when a held ticket is worth holding: its queue timeout, and while an answer can earn."""
         if t.ran and t.type.repeat is not Repeat.REDOABLE:
             return t.due
         return min(t.arrived + self.timeout[t.kind], t.aim - self.median[t.kind] // 2)
@@ -244,7 +250,7 @@
     def fits(self, t: Ticket) -> bool:
         """Whether memory and the line before what lies below leave room for one more run."""
         more = 0.0 if t.state == PAUSED else t.kb * (self.facts.run_factor - 1)
-        if self.memory + more > SURVIVE * self.facts.memory_kb:
+        if self.used() + more > SURVIVE * self.facts.memory_kb:
             return False
         return not (t.type.calls and t.type.credit_without == 0) or len(self.asking) < self.facts.cores
 
@@ -252,17 +258,13 @@
 
     def steer(self, now: int) -> None:
         """One step of the loops: P90s and timeouts, the limit, the cut, the free value."""
-        if now < self.next_step:
-            return
-        dt = WAKE_EVERY / 1e6
-        self.in_hand.append((now, (now - self.last_step) * (self.counts[CALLING] + len(self.lingering))))
+        f, dt = self.facts, (now - self.last_step) / 1e6
+        self.in_hand.append((now, dt * 1e6 * (self.counts[CALLING] + len(self.lingering))))
         while self.in_hand[0][0] < now - self.facts.calls_over:
             self.in_hand.popleft()
         self.last_step = now
-        self.next_step = now + WAKE_EVERY
         self.weights = {by: 0.98 * w for by, w in self.weights.items() if w > 0.01}
-        self.read_rate = sum(self.weights.values()) * 0.02 / dt
-        f = self.facts
+        self.read_rate = sum(self.weights.values()) * 0.02 / (WAKE_EVERY / 1e6)
         for kind, runs in enumerate(self.runs):
             if len(runs) >= ENOUGH:
                 ranked = sorted(runs)
@@ -276,19 +278,21 @@
         if held and idle > 0:
             self.limit += CLIMB * idle
         elif error < 0:
-            self.limit += f.cores * (KP * (error - self.last_error) + KI * error * dt)
-        self.last_error = error
+            first, second = error - self.last_error, error - 2 * self.last_error + self.error_before
+            self.limit += f.cores * (KP * first + KI * error * dt + KD * second)
+        self.last_error, self.error_before = error, self.last_error
         most = self.ceiling(now)
         stuck = self.limit >= most or (error <= 0 and idle <= 0) or idle <= -0.1 * f.cores
         self.limit = min(max(self.limit, f.cores), most)
-        outwait = max([self.waited] + [(now - t.arrived) / max(1, self.timeout[t.kind]) for q in self.queues for t in q])
-        self.waited = 0.0
+        waits = [(now - t.arrived) / max(1, self.timeout[t.kind]) for queue in self.queues for t in queue]
+        outwait, self.waited = max([self.waited, *waits]), 0.0
         over = min(1.0, outwait - CUT_FROM)
         if over > 0 and self.busy > 0.9 and stuck:
             self.cut_base = min(CUT_MOST, self.cut_base + CUT_RISE * dt * over)
         else:  # waits clear: faster while cores idle
             over = min(over, 0.0)
-            self.cut_base = max(0.0, self.cut_base + dt * (CUT_FALL * over - max(0.0, idle) / f.cores * CUT_IDLE))
+            fall = CUT_FALL * over - CUT_IDLE * max(0.0, idle) / f.cores
+            self.cut_base = max(0.0, self.cut_base + dt * fall)
         self.cut = min(CUT_MOST, self.cut_base + CUT_NOW * max(0.0, over))
 
     def learn(self, t: Ticket, took: int, good: bool) -> None:
@@ -302,35 +306,26 @@
         self.ended_runs[k] += 1
         weight = max(0.05 if t.crowd <= self.facts.cores else 0.002, 1 / self.ended_runs[k])
         self.usual[k] += weight * (own - self.usual[k])
-        self.lifelong[k] += max(0.002, 1 / self.ended_runs[k]) * (own - self.lifelong[k])
         if self.usual[k]:
             self.stretch += 0.08 * (own / self.usual[k] - self.stretch)
 
-    def slowed(self) -> bool:
-        """Whether uncrowded runs take far longer than usual here: a trouble of this backend, not of the fleet."""
-        pairs = list(zip(self.usual, self.lifelong, strict=True))
-        return sum(u for u, _ in pairs) > SLOWED * sum(life for _, life in pairs) > 0
-
     def tell(self, now: int, out: list[Result]) -> None:
         """Sets the free value where it moved."""
         f = self.facts
-        room = (self.limit + (HOLD - self.cut) * f.cores) * self.speed(now) * (PROBE if self.errors > SICK else 1.0)
-        room = 0.0 if self.notice else room + self.counts[ASKING] + self.counts[CALLING]
-        value = {
-            Signal.NONE: -1.0,
-            Signal.FLOOR: 1.0 if self.notice else self.cut,
-            Signal.ALLOWANCE: self.level(room),
-            Signal.WEIGHT: min(1.0, room / max(1, len(self.open))),
-        }[f.signal]
+        room = (self.limit + (HOLD - self.cut) * f.cores) * self.speed(now)
+        room = room * (PROBE if self.errors > SICK else 1.0) + self.counts[ASKING] + self.counts[CALLING]
+        value = self.level(0.0 if self.notice else room)
+        if f.signal is Signal.FLOOR:
+            value = 1.0 if self.notice else self.cut
+        elif f.signal is Signal.WEIGHT:
+            value = 0.0 if self.notice else min(1.0, room / max(1, len(self.open)))
         if f.signal is not Signal.NONE and abs(value - self.told) > 0.05 * max(value, self.told):
             self.told = value
             out.append((Step.FREE_VALUE, None, value))
 
     def level(self, room: float) -> float:
-        """The most that each caller may have here so that all together fill the room: the heaviest give way first.
-
-        What is not read yet is here too: by Little's law, as much as is read in the time that a ticket lay unread.
-        """
+        """The most that each caller may have here so that all fill the room: the heaviest give way first.
+        By Little's law, as much lies unread as is read in the time that tickets lie unread."""
         here = len(self.open) + self.read_rate * self.unread / 1e6
         parts = sorted(self.weights.values())
         scale = here / max(1e-9, sum(parts))
@@ -347,9 +342,11 @@
     def speed(self, now: int) -> float:
         """The least share of its speed that this backend can have now."""
         f = self.facts
-        if not f.cold or now >= self.born + f.cold_for:
-            return 1.0
-        return f.cold_from + (1 - f.cold_from) * (now - self.born) / f.cold_for
+        warm = min(1.0, (now - self.born) / f.cold_for) if f.cold and f.cold_for else 1.0
+        return f.cold_from + (1 - f.cold_from) * warm
+
+    def crowd(self) -> int:
+        return self.counts[RUNNING] + self.counts[CALLING]
 
     def ceiling(self, now: int) -> int:
         """The crowd on the cores that is never passed; cold cores survive less."""
@@ -364,14 +361,12 @@
 
     def share_left(self, t: Ticket, now: int) -> float:
         """What a ticket's rank is worth: beyond its customer's share, no more than its credit there."""
-        if not self.budget:
-            return 1.0
         passed, self.budget_at = (now - self.budget_at) / 1e6, now
         for team, quota in enumerate(self.facts.shares):
             rate = 1.3 * quota / max(1, self.facts.fleet)
             self.budget[team] = min(2 * rate, self.budget[team] + rate * passed)
-        if self.budget[t.team] < 1:
-            return self.facts.over_share_credit
+        if not self.budget or self.budget[t.team] < 1:
+            return self.facts.over_share_credit if self.budget else 1.0
         self.budget[t.team] -= 1
         return 1.0
 
@@ -380,6 +375,8 @@
         first = self.open.get(t.repeats)
         if not t.repeats or t.repeats in self.unrun or t.type.repeat is Repeat.IRREVERSIBLE:
             return False
+        if first is not None and first.answered and first.type.repeat is Repeat.REDOABLE:
+            return False
         if first is not None and first.state in (NEW, HELD) and not first.ran:
             if t.type.repeat is Repeat.LABELLED and first.state == HELD and self.keepable(t, now, out):
                 self.kept.pop(first.id, None)
@@ -391,7 +388,7 @@
         return True
 
     def keepable(self, t: Ticket, now: int, out: list[Result]) -> bool:
-        """A labelled ticket is known by its entry from its reading on; without room for one it may not run."""
+        """A labelled ticket is known by its entry once read; without room for one it may not run."""
         if t.type.repeat is not Repeat.LABELLED or t.id in self.kept:
             return True
         span = t.arrived + t.type.window - now + WAKE_EVERY
@@ -435,15 +432,14 @@
         for t in sorted(self.asking, key=lambda t: -t.rank):
             used = self.counts[CALLING] + len(self.lingering)
             spare = self.spare_calls(now)
-            crowd = self.counts[RUNNING] + self.counts[CALLING]
             rest = self.median[t.kind] // 2
             bound = (t.aim if now + rest < t.aim else t.due) - rest - now
-            if now < t.not_before:
+            if t.answered or now < t.not_before:
                 continue
             if bound <= 0 and t.type.credit_without == 0:
                 self.forfeit(t, now, out)
             elif not f.calls_share or (used < int(self.call_room) and spare > self.call_usual):
-                if crowd >= self.ceiling(now):
+                if self.crowd() >= self.ceiling(now):
                     break
                 span = min(max(bound, WAKE_EVERY), t.due - now)
                 if f.calls_share:
@@ -456,29 +452,29 @@
                 self.go_on(t, now, out)
 
     def spare_calls(self, now: int) -> float:
-        """Call time that can still be spent: the mean stays in the share even if each call out lasts to its bound."""
+        """Call time still to spend: the mean stays in the share if each call out lasts to its bound."""
         f = self.facts
         ahead = sum(t.call_until + f.lingers - now for t in self.open.values() if t.state == CALLING)
         ahead += sum(until - now for until in self.lingering)
-        return SURVIVE * f.calls_share * f.calls_over - sum(area for _, area in self.in_hand) - ahead - f.lingers
+        spent = sum(area for _, area in self.in_hand)
+        return SURVIVE * f.calls_share * f.calls_over - spent - ahead - f.lingers
 
     def go_on(self, t: Ticket, now: int, out: list[Result]) -> None:
-        if self.counts[RUNNING] + self.counts[CALLING] < self.ceiling(now):
+        if self.crowd() < self.ceiling(now):
             self.move(t, RUNNING, keeps_weight=True)
             t.below += now - t.asked
             out.append((Step.GO_ON, t, 0))
 
     def learn_call(self, took: int, outcome: Outcome) -> None:
-        """The room for calls shrinks while they take far longer than usual or fail, and grows back at ease."""
+        """The room for calls shrinks while they take far longer than usual or fail, and grows back."""
         if outcome is not Outcome.NEVER_RAN:
             self.ended_calls += 1
             self.call_late += max(0.1, 1 / self.ended_calls) * (took - self.call_late)
-            self.call_usual = round(self.call_usual + max(0.003, 1 / self.ended_calls) * (took - self.call_usual))
+            weight = max(0.003, 1 / self.ended_calls)
+            self.call_usual = round(self.call_usual + weight * (took - self.call_usual))
         slow = outcome is not Outcome.GOOD or self.call_late > CALL_CROWDED * self.call_usual
-        self.call_room = max(1.0, self.call_room * 0.97) if slow else min(self.most_calls, self.call_room + 0.1)
-
-    def let_linger(self, t: Ticket, now: int) -> None:
-        self.lingering.append(now + self.facts.lingers)
+        grown = min(self.most_calls, self.call_room + 0.1)
+        self.call_room = max(1.0, self.call_room * 0.97) if slow else grown
 
     # Answers and accounts
 
@@ -488,13 +484,12 @@
             return self.forfeit(t, now, out)
         if t.id in self.kept:
             self.keep(t, now, 0, out)
-        elsewhere = elsewhere or self.slowed() or self.speed(now) < 1 or bool(self.notice)
+        elsewhere = elsewhere or self.stretch > SLOWED or self.speed(now) < 1 or bool(self.notice)
         away = self.facts.stay_away_most if elsewhere else round(self.facts.stay_away_most * self.cut)
         out.append((Step.DISMISS if elsewhere else Step.DISMISS_ALL, t, away))
         t.answered = True
         self.unrun.add(t.id)
-        self.close(t)
-        return None
+        return self.close(t)
 
     def forfeit(self, t: Ticket, now: int, out: list[Result]) -> None:
         """A final error for what may have run; its work is stopped where that can be done."""
@@ -524,15 +519,11 @@
         elif state == ASKING:
             self.asking.append(t)
         if not keeps_weight:
-            self.weigh(t, t.kb * self.facts.run_factor if state == RUNNING else t.kb)
-
-    def weigh(self, t: Ticket, kb: float) -> None:
-        self.memory += kb - t.weight
-        t.weight = kb
+            weight = t.kb * (self.facts.run_factor if state == RUNNING else state != OVER)
+            self.memory += weight - t.weight
+            t.weight = weight
 
     def close(self, t: Ticket) -> None:
         self.move(t, OVER)
-        self.weigh(t, 0.0)
-        self.counts[OVER] = 0
         t.closed = True
         self.open.pop(t.id, None)
