--- a/crowwing/contract.py
+++ b/crowwing/contract.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from typing import Any
 
 
 class Repeat(Enum):
@@ -58,20 +59,16 @@
     READY = auto()  # health checks are answered good, from store
     UNREADY = auto()  # health checks are answered bad, from store
     FREE_VALUE = auto()  # figure: the value
-    IDLE = auto()  # figure: close connections idle for so long
     WAKE = auto()  # figure: in so long
-    NOTE = auto()  # figure: a line of text
 
 
-Result = tuple[Step, "object | None", "int | float | str"]
+Result = tuple[Step, Any, float]
 
 
 @dataclass(frozen=True, slots=True)
 class TrafficType:
     """One traffic type of a deployment."""
 
-    credit: float
-    late_credit: float  # part of the credit between the expected time and the outer limit
     expected_time: int
     outer_limit: int
     repeat: Repeat
@@ -88,18 +85,14 @@
     shares: tuple[float, ...]  # tickets a second within each customer's share, over the fleet
     over_share_credit: float
     fleet: int
-    callers: int
     cores: int
     memory_kb: float
     run_factor: float
     key_kb: float
     halt: Halt
     signal: Signal
-    signal_for: int
     stay_away_most: int  # 0: advice to stay away is not passed on
-    idle_most: int
     crowd: float  # tickets on the cores for each core that a warm backend survives
-    crowd_over: int
     cold: bool
     cold_from: float
     cold_for: int
--- a/crowwing/drill/__main__.py
+++ b/crowwing/drill/__main__.py
@@ -16,7 +16,7 @@
         print(f"crowwing.drill: {wrong}", file=sys.stderr)
         return 2
     except InternalError as defect:
-        frames.write_reply(sink, [frames.text(defect.who, str(defect), internal=True)])
+        frames.write_reply(sink, [frames.internal_error(defect.who, str(defect))])
         print(f"crowwing.drill: internal error in instance {defect.who}: {defect}", file=sys.stderr)
         return 1
     except (BrokenPipeError, KeyboardInterrupt):
--- a/crowwing/drill/adapter.py
+++ b/crowwing/drill/adapter.py
@@ -3,6 +3,7 @@
 import json
 import random
 from collections.abc import Callable
+from typing import Any
 
 from crowwing.contract import Halt, Outcome, Premises, Repeat, Result, Signal, Step, TrafficType
 from crowwing.drill import frames
@@ -31,10 +32,10 @@
 _call, _go_on = frames.packer(1040, "IQd"), frames.packer(1070, "IQ")
 _keep, _forget = frames.packer(1030, "IQd"), frames.packer(1020, "IQ")
 _share, _health = frames.packer(1130, "IQ"), frames.packer(1120, "IBB")
-_free_value, _idle = frames.packer(1080, "If"), frames.packer(1110, "Id")
+_free_value = frames.packer(1080, "If")
 _wake = frames.packer(1010, "IdI")
 
-_ENCODE: dict[Step, Callable[[int, Ticket | None, int | float | str], bytes]] = {
+_ENCODE: dict[Step, Callable[[int, Any, float], bytes]] = {
     Step.RUN: lambda who, t, _: _run(who, t.id),
     Step.HALT: lambda who, t, _: _halt(who, t.id),
     Step.DISMISS: lambda who, t, away: _dismiss(who, t.id, away / 1000, 0),
@@ -48,9 +49,7 @@
     Step.READY: lambda who, _t, _f: _health(who, 1, 1),
     Step.UNREADY: lambda who, _t, _f: _health(who, 0, 1),
     Step.FREE_VALUE: lambda who, _, value: _free_value(who, value),
-    Step.IDLE: lambda who, _, span: _idle(who, span / 1000),
     Step.WAKE: lambda who, _, span: _wake(who, span / 1000, 0),
-    Step.NOTE: lambda who, _, words: frames.text(who, words),
 }
 
 
@@ -80,8 +79,6 @@
         below = info.get("downstream", "none") != "none"
         types = tuple(
             TrafficType(
-                credit=float(lane.get("worth", 1)),
-                late_credit=float(lane.get("late_worth", 0)),
                 expected_time=us(lane["promise"]),
                 outer_limit=us(lane["deadline"]),
                 repeat=_REPEATS[lane["semantics"]],
@@ -96,18 +93,14 @@
             shares=tuple(float(realm.get("quota_per_s", 0)) for realm in told.get("realms") or ()),
             over_share_credit=float(told.get("over_share_worth", 1)),
             fleet=int(told.get("servers", 1)),
-            callers=int(info.get("callers", 1)),
             cores=int(info["cpus"]),
             memory_kb=float(info["ram_kb"]),
             run_factor=float(info.get("run_factor", 1)),
             key_kb=float(info.get("key_kb", 0)),
             halt=_HALTS[info.get("halt", "none")],
             signal=_SIGNALS[info.get("signal", "none")],
-            signal_for=us(info.get("heeded", 0)),
             stay_away_most=us(caps.get("max_retry_after", 0)) if caps.get("retry_after") else 0,
-            idle_most=us(info.get("keepalive_max", 0)),
             crowd=float(rules["fall_multiple"]),
-            crowd_over=us(rules["fall"]),
             cold=bool(info.get("cold", False)),
             cold_from=float(rules.get("cold_from", 1)),
             cold_for=us(rules.get("cold", 0)),
--- a/crowwing/drill/frames.py
+++ b/crowwing/drill/frames.py
@@ -21,7 +21,7 @@
 }
 _HELLO = struct.Struct("<IQI")
 _RING = struct.Struct("<IIB")
-_JOURNAL, _INTERNAL = 1000, 1100
+_INTERNAL = 1100
 
 
 class BadFrame(ValueError):
@@ -92,11 +92,10 @@
     return lambda *fields: record.pack(code, size, *fields)
 
 
-def text(who: int, words: str, internal: bool = False) -> bytes:
-    """A line for the report, or the wire's word that the decision code failed."""
+def internal_error(who: int, words: str) -> bytes:
+    """The wire's word that the decision code failed."""
     raw = words.encode()[:60000]
-    code = _INTERNAL if internal else _JOURNAL
-    return struct.pack(f"<HIIH{len(raw)}s", code, 6 + len(raw), who, len(raw), raw)
+    return struct.pack(f"<HIIH{len(raw)}s", _INTERNAL, 6 + len(raw), who, len(raw), raw)
 
 
 def write_reply(stream: BinaryIO, records: list[bytes]) -> None:
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,191 @@
+"""Plain cases: the mechanism on the ordinary path, and each failure found on the bench."""
+
+from crowwing.contract import Halt, Outcome, Signal, Step
+from tests.rig import MS, World
+
+FULL = {"on_cores": 6.0, "core_use": 1.0}
+IDLE = {"on_cores": 0.0, "core_use": 0.1}
+
+
+def steps(world: World, *wanted: Step) -> list[int]:
+    return [op_id for step, op_id in world.log if step in wanted]
+
+
+def pass_time(world: World, ms: int, gauges: dict[str, float]) -> None:
+    for _ in range(ms // 10):
+        world.advance(10)
+        world.turn(gauges)
+
+
+def crowded(**changes: object) -> World:
+    """A backend whose cores are full and whose hold outwaits its timeout."""
+    world = World(1, memory_kb=1e6, shares=(), **changes)
+    for n in range(300):
+        if n % 10 == 0:
+            world.arrive(0, 0.5)
+        pass_time(world, 10, FULL)
+    return world
+
+
+def test_cut_rises_and_dismisses_low_ranks_at_once() -> None:
+    world = crowded()
+    assert world.manager.cut > 0
+    low, high = world.arrive(0, 0.0), world.arrive(0, 0.99)
+    world.turn(FULL)
+    assert low in world.answers and high not in world.answers
+
+
+def test_cut_stays_down_while_cores_idle_and_falls_as_waits_clear() -> None:
+    world = World(1, memory_kb=1e6, shares=())
+    for n in range(300):
+        if n % 10 == 0:
+            world.arrive(0, 0.5)
+        pass_time(world, 10, FULL | {"core_use": 0.5})
+    assert world.manager.cut == 0
+    world = crowded()
+    for op_id in [op_id for op_id, state in world.state.items() if state == "running"]:
+        world.end(op_id, Outcome.GOOD)
+    pass_time(world, 9000, IDLE)
+    assert world.manager.cut == 0
+
+
+def test_cut_never_reaches_the_highest_tier() -> None:
+    world = crowded()
+    for _ in range(400):
+        world.arrive(0, 0.99)
+        pass_time(world, 10, FULL)
+    assert world.manager.cut <= 5 / 6
+
+
+def test_highest_rank_starts_first() -> None:
+    world = World(1, shares=())
+    for rank in (0.1, 0.9, 0.5, 0.7, 0.3, 0.8):
+        world.arrive(0, rank)
+    world.turn()
+    assert [world.tickets[op_id].rank for op_id in steps(world, Step.RUN)] == [0.9, 0.8, 0.7, 0.5]
+
+
+def test_held_ticket_is_dismissed_past_its_timeout_and_not_before() -> None:
+    world = World(1, shares=())
+    ids = [world.arrive(0, 0.5) for _ in range(5)]
+    world.turn(FULL)
+    pass_time(world, 1900, FULL)
+    assert ids[4] not in world.answers
+    pass_time(world, 200, FULL)
+    assert ids[4] in world.answers
+
+
+def test_limit_starts_at_the_cores_climbs_while_they_idle_and_stays_under_the_ceiling() -> None:
+    world = World(1, shares=(), memory_kb=1e6)
+    assert world.manager.limit == 4
+    for _ in range(200):
+        world.arrive(0, 0.5)
+    pass_time(world, 500, IDLE)
+    assert 4 < world.manager.limit <= 4 * 5 * 0.75
+
+
+def test_quick_failures_do_not_shrink_the_timeout_and_send_work_elsewhere() -> None:
+    world = World(1, shares=())
+    for _ in range(60):
+        op_id = world.arrive(0, 0.5)
+        world.turn(IDLE)
+        if world.state.get(op_id) == "running":
+            world.end(op_id, Outcome.FAILED, took=MS)
+    assert world.manager.timeout[0] == 2000 * MS and world.manager.limit >= 4
+    for _ in range(20):
+        world.arrive(0, 0.9)
+        world.turn(IDLE)
+    assert len(steps(world, Step.DISMISS)) > 10 and not steps(world, Step.DISMISS_ALL)
+
+
+def test_share_under_one_call_still_lets_calls_out() -> None:
+    """A share of 0.4 is a mean: several short calls at once are in it."""
+    world = World(1, shares=(), calls_share=0.4)
+    ids = [world.arrive(0, 0.5) for _ in range(2)]
+    world.turn()
+    for op_id in ids:
+        world.state[op_id] = "asking"
+        world.apply(world.tickets[op_id].needs_call(world.now))
+    world.turn()
+    assert steps(world, Step.CALL) == ids
+
+
+def test_crowded_callee_shrinks_the_room_for_calls() -> None:
+    world = World(1)
+    before = world.manager.call_room
+    for took in [50 * MS] * 100 + [500 * MS] * 50:
+        world.manager.learn_call(took, Outcome.GOOD)
+    assert world.manager.call_room < before
+
+
+def test_reading_line_too_long_leaves_the_list_and_comes_back() -> None:
+    world = World(1, shares=())
+    for _ in range(40):
+        world.arrive(0, 0.5, age=1900 * MS)
+    world.asleep_until = 0
+    world.turn(FULL)
+    assert Step.UNREADY in world.figures and not world.manager.ready
+    pass_time(world, 2000, IDLE)
+    assert world.manager.ready
+
+
+def test_tickets_of_impatient_callers_are_not_taken_for_old() -> None:
+    world = World(1, shares=())
+    world.arrive(0, 0.5, left=4500 * MS)
+    hasty = world.arrive(0, 0.5, left=1000 * MS)
+    world.turn()
+    assert hasty in steps(world, Step.RUN)
+
+
+def test_over_share_tickets_rank_below_all_others() -> None:
+    world = crowded()
+    world.manager.facts = World(1, shares=(0.1, 100.0)).facts
+    world.manager.budget = [0.0, 100.0]
+    flood, fair = world.arrive(0, 0.4, team=0), world.arrive(0, 0.99, team=1)
+    world.turn(FULL)
+    assert world.tickets[flood].rank < 0.1 and world.tickets[fair].rank == 0.99
+
+
+def test_allowance_shrinks_with_the_heaviest_caller_first() -> None:
+    manager = crowded().manager
+    manager.weights = {0: 30.0, 1: 2.0}
+    assert manager.level(4.0) < manager.level(400.0)
+    assert manager.level(0.0) == 0
+
+
+def test_labelled_repeat_of_a_held_try_takes_its_place_and_of_a_run_one_shares() -> None:
+    world = World(1, shares=())
+    first, second = world.arrive(1, 0.9, work=7), world.arrive(1, 0.9, work=7)
+    world.turn()
+    assert first in steps(world, Step.DISMISS_ALL) and second in steps(world, Step.RUN)
+    third = world.arrive(1, 0.9, work=7)
+    world.turn()
+    assert third in steps(world, Step.SHARE)
+
+
+def test_outer_limit_forfeits_running_work_and_halts_it() -> None:
+    for halt, halted in ((Halt.DISCARD, True), (Halt.FREEZE, True), (Halt.NONE, False)):
+        world = World(1, halt=halt)
+        op_id = world.arrive(2, 0.9)
+        world.turn()
+        pass_time(world, 5100, FULL)
+        assert world.answers[op_id] is Step.FORFEIT and (op_id in steps(world, Step.HALT)) is halted
+
+
+def test_late_news_is_ignored() -> None:
+    world = World(1)
+    op_id = world.arrive(0, 0.9)
+    world.turn()
+    world.end(op_id, Outcome.GOOD)
+    ticket = world.tickets[op_id]
+    assert not ticket.ended(world.now, 1, Outcome.GOOD) and not ticket.needs_call(world.now)
+    assert not ticket.called(world.now, 1, Outcome.GOOD) and not ticket.gone(world.now)
+
+
+def test_notice_to_leave_tells_the_list_and_the_callers() -> None:
+    for signal, value in ((Signal.ALLOWANCE, 0.0), (Signal.WEIGHT, 0.0), (Signal.FLOOR, 1.0)):
+        world = World(1, signal=signal)
+        world.arrive(0, 0.9)
+        world.turn()
+        world.apply(world.manager.leave(world.now, world.now + 5000 * MS))
+        assert Step.UNREADY in world.figures and world.figures[Step.FREE_VALUE] == value
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,82 @@
+"""Seeded random runs of the module; World checks the four rules after every step."""
+
+import random
+
+import pytest
+
+from crowwing.contract import Halt, Outcome, Signal
+from tests.rig import MS, World
+
+
+def play(seed: int) -> World:
+    chance = random.Random(seed)
+    world = World(
+        seed,
+        halt=chance.choice(list(Halt)),
+        signal=chance.choice(list(Signal)),
+        cold=chance.random() < 0.3,
+        memory_kb=chance.choice([3000.0, 20000.0]),
+        calls_share=chance.choice([0.4, 3.0]),
+        stay_away_most=chance.choice([0, 1000 * MS]),
+        shares=chance.choice([(), (30.0, 10.0)]),
+    )
+    load = chance.choice([0.5, 3.0])  # tickets a step of 10 ms are a tenth of this
+    drain_at = chance.choice([0, 600])
+    for step in range(1500):
+        if step == drain_at > 0:
+            world.notice, world.stop = world.now, world.now + 6000 * MS
+            world.apply(world.manager.leave(world.now, world.stop))
+        for _ in range(3 if chance.random() < load / 30 else int(chance.random() < load / 10)):
+            earlier = chance.randrange(1, 40) if chance.random() < 0.5 else 0
+            kind = earlier % 3 if earlier else chance.randrange(3)
+            if kind == 2 or world.now // MS % 7 == 0:  # an irreversible ticket does not come again
+                earlier = 0
+            work = 1000 * kind + earlier if earlier else 0
+            left = chance.choice([0, 0, 400 * MS, 3000 * MS])
+            world.arrive(kind, chance.random(), work, chance.randrange(300 * MS), left, chance.randrange(2))
+        for op_id, state in list(world.state.items()):
+            ticket, luck = world.tickets[op_id], chance.random()
+            over = op_id in world.answers or op_id in world.gone
+            if state == "running" and luck < 0.05:
+                if luck < 0.02 and ticket.type.calls and not over:
+                    world.state[op_id] = "asking"
+                    world.apply(ticket.needs_call(world.now))
+                else:
+                    world.end(op_id, Outcome.FAILED if luck < 0.025 else Outcome.GOOD)
+            elif state == "halting" or (state == "asking" and over):
+                world.end(op_id, Outcome.STOPPED)
+            elif state == "calling" and (luck < 0.1 or world.now >= world.calls[op_id]):
+                outcome = chance.choice(list(Outcome)[:4]) if luck < 0.1 else Outcome.UNSURE
+                if over:
+                    world.end(op_id, Outcome.STOPPED)
+                    continue
+                world.state[op_id] = "running" if outcome is Outcome.GOOD else "asking"
+                if outcome is not Outcome.UNSURE:
+                    del world.calls[op_id]
+                world.apply(ticket.called(world.now, 50 * MS, outcome))
+            elif state == "sharing" and luck < 0.05:
+                world.end(op_id, Outcome.GOOD)
+            elif luck > 0.998 and not over:
+                world.gone.add(op_id)
+                if state in ("held", "paused", "sharing"):
+                    del world.state[op_id]
+                world.apply(ticket.gone(world.now))
+        world.turn()
+        if world.stop and world.now >= world.stop - 20 * MS:
+            break
+        world.advance(10)
+    if world.stop:
+        assert all(op_id in world.answers or op_id in world.gone for op_id in world.tickets), (
+            "all are answered"
+        )
+    return world
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_rules_hold(seed: int) -> None:
+    world = play(seed)
+    assert len(world.answers) > 50
+
+
+def test_the_same_news_give_the_same_steps() -> None:
+    assert play(3).log == play(3).log
