--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -148,21 +148,10 @@
         self.tell(now, out)
         return out
 
-    def take(  # fmt: skip
-        self,
-        now: int,
-        op_id: int,
-        kind: int,
-        team: int,
-        rank: float,
-        kb: float,
-        arrived: int,
-        due: int,
-        by: int,
-        repeats: int,
-        key: int,
-        write: bool,
-    ) -> Ticket:
+    # fmt: off
+    def take(self, now: int, op_id: int, kind: int, team: int, rank: float, kb: float, arrived: int, due: int,
+             by: int, repeats: int, key: int, write: bool) -> Ticket:
+        # fmt: on
         """A ticket has been read; `due` is 0 where its caller's patience is not told."""
         t = Ticket(self, op_id, kind, kb)
         t.team, t.rank, t.arrived, t.by = team, rank, arrived, by
