Notice hung work and send tickets elsewhere

Guards against work that hangs while reading goes on; should also cover extreme slowness; could do harm where all runs are that long.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -48,6 +48,7 @@
         m, was = self.manager, self.state
         if self.closed or was not in (RUNNING, ASKING, CALLING, SHARING):
             return []
+        m.moved = now
         if was == CALLING:
             m.lingering.append(now + m.facts.lingers)
         if outcome is Outcome.STOPPED and not self.answered:  # we halted it: back in the hold
@@ -65,7 +66,7 @@
     def needs_call(self, now: int) -> list[Result]:
         """The run needs what lies below; it waits outside the limit."""
         if self.state == RUNNING and not self.answered:
-            self.asked, self.tries = now, 0
+            self.asked, self.tries, self.manager.moved = now, 0, now
             self.manager.move(self, ASKING, keeps_weight=True)
         return []
 
@@ -120,7 +121,7 @@
         self.lingering: deque[int] = deque()  # calls given up; emptied as they leave
         self.counts = [0] * 8  # open tickets by state
         self.memory = 0.0
-        self.born = self.next_watch = self.last_step = now
+        self.born = self.next_watch = self.last_step = self.moved = now
         self.cut, self.cut_base, self.limit = 0.0, 0.0, float(facts.cores)
         self.last_error = self.error_before = 0.0
         self.stretch, self.errors, self.on_cores, self.busy = 1.0, 0.0, 0.0, 0.0
@@ -184,7 +185,7 @@
         # a caller in time, so no advice does; only the list still can. Should also cover pauses and floods.
         # Could do harm where all backends jam together and leave the list in step.
         late = self.unread / min(self.span)
-        jammed = late > (JAM_OVER if self.ready else JAM_UNDER) or self.errors > SICK
+        jammed = late > (JAM_OVER if self.ready else JAM_UNDER) or self.sick(now)
         if jammed == self.ready and not self.notice:
             self.ready = not jammed
             out.append((Step.READY if self.ready else Step.UNREADY, None, 0))
@@ -213,7 +214,7 @@
         self.arrivals.clear()
         for queue in self.queues:
             for t in queue[:]:
-                if now >= self.patience(t):
+                if now >= self.patience(t) or self.stalled(now):
                     self.waited = max(self.waited, (now - t.arrived) / max(1, self.timeout[t.kind]))
                     self.dismiss(t, now, out)
         for t in sorted((t for queue in self.queues for t in queue), key=lambda t: -t.rank):
@@ -224,6 +225,8 @@
             if self.facts.fresh_for and t.key and not t.write and t.type.repeat is Repeat.REDOABLE:
                 self.keep(t, now, t.due - now + self.facts.fresh_for, out)
             t.ran, t.below, t.crowd = True, 0, max(self.counts[RUNNING], self.on_cores)
+            if not self.counts[RUNNING]:
+                self.moved = now
             self.move(t, RUNNING)
             out.append((Step.RUN, t, 0))
         self.ask_below(now, out)
@@ -302,7 +305,7 @@
         """Sets the free value where it moved."""
         f = self.facts
         room = (self.limit + (HOLD - self.cut) * f.cores) * self.speed(now)
-        room = room * (PROBE if self.errors > SICK else 1.0) + self.counts[ASKING] + self.counts[CALLING]
+        room = room * (PROBE if self.sick(now) else 1.0) + self.counts[ASKING] + self.counts[CALLING]
         value = self.level(0.0 if self.notice else room)
         if f.signal is Signal.FLOOR:
             value = 1.0 if self.notice else self.cut
@@ -334,6 +337,14 @@
         warm = min(1.0, (now - self.born) / f.cold_for) if f.cold and f.cold_for else 1.0
         return f.cold_from + (1 - f.cold_from) * warm
 
+    def stalled(self, now: int) -> bool:
+        """Guards against hung work, whatever hangs it: full cores, and no run moved for half the time tickets
+        come with. Should also cover extreme slowness. Could do harm where all runs are that long."""
+        return self.counts[RUNNING] >= self.facts.cores and now - self.moved > min(self.span) / 2
+
+    def sick(self, now: int) -> bool:
+        return self.errors > SICK or self.stalled(now)
+
     def crowd(self) -> int:
         return self.counts[RUNNING] + self.counts[CALLING]
 
@@ -346,7 +357,7 @@
         if self.notice:
             late = t.arrived > self.notice + self.facts.grace
             return late or now + 2 * self.median[t.kind] + 2 * WAKE_EVERY > self.stop
-        return self.errors > SICK and self.random() > PROBE
+        return self.stalled(now) or (self.errors > SICK and self.random() > PROBE)
 
     def share_left(self, t: Ticket, now: int) -> float:
         """What a ticket's rank is worth: beyond its customer's share, no more than its credit there."""
@@ -399,11 +410,13 @@
         """Outer limits, entries that ran out, calls that left; stopped work that did not stop."""
         self.next_watch = now + WAKE_EVERY // 2
         early = max(0, 2 * WAKE_EVERY - self.facts.answer_slack)
-        last = self.stop - 3 * WAKE_EVERY if self.notice else now + 1
+        last, stalled = self.stop - 3 * WAKE_EVERY if self.notice else now + 1, self.stalled(now)
         for t in list(self.open.values()):
             if t.answered:
                 if t.state == RUNNING and t.halted and now > t.halted + 5 * WAKE_EVERY:
                     self.halt(t, now, out)
+            elif stalled and t.state == RUNNING and t.type.repeat is Repeat.REDOABLE:
+                self.forfeit(t, now, out)  # its caller can still try elsewhere in time
             elif now >= t.due - early or now >= last:
                 if t.state in (NEW, HELD) and not t.ran:
                     self.dismiss(t, now, out)
@@ -473,7 +486,7 @@
             return self.forfeit(t, now, out)
         if t.id in self.kept:
             self.keep(t, now, 0, out)
-        elsewhere = elsewhere or self.stretch > SLOWED or self.speed(now) < 1 or bool(self.notice)
+        elsewhere |= self.sick(now) or self.stretch > SLOWED or self.speed(now) < 1 or self.notice > 0
         away = self.facts.stay_away_most if elsewhere else round(self.facts.stay_away_most * self.cut)
         out.append((Step.DISMISS if elsewhere else Step.DISMISS_ALL, t, away))
         t.answered = True
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -189,3 +189,16 @@
         world.turn()
         world.apply(world.manager.leave(world.now, world.now + 5000 * MS))
         assert Step.UNREADY in world.figures and world.figures[Step.FREE_VALUE] == value
+
+
+def test_hung_work_sends_all_elsewhere_until_it_moves() -> None:
+    world = World(1, shares=())
+    ids = [world.arrive(0, 0.5) for _ in range(6)]
+    world.turn(FULL)
+    pass_time(world, 1100, FULL)
+    assert all(op_id in world.answers for op_id in ids) and not world.manager.ready
+    assert set(steps(world, Step.DISMISS)) == set(ids[4:]) and set(steps(world, Step.FORFEIT)) == set(ids[:4])
+    for op_id in ids[:4]:
+        world.end(op_id, Outcome.STOPPED)
+    pass_time(world, 100, IDLE)
+    assert world.manager.ready
