--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -410,13 +410,11 @@
         """Outer limits, entries that ran out, calls that left; stopped work that did not stop."""
         self.next_watch = now + WAKE_EVERY // 2
         early = max(0, 2 * WAKE_EVERY - self.facts.answer_slack)
-        last, stalled = self.stop - 3 * WAKE_EVERY if self.notice else now + 1, self.stalled(now)
+        last = self.stop - 3 * WAKE_EVERY if self.notice else now + 1
         for t in list(self.open.values()):
             if t.answered:
                 if t.state == RUNNING and t.halted and now > t.halted + 5 * WAKE_EVERY:
                     self.halt(t, now, out)
-            elif stalled and t.state == RUNNING and t.type.repeat is Repeat.REDOABLE:
-                self.forfeit(t, now, out)  # its caller can still try elsewhere in time
             elif now >= t.due - early or now >= last:
                 if t.state in (NEW, HELD) and not t.ran:
                     self.dismiss(t, now, out)
