--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -26,6 +26,7 @@
 HOLD = 0.3  # held tickets a core that callers are let to bring
 JAM_OVER, JAM_UNDER = 0.6, 0.3  # unread time, in the time tickets come with: leave the list, come back
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
+AWAY_FROM, AWAY_CUT = 0.2, 2.0  # stay-away advice, in parts of the longest: least, and with the cut
 SLOWED = 1.7  # run latency, against an uncrowded one, from which the trouble is taken for local
 CALL_CROWDED = 2.5  # a call's latency against its usual one from which what lies below is crowded
 CALL_TRIES, CALL_PATIENCE = 3, 6  # tries of a call, and its bound in recent mean latencies
@@ -485,7 +486,8 @@
         if t.id in self.kept:
             self.keep(t, now, 0, out)
         elsewhere |= self.sick(now) or self.stretch > SLOWED or self.speed(now) < 1 or self.notice > 0
-        away = self.facts.stay_away_most if elsewhere else round(self.facts.stay_away_most * self.cut)
+        part = 1.0 if elsewhere else min(1.0, AWAY_FROM + AWAY_CUT * self.cut)
+        away = round(self.facts.stay_away_most * part)
         out.append((Step.DISMISS if elsewhere else Step.DISMISS_ALL, t, away))
         t.answered = True
         self.unrun.add(t.id)
