Remember fewer runs in the error rate

Guards against quick failures whatever their cause; could do harm where a few chance errors in a row send work away.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -290,7 +290,7 @@
 
     def learn(self, t: Ticket, took: int, good: bool) -> None:
         """A run ended by itself. Failed runs are quick: they count as errors, never as latency."""
-        self.errors += 0.05 * ((0.0 if good else 1.0) - self.errors)
+        self.errors += 0.1 * ((0.0 if good else 1.0) - self.errors)
         if not good:
             return
         k = t.kind
