Wake seldom while no ticket is open, and keep sums instead of adding anew

Change: 40 ms with tickets open, 200 ms without; P90s when a run ends, running sums, gains by the second. Guards against a fleet's CPU growing with its size; could harm where 40 ms is long against a run.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -12,7 +12,7 @@
 
 from crowwing.contract import Halt, Outcome, Premises, Repeat, Result, Signal, Step, TrafficType
 
-WAKE_EVERY = 20_000  # the watch over outer limits and gauges
+WAKE_EVERY, WAKE_QUIET = 40_000, 200_000  # the watch over outer limits and gauges; with no ticket open
 SAMPLES = 64  # ended runs a traffic type that its P90 is taken from
 ENOUGH = 8  # ended runs before a P90 counts
 TIMEOUT_P90 = 1.0  # queue timeout, in P90s of the run
@@ -21,7 +21,7 @@
 CUT_MOST = 5 / 6  # of the rank scale: tier t0 is never cut
 STRETCH = 1.3  # the run latency, against an uncrowded one, that the limit is steered to
 KP, KI, KD = 0.5, 0.6, 0.05  # the limit's PID, in cores
-CLIMB = 0.25  # of the idle cores added to the limit at each wake while work waits
+CLIMB = 12  # times the idle cores that the limit gains a second while work waits
 SURVIVE = 0.75  # the part of the deadly crowd, memory or calls that is ever used
 HOLD = 0.3  # held tickets a core that callers are let to bring
 JAM_OVER, JAM_UNDER = 0.6, 0.3  # unread time, in the time tickets come with: leave the list, come back
@@ -121,32 +121,29 @@
         self.unrun: set[int] = set()  # let go without a run in this turn, whose end empties it
         self.lingering: deque[int] = deque()  # calls given up; emptied as they leave
         self.counts = [0] * 8  # open tickets by state
-        self.memory = 0.0
-        self.born = self.next_watch = self.last_step = self.moved = now
-        self.cut, self.cut_base, self.limit = 0.0, 0.0, float(facts.cores)
-        self.last_error = self.error_before = 0.0
-        self.stretch, self.errors, self.on_cores, self.busy = 1.0, 0.0, 0.0, 0.0
+        self.born = self.last_step = self.next_watch = self.next_wake = now
+        self.moved = self.faded = self.budget_at = now
+        self.memory = self.cut = self.cut_base = self.last_error = self.error_before = 0.0
+        self.errors = self.on_cores = self.busy = self.unread = self.read_rate = self.spent = 0.0
+        self.limit, self.stretch = float(facts.cores), 1.0
         self.runs: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in facts.types]
         self.timeout = [t.expected_time for t in facts.types]
         self.span = [t.expected_time for t in facts.types]  # the time that tickets come with
         self.median = [0] * len(facts.types)
         self.usual = [0.0] * len(facts.types)  # uncrowded run latency of late
         self.ended_runs = [0] * len(facts.types)
-        self.most_calls = max(facts.cores / 2, SURVIVE * facts.calls_share)
-        self.call_room = self.most_calls
+        self.most_calls = self.call_room = max(facts.cores / 2, SURVIVE * facts.calls_share)
         self.call_usual, self.call_late, self.ended_calls = 0, 0.0, 0
         self.in_hand: deque[tuple[int, float]] = deque()  # call time by step, for as long as the share's mean
         self.budget = [float(quota) for quota in facts.shares]  # a second of each share
-        self.budget_at = now
         self.told, self.waited, self.ready = -1.0, 0.0, True
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
-        self.unread, self.read_rate = 0.0, 0.0
-        self.notice, self.stop = 0, 0
+        self.notice = self.stop = 0
 
     # What comes in
 
     def begin(self, now: int) -> list[Result]:
-        out: list[Result] = [(Step.READY, None, 0), (Step.WAKE, None, WAKE_EVERY)]
+        out: list[Result] = [(Step.READY, None, 0)]
         self.tell(now, out)
         return out
 
@@ -156,8 +153,7 @@
         # fmt: on
         """A ticket has been read; `due` is 0 where its caller's patience is not told."""
         t = Ticket(self, op_id, kind, kb)
-        t.team, t.rank, t.arrived, t.by = team, rank, arrived, by
-        t.repeats, t.key, t.write = repeats, key, write
+        t.team, t.rank, t.arrived, t.repeats, t.key, t.write = team, rank, arrived, repeats, key, write
         t.due = max(now, due or arrived + t.type.outer_limit)
         t.aim = min(t.due, arrived + t.type.expected_time)
         self.span[kind] += round(0.05 * (t.aim - arrived - self.span[kind]))
@@ -176,17 +172,17 @@
         return out
 
     def wake(self, now: int, gauges: dict[str, float]) -> list[Result]:
-        self.on_cores += 0.3 * (gauges.get("on_cores", self.counts[RUNNING]) - self.on_cores)
+        out: list[Result] = []
+        passed, running = now - self.last_step, self.counts[RUNNING]
+        self.on_cores += min(1.0, passed / 60_000) * (gauges.get("on_cores", running) - self.on_cores)
         self.busy = gauges.get("core_use", 1.0)
-        self.steer(now)
-        out: list[Result] = [(Step.WAKE, None, WAKE_EVERY)]
         if self.on_cores < self.facts.cores / 2:  # cores with room read at once
-            self.unread *= 0.9
+            self.unread *= max(0.0, 1 - passed / 200_000)
+        self.steer(now)
         # Guards against a reading line so long that tickets come out of it too old to run: no answer reaches
         # a caller in time, so no advice does; only the list still can. Should also cover pauses and floods.
         # Could do harm where all backends jam together and leave the list in step.
-        late = self.unread / min(self.span)
-        jammed = late > (JAM_OVER if self.ready else JAM_UNDER) or self.sick(now)
+        jammed = self.unread > (JAM_OVER if self.ready else JAM_UNDER) * min(self.span) or self.sick(now)
         if jammed == self.ready and not self.notice:
             self.ready = not jammed
             out.append((Step.READY if self.ready else Step.UNREADY, None, 0))
@@ -232,8 +228,16 @@
             out.append((Step.RUN, t, 0))
         self.ask_below(now, out)
         self.unrun.clear()
+        self.rest(now, out)
         return out
 
+    def rest(self, now: int, out: list[Result]) -> None:
+        """Wakes soon while a ticket is open, seldom while none is; a wake asked for cannot be taken back."""
+        span = WAKE_EVERY if self.open else WAKE_QUIET
+        if not now < self.next_wake <= now + span:
+            self.next_wake = now + span
+            out.append((Step.WAKE, None, span))
+
     def patience(self, t: Ticket) -> int:
         """Until when a held ticket is worth holding: its queue timeout, and while an answer can earn."""
         if t.ran and t.type.repeat is not Repeat.REDOABLE:
@@ -243,33 +247,29 @@
     def fits(self, t: Ticket) -> bool:
         """Whether memory and the line before what lies below leave room for one more run."""
         more = 0.0 if t.state == PAUSED else t.kb * (self.facts.run_factor - 1)
-        if self.used() + more > SURVIVE * self.facts.memory_kb:
-            return False
-        return not (t.type.calls and t.type.credit_without == 0) or len(self.asking) < self.facts.cores
+        line = len(self.asking) if t.type.calls and t.type.credit_without == 0 else 0
+        return line < self.facts.cores and self.used() + more <= SURVIVE * self.facts.memory_kb
 
     # Feedback
 
     def steer(self, now: int) -> None:
         """One step of the loops: P90s and timeouts, the limit, the cut, the free value."""
         f, dt = self.facts, (now - self.last_step) / 1e6
-        self.in_hand.append((now, dt * 1e6 * (self.counts[CALLING] + len(self.lingering))))
-        while self.in_hand[0][0] < now - self.facts.calls_over:
-            self.in_hand.popleft()
+        if below := self.counts[CALLING] + len(self.lingering):
+            self.in_hand.append((now, dt * 1e6 * below))
+            self.spent += self.in_hand[-1][1]
+        while self.in_hand and self.in_hand[0][0] < now - f.calls_over:
+            self.spent -= self.in_hand.popleft()[1]
         self.last_step = now
-        self.weights = {by: 0.98 * w for by, w in self.weights.items() if w > 0.01}
-        self.read_rate = sum(self.weights.values()) * 0.02 / (WAKE_EVERY / 1e6)
-        for kind, runs in enumerate(self.runs):
-            if len(runs) >= ENOUGH:
-                ranked = sorted(runs)
-                self.median[kind] = ranked[len(ranked) // 2]
-                p90 = round(TIMEOUT_P90 * ranked[len(ranked) * 9 // 10])
-                span = self.span[kind]
-                self.timeout[kind] = max(span // 8, min(p90, span - p90))
+        if now - self.faded >= WAKE_QUIET:
+            left, self.faded = max(0.0, 1 - (now - self.faded) / 1e6), now
+            self.weights = {by: left * w for by, w in self.weights.items() if w > 0.01}
+            self.read_rate = sum(self.weights.values())
         held = self.counts[HELD] + self.counts[PAUSED]
         error = STRETCH - self.stretch - self.errors
         idle = f.cores - self.on_cores
         if held and idle > 0:
-            self.limit += CLIMB * idle
+            self.limit += CLIMB * idle * min(dt, 0.1)
         elif error < 0:
             first, second = error - self.last_error, error - 2 * self.last_error + self.error_before
             self.limit += f.cores * (KP * first + KI * error * dt + KD * second)
@@ -284,8 +284,7 @@
             self.cut_base = min(CUT_MOST, self.cut_base + CUT_RISE * dt * over)
         else:  # waits clear: faster while cores idle
             over = min(over, 0.0)
-            fall = CUT_FALL * over - CUT_IDLE * max(0.0, idle) / f.cores
-            self.cut_base = max(0.0, self.cut_base + dt * fall)
+            self.cut_base = max(0, self.cut_base + dt * (CUT_FALL * over - CUT_IDLE * max(0, idle) / f.cores))
         self.cut = min(CUT_MOST, self.cut_base + CUT_NOW * max(0.0, over))
 
     def learn(self, t: Ticket, took: int, good: bool) -> None:
@@ -294,8 +293,13 @@
         if not good:
             return
         k = t.kind
-        self.runs[k].append(took)
-        own = took - t.below
+        runs, own, span = self.runs[k], took - t.below, self.span[k]
+        runs.append(took)
+        if len(runs) >= ENOUGH:
+            ranked = sorted(runs)
+            self.median[k] = ranked[len(ranked) // 2]
+            p90 = round(TIMEOUT_P90 * ranked[len(ranked) * 9 // 10])
+            self.timeout[k] = max(span // 8, min(p90, span - p90))
         self.ended_runs[k] += 1
         weight = max(0.05 if t.crowd <= self.facts.cores else 0.002, 1 / self.ended_runs[k])
         self.usual[k] += weight * (own - self.usual[k])
@@ -356,8 +360,8 @@
     def barred(self, t: Ticket, now: int) -> bool:
         """What is better off at another backend: after the grace of a drain, and while runs fail here."""
         if self.notice:
-            late = t.arrived > self.notice + self.facts.grace
-            return late or now + 2 * self.median[t.kind] + 2 * WAKE_EVERY > self.stop
+            late = now + 2 * self.median[t.kind] + 2 * WAKE_EVERY > self.stop
+            return late or t.arrived > self.notice + self.facts.grace
         return self.stalled(now) or (self.errors > SICK and self.random() > PROBE)
 
     def share_left(self, t: Ticket, now: int) -> float:
@@ -457,8 +461,7 @@
         f = self.facts
         ahead = sum(t.call_until + f.lingers - now for t in self.open.values() if t.state == CALLING)
         ahead += sum(until - now for until in self.lingering)
-        spent = sum(area for _, area in self.in_hand)
-        return SURVIVE * f.calls_share * f.calls_over - spent - ahead - f.lingers
+        return SURVIVE * f.calls_share * f.calls_over - self.spent - ahead - f.lingers
 
     def go_on(self, t: Ticket, now: int, out: list[Result]) -> None:
         if self.crowd() < self.ceiling(now):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -203,3 +203,13 @@
         world.end(op_id, Outcome.GOOD)
     pass_time(world, 100, IDLE)
     assert world.manager.ready
+
+
+def test_quiet_backend_wakes_seldom_and_an_open_ticket_soon() -> None:
+    world = World(1, shares=())
+    world.arrive(0, 0.5)
+    world.turn(IDLE)
+    assert world.asleep_until - world.now <= 40 * MS
+    world.end(1, Outcome.GOOD)
+    pass_time(world, 1000, IDLE)
+    assert world.figures[Step.WAKE] >= 200 * MS
