Name other backends by a chance that falls with the part of arrivals dismissed

Cause: asking never to try elsewhere loses tickets that a quicker or luckier backend had room for; naming others always lets an overloaded fleet read each ticket a dozen times. Change: another backend is named with a chance of 1 less twice the part of arrivals dismissed of late; always while sick or leaving, never for a try whose repeat takes its place. Should cover crashes, cold and slow backends; could harm where all are overloaded lightly.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -26,6 +26,7 @@
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
 AWAY_FROM, AWAY_CUT = 0.2, 2.0  # stay-away advice, in parts of the longest: least, and with the cut
 CALL_CROWDED = 2.5  # a call's latency against its usual one from which what lies below is crowded
+SPREAD = 0.5  # part of arrivals dismissed of late, from which no other backend is named
 RETURNING = 0.5  # part of tickets whose caller was here lately, under which idle connections are closed early
 CALL_TRIES, CALL_PATIENCE = 3, 6  # tries of a call, and its bound in recent mean latencies
 
@@ -119,23 +120,21 @@
         self.unrun: set[int] = set()  # let go without a run in this turn, whose end empties it
         self.lingering: deque[int] = deque()  # calls given up; emptied as they leave
         self.counts = [0] * 8  # open tickets by state
-        self.born = self.last_step = self.next_watch = self.next_wake = now
-        self.moved = self.faded = self.budget_at = now
+        self.born = self.last_step = self.next_watch = self.next_wake = self.moved = self.faded = now
         self.memory = self.cut = self.cut_base = self.last_error = self.error_before = self.waited = 0.0
-        self.errors = self.on_cores = self.busy = self.unread = self.read_rate = self.spent = 0.0
-        self.limit, self.stretch = float(facts.cores), 1.0
+        self.errors = self.on_cores = self.busy = self.unread = self.read_rate = self.spent = self.shed = 0.0
+        self.limit, self.stretch, self.call_late = float(facts.cores), 1.0, 0.0
         self.runs: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in facts.types]
         self.timeout = [t.expected_time for t in facts.types]
         self.span = [t.expected_time for t in facts.types]  # the time that tickets come with
         self.median = [0] * len(facts.types)
         self.usual = [0.0] * len(facts.types)  # uncrowded run latency of late
         self.most_calls = self.call_room = max(facts.cores / 2, SURVIVE * facts.calls_share)
-        self.call_usual, self.call_late, self.ended_calls = 0, 0.0, 0
         self.in_hand: deque[tuple[int, float]] = deque()  # call time by step, for as long as the share's mean
-        self.budget = [float(quota) for quota in facts.shares]  # a second of each share
+        self.budget, self.budget_at = [float(quota) for quota in facts.shares], now  # a second of each share
         self.ready, self.idle, self.told, self.returning = True, facts.idle_most, -1.0, 1.0
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
-        self.notice = self.stop = 0
+        self.notice = self.stop = self.call_usual = self.ended_calls = 0
 
     # What comes in
 
@@ -154,6 +153,7 @@
         self.span[kind] += round(0.05 * (t.aim - arrived - self.span[kind]))
         self.unread += 0.1 * (now - arrived - self.unread)
         self.returning += 0.02 * ((by in self.weights) - self.returning)
+        self.shed *= 0.95
         self.weights[by] = self.weights.get(by, 0.0) + 1.0
         self.open[op_id] = t
         self.arrivals.append(t)
@@ -301,8 +301,8 @@
             self.median[k] = ranked[len(ranked) // 2]
             p90 = ranked[len(ranked) * 9 // 10]
             self.timeout[k] = max(span // 8, min(p90, span - p90))
-        early = 1 / len(runs) if len(runs) < SAMPLES else 0.0
-        weight = max(0.05 if t.crowd <= self.facts.cores else 0.002, early)
+        usual = 0.05 if t.crowd <= self.facts.cores else 0.002
+        weight = max(usual, 1 / len(runs) if len(runs) < SAMPLES else 0)
         self.usual[k] += weight * (own - self.usual[k])
         if self.usual[k]:
             self.stretch += 0.08 * (own / self.usual[k] - self.stretch)
@@ -327,13 +327,11 @@
         here = len(self.open) + self.read_rate * self.unread / 1e6
         parts = sorted(self.weights.values())
         scale = here / max(1e-9, sum(parts))
-        if here <= room:
-            return max(parts, default=0.0) * scale + room - here
         for n, part in enumerate(parts):
             if part * scale * (len(parts) - n) >= room:
                 return room / (len(parts) - n)
             room -= part * scale
-        return room
+        return max(parts, default=0.0) * scale + room
 
     # Guards
 
@@ -386,7 +384,7 @@
         if first is not None and first.state in (NEW, HELD) and not first.ran:
             if t.type.repeat is Repeat.LABELLED and first.state == HELD and self.keepable(t, now, out):
                 self.kept.pop(first.id, None)
-                self.dismiss(first, now, out)
+                self.dismiss(first, now, out, elsewhere=False)
             return False
         self.move(t, SHARING)
         t.ran = True
@@ -482,16 +480,18 @@
 
     # Answers and accounts
 
-    def dismiss(self, t: Ticket, now: int, out: list[Result], elsewhere: bool = False) -> None:
+    def dismiss(self, t: Ticket, now: int, out: list[Result], elsewhere: bool | None = None) -> None:
         """A final no, with advice: how long to stay away, and whether another backend may do better."""
         if t.ran and t.type.repeat is not Repeat.REDOABLE or t.state == PAUSED:
             return self.forfeit(t, now, out)
         if t.id in self.kept:
             self.keep(t, now, 0, out)
-        elsewhere |= self.sick(now) or self.notice > 0
-        part = 1.0 if elsewhere else min(1.0, AWAY_FROM + AWAY_CUT * self.cut)
-        away = round(self.facts.stay_away_most * part)
-        out.append((Step.DISMISS if elsewhere else Step.DISMISS_ALL, t, away))
+        self.shed += 0.05
+        local = bool(elsewhere) or self.sick(now) or self.notice > 0
+        part = 1.0 if local else min(1.0, AWAY_FROM + AWAY_CUT * self.cut)
+        if elsewhere is None:  # the fewer are dismissed here, the likelier others have room
+            local |= self.random() > self.shed / SPREAD
+        out.append((Step.DISMISS if local else Step.DISMISS_ALL, t, round(self.facts.stay_away_most * part)))
         t.answered = True
         self.unrun.add(t.id)
         return self.close(t)
