Dismiss at once what must call while a line stands before what lies below

Cause: the shared database crawls; tickets that must call were held for room until their time was up, filled the hold, and their waits raised the cut for all ranks. Others ruled out: room for calls (as many at once as cores, or never shrinking, changed nothing), quick failures (few errors), a reading jam (no list changes). Change: such a ticket is dismissed when read while as many as there are cores wait for room. Should cover any stop below; could harm where the line moves within milliseconds.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -14,9 +14,8 @@
 
 WAKE_EVERY, WAKE_QUIET = 40_000, 200_000  # the watch over outer limits and gauges; with no ticket open
 SAMPLES, ENOUGH = 64, 8  # ended runs a traffic type that its P90 is taken from, and before it counts
-CUT_FROM = 0.6  # the wait, in queue timeouts, that the cut's loop is steered to
 CUT_NOW, CUT_RISE, CUT_FALL, CUT_IDLE = 0.4, 0.3, 0.15, 0.5  # its gains: at once, and a second
-CUT_MOST = 5 / 6  # of the rank scale: tier t0 is never cut
+CUT_FROM, CUT_MOST = 0.6, 5 / 6  # the wait, in timeouts, it is steered to; its end: tier t0 is never cut
 STRETCH = 1.3  # the run latency, against an uncrowded one, that the limit is steered to
 KP, KI, KD = 0.5, 0.6, 0.05  # the limit's PID, in cores
 CLIMB = 12  # times the idle cores that the limit gains a second while work waits
@@ -175,9 +174,8 @@
         if self.on_cores < self.facts.cores / 2:  # cores with room read at once
             self.unread *= max(0.0, 1 - passed / 200_000)
         self.steer(now)
-        # Guards against a reading line so long that tickets come out of it too old to run: no answer reaches
-        # a caller in time, so no advice does; only the list still can. Should also cover pauses and floods.
-        # Could do harm where all backends jam together and leave the list in step.
+        # Guards against a reading line that tickets leave too old to run: no answer, so no advice, in time;
+        # only the list is. Should also cover pauses and floods. Could do harm where all leave it in step.
         jammed = self.unread > (JAM_OVER if self.ready else JAM_UNDER) * min(self.span) or self.sick(now)
         if jammed == self.ready and not self.notice:
             self.ready = not jammed
@@ -203,7 +201,7 @@
             if t.closed or self.seen_before(t, now, out):
                 continue
             t.rank *= self.share_left(t, now)
-            full = self.used() > SURVIVE * self.facts.memory_kb
+            full = self.used() > SURVIVE * self.facts.memory_kb or self.lined_up(t)
             if self.barred(t, now):
                 self.dismiss(t, now, out, elsewhere=True)
             elif t.rank < self.cut or full or not self.keepable(t, now, out):
@@ -249,8 +247,11 @@
     def fits(self, t: Ticket) -> bool:
         """Whether memory and the line before what lies below leave room for one more run."""
         more = 0.0 if t.state == PAUSED else t.kb * (self.facts.run_factor - 1)
-        line = len(self.asking) if t.type.calls and t.type.credit_without == 0 else 0
-        return line < self.facts.cores and self.used() + more <= SURVIVE * self.facts.memory_kb
+        return not self.lined_up(t) and self.used() + more <= SURVIVE * self.facts.memory_kb
+
+    def lined_up(self, t: Ticket) -> bool:
+        """Whether the ticket would wait in a line before what lies below, and cannot go without."""
+        return t.type.calls and t.type.credit_without == 0 and len(self.asking) >= self.facts.cores
 
     # Feedback
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -232,3 +232,16 @@
         low = world.arrive(0, 0.0)
         world.turn(FULL)
         assert low in steps(world, step)
+
+
+def test_line_before_what_lies_below_dismisses_at_once_what_cannot_go_without() -> None:
+    world = World(1, shares=())
+    ids = [world.arrive(1, 0.9) for _ in range(4)]
+    world.turn()
+    for op_id in ids:
+        world.state[op_id] = "asking"
+        world.manager.call_room = 0
+        world.apply(world.tickets[op_id].needs_call(world.now))
+    needs, can_do_without = world.arrive(1, 0.9), world.arrive(0, 0.9)
+    world.turn()
+    assert needs in steps(world, Step.DISMISS, Step.DISMISS_ALL) and can_do_without in steps(world, Step.RUN)
