Let every customer's share fill to whole tickets

Cause: an even part of a small customer's share over 300 backends is under a ticket a second; a budget of two seconds of it never held one whole ticket, so all its tickets ranked as over the share. Change: a budget holds two tickets at least. Should cover any fleet; could harm where a flood is spread so thin that two tickets a backend carry it.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -369,7 +369,7 @@
         passed, self.budget_at = (now - self.budget_at) / 1e6, now
         for team, quota in enumerate(self.facts.shares):
             rate = 1.3 * quota / max(1, self.facts.fleet)
-            self.budget[team] = min(2 * rate, self.budget[team] + rate * passed)
+            self.budget[team] = min(max(2.0, 2 * rate), self.budget[team] + rate * passed)
         if not self.budget or self.budget[t.team] < 1:
             return self.facts.over_share_credit if self.budget else 1.0
         self.budget[t.team] -= 1
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -245,3 +245,12 @@
     needs, can_do_without = world.arrive(1, 0.9), world.arrive(0, 0.9)
     world.turn()
     assert needs in steps(world, Step.DISMISS, Step.DISMISS_ALL) and can_do_without in steps(world, Step.RUN)
+
+
+def test_share_of_a_fraction_of_a_ticket_a_second_still_holds_whole_tickets() -> None:
+    world = World(1, shares=(30.0, 10.0), fleet=300)
+    for team in (1, 1):
+        pass_time(world, 25000, IDLE)
+        op_id = world.arrive(0, 0.9, team=team)
+        world.turn(IDLE)
+        assert world.tickets[op_id].rank == 0.9
