Take work for hung only after six usual times between moves of runs

Change: hung is full cores and no move for half the time tickets come with and for six usual times between moves. Should cover any slow but moving work; could harm where a hang begins before a pace is known.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -10,11 +10,11 @@
 from collections import deque
 from random import Random
 
-from crowwing.contract import Halt, Outcome, Premises, Repeat, Result, Signal, Step, TrafficType
+from crowwing.contract import Halt, Outcome, Premises, Repeat, Result, Signal, Step
 
 WAKE_EVERY, WAKE_QUIET = 40_000, 200_000  # the watch over outer limits and gauges; with no ticket open
 SAMPLES, ENOUGH = 64, 8  # ended runs a traffic type that its P90 is taken from, and before it counts
-CUT_NOW, CUT_RISE, CUT_FALL, CUT_IDLE = 0.4, 0.3, 0.15, 0.5  # its gains: at once, and a second
+CUT_NOW, CUT_RISE, CUT_FALL, CUT_IDLE = 0.4, 0.3, 0.15, 0.5  # gains of the cut's loop: at once, and a second
 CUT_FROM, CUT_MOST = 0.6, 5 / 6  # the wait, in timeouts, it is steered to; its end: tier t0 is never cut
 STRETCH = 1.3  # the run latency, against an uncrowded one, that the limit is steered to
 KP, KI, KD = 0.5, 0.6, 0.05  # the limit's PID, in cores
@@ -22,6 +22,7 @@
 SURVIVE = 0.75  # the part of the deadly crowd, memory or calls that is ever used
 HOLD = 0.3  # held tickets a core that callers are let to bring
 JAM_OVER, JAM_UNDER = 0.6, 0.3  # unread time, in the time tickets come with: leave the list, come back
+STALL = 6  # usual times between two moves of runs, without one, from which work is taken for hung
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
 AWAY_FROM, AWAY_CUT = 0.2, 2.0  # stay-away advice, in parts of the longest: least, and with the cut
 CALL_CROWDED = 2.5  # a call's latency against its usual one from which what lies below is crowded
@@ -37,7 +38,7 @@
 
     def __init__(self, manager: "LoadManager", op_id: int, kind: int, kb: float) -> None:
         self.manager, self.id, self.kind, self.kb = manager, op_id, kind, kb
-        self.type: TrafficType = manager.facts.types[kind]
+        self.type = manager.facts.types[kind]
         self.state, self.weight, self.crowd = OVER, 0.0, 0.0
         self.answered = self.closed = self.ran = False
         self.asked = self.below = self.tries = self.not_before = self.halted = self.call_until = 0
@@ -47,7 +48,7 @@
         m, was = self.manager, self.state
         if self.closed or was not in (RUNNING, ASKING, CALLING, SHARING):
             return []
-        m.moved = now
+        m.progress(now)
         if was == CALLING:
             m.lingering.append(now + m.facts.lingers)
         if outcome is Outcome.STOPPED and not self.answered:  # we halted it: back in the hold
@@ -65,7 +66,8 @@
     def needs_call(self, now: int) -> list[Result]:
         """The run needs what lies below; it waits outside the limit."""
         if self.state == RUNNING and not self.answered:
-            self.asked, self.tries, self.manager.moved = now, 0, now
+            self.asked, self.tries = now, 0
+            self.manager.progress(now)
             self.manager.move(self, ASKING, keeps_weight=True)
         return []
 
@@ -122,10 +124,10 @@
         self.born = self.last_step = self.next_watch = self.next_wake = self.moved = self.faded = now
         self.memory = self.cut = self.cut_base = self.last_error = self.error_before = self.waited = 0.0
         self.errors = self.on_cores = self.busy = self.unread = self.read_rate = self.spent = self.shed = 0.0
-        self.limit, self.stretch, self.call_late = float(facts.cores), 1.0, 0.0
+        self.limit, self.stretch, self.call_late, self.pace = float(facts.cores), 1.0, 0.0, 0.0
         self.runs: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in facts.types]
         self.timeout = [t.expected_time for t in facts.types]
-        self.span = [t.expected_time for t in facts.types]  # the time that tickets come with
+        self.span = self.timeout[:]  # the time that tickets come with
         self.median = [0] * len(facts.types)
         self.usual = [0.0] * len(facts.types)  # uncrowded run latency of late
         self.most_calls = self.call_room = max(facts.cores / 2, SURVIVE * facts.calls_share)
@@ -222,8 +224,7 @@
             if self.facts.fresh_for and t.key and not t.write and t.type.repeat is Repeat.REDOABLE:
                 self.keep(t, now, t.due - now + self.facts.fresh_for, out)
             t.ran, t.below, t.crowd = True, 0, max(self.counts[RUNNING], self.on_cores)
-            if not self.counts[RUNNING]:
-                self.moved = now
+            self.moved = self.moved if self.counts[RUNNING] else now
             self.move(t, RUNNING)
             out.append((Step.RUN, t, 0))
         self.ask_below(now, out)
@@ -305,8 +306,7 @@
         usual = 0.05 if t.crowd <= self.facts.cores else 0.002
         weight = max(usual, 1 / len(runs) if len(runs) < SAMPLES else 0)
         self.usual[k] += weight * (own - self.usual[k])
-        if self.usual[k]:
-            self.stretch += 0.08 * (own / self.usual[k] - self.stretch)
+        self.stretch += 0.08 * (own / max(1.0, self.usual[k]) - self.stretch)
 
     def tell(self, now: int, out: list[Result]) -> None:
         """Sets the free value where it moved."""
@@ -323,9 +323,8 @@
             out.append((Step.FREE_VALUE, None, value))
 
     def level(self, room: float) -> float:
-        """The most that each caller may have here so that all fill the room: the heaviest give way first.
-        By Little's law, as much lies unread as is read in the time that tickets lie unread."""
-        here = len(self.open) + self.read_rate * self.unread / 1e6
+        """What each caller may have here so that all fill the room, the heaviest giving way first."""
+        here = len(self.open) + self.read_rate * self.unread / 1e6  # what lies unread by Little's law
         parts = sorted(self.weights.values())
         scale = here / max(1e-9, sum(parts))
         for n, part in enumerate(parts):
@@ -338,14 +337,18 @@
 
     def speed(self, now: int) -> float:
         """The least share of its speed that this backend can have now."""
-        f = self.facts
-        warm = min(1.0, (now - self.born) / f.cold_for) if f.cold and f.cold_for else 1.0
-        return f.cold_from + (1 - f.cold_from) * warm
+        warm = (now - self.born) / self.facts.cold_for if self.facts.cold and self.facts.cold_for else 1.0
+        return self.facts.cold_from + (1 - self.facts.cold_from) * min(1.0, warm)
+
+    def progress(self, now: int) -> None:
+        self.pace += 0.05 * (now - self.moved - self.pace)
+        self.moved = now
 
     def stalled(self, now: int) -> bool:
-        """Guards against hung work, whatever hangs it: full cores, and no run moved for half the time tickets
-        come with. Should also cover extreme slowness. Could do harm where all runs are that long."""
-        return self.counts[RUNNING] >= self.facts.cores and now - self.moved > min(self.span) / 2
+        """Guards against hung work: cores are full, and no run moved for half the time tickets come with and
+        six usual times (two cores pause by chance). Covers slowness too; harms where runs are as long."""
+        long = max(min(self.span) / 2, STALL * self.pace)
+        return self.counts[RUNNING] >= self.facts.cores and now - self.moved > long
 
     def sick(self, now: int) -> bool:
         return self.errors > SICK or self.stalled(now)
@@ -433,13 +436,12 @@
     def ask_below(self, now: int, out: list[Result]) -> None:
         """Makes calls, highest rank first, within this backend's share and what the callee takes at ease."""
         f = self.facts
-        for t in sorted(self.asking, key=lambda t: -t.rank):
+        ready = [t for t in self.asking if not t.answered and now >= t.not_before]
+        for t in sorted(ready, key=lambda t: -t.rank):
             used = self.counts[CALLING] + len(self.lingering)
             spare = self.spare_calls(now)
             rest = self.median[t.kind] // 2
             bound = (t.aim if now + rest < t.aim else t.due) - rest - now
-            if t.answered or now < t.not_before:
-                continue
             if bound <= 0 and t.type.credit_without == 0:
                 self.forfeit(t, now, out)
             elif not f.calls_share or (used < int(self.call_room) and spare > self.call_usual):
@@ -457,10 +459,10 @@
 
     def spare_calls(self, now: int) -> float:
         """Call time still to spend: the mean stays in the share if each call out lasts to its bound."""
-        f = self.facts
-        ahead = sum(t.call_until + f.lingers - now for t in self.open.values() if t.state == CALLING)
+        lingers = self.facts.lingers
+        ahead = sum(t.call_until + lingers - now for t in self.open.values() if t.state == CALLING)
         ahead += sum(until - now for until in self.lingering)
-        return SURVIVE * f.calls_share * f.calls_over - self.spent - ahead - f.lingers
+        return SURVIVE * self.facts.calls_share * self.facts.calls_over - self.spent - ahead - lingers
 
     def go_on(self, t: Ticket, now: int, out: list[Result]) -> None:
         if not self.crowded(now):
@@ -472,12 +474,12 @@
         """The room for calls shrinks while they take far longer than usual or fail, and grows back."""
         if outcome is not Outcome.NEVER_RAN:
             self.ended_calls += 1
-            self.call_late += max(0.1, 1 / self.ended_calls) * (took - self.call_late)
-            weight = max(0.003, 1 / self.ended_calls)
-            self.call_usual = round(self.call_usual + weight * (took - self.call_usual))
+            part = 1 / self.ended_calls
+            self.call_late += max(0.1, part) * (took - self.call_late)
+            self.call_usual = round(self.call_usual + max(0.003, part) * (took - self.call_usual))
         slow = outcome is not Outcome.GOOD or self.call_late > CALL_CROWDED * self.call_usual
-        grown = min(self.most_calls, self.call_room + 0.1)
-        self.call_room = max(1.0, self.call_room * 0.97) if slow else grown
+        room = self.call_room * 0.97 if slow else self.call_room + 0.1
+        self.call_room = min(self.most_calls, max(1.0, room))
 
     # Answers and accounts
 
@@ -485,8 +487,7 @@
         """A final no, with advice: how long to stay away, and whether another backend may do better."""
         if t.ran and t.type.repeat is not Repeat.REDOABLE or t.state == PAUSED:
             return self.forfeit(t, now, out)
-        if t.id in self.kept:
-            self.keep(t, now, 0, out)
+        self.keep(t, now, 0, out)
         self.shed += 0.05
         local = bool(elsewhere) or self.sick(now) or self.notice > 0
         part = 1.0 if local else min(1.0, AWAY_FROM + AWAY_CUT * self.cut)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -254,3 +254,16 @@
         op_id = world.arrive(0, 0.9, team=team)
         world.turn(IDLE)
         assert world.tickets[op_id].rank == 0.9
+
+
+def test_a_chance_pause_of_two_cores_is_not_taken_for_hung_work() -> None:
+    world = World(1, shares=(), cores=2)
+    for _ in range(60):  # runs end a second apart
+        op_id = world.arrive(0, 0.5)
+        world.turn(IDLE)
+        pass_time(world, 1000, IDLE, hung=True)
+        world.end(op_id, Outcome.GOOD, took=1000 * MS)
+    ids = [world.arrive(0, 0.5) for _ in range(2)]
+    world.turn(FULL)
+    pass_time(world, 1500, FULL, hung=True)
+    assert world.manager.ready and set(ids) <= set(steps(world, Step.RUN))
