--- /dev/null
+++ b/crowwing/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m crowwing` starts one real backend."""
+
+import sys
+
+from crowwing.program.main import main
+
+sys.exit(main())
--- a/crowwing/contract.py
+++ b/crowwing/contract.py
@@ -64,6 +64,7 @@
 
 
 Result = tuple[Step, Any, float]
+Id = int | str  # of a ticket, as the wire gives it
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,3 +105,14 @@
     idle_most: int  # after this time callers close idle connections themselves
     answer_slack: int
     grace: int
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """What the wires call things; the module knows only their places in these lists."""
+
+    types: tuple[str, ...]
+    customers: tuple[str, ...]
+    gauges: tuple[str, ...]
+    tells_patience: bool  # each ticket says how long its caller waits
+    deep_checks: bool
--- a/crowwing/drill/__main__.py
+++ b/crowwing/drill/__main__.py
@@ -3,7 +3,8 @@
 import sys
 
 from crowwing.drill import frames
-from crowwing.drill.adapter import Adapter, BadPremises, InternalError
+from crowwing.drill.adapter import Adapter, InternalError
+from crowwing.premises import BadPremises
 
 
 def main() -> int:
--- a/crowwing/drill/adapter.py
+++ b/crowwing/drill/adapter.py
@@ -1,13 +1,13 @@
 """Hosts instances of the decision module: decodes events into calls and encodes results. No decisions."""
 
-import json
 import random
 from collections.abc import Callable
 from typing import Any
 
-from crowwing.contract import Halt, Outcome, Premises, Repeat, Result, Signal, Step, TrafficType
+from crowwing.contract import Outcome, Result, Step
 from crowwing.drill import frames
 from crowwing.logic import LoadManager, Ticket
+from crowwing.premises import BadPremises, decode, us
 
 _OUTCOMES = {
     100: Outcome.GOOD,
@@ -19,14 +19,6 @@
     306: Outcome.STOPPED,
     307: Outcome.NEVER_RAN,
 }
-_REPEATS = {"safe": Repeat.REDOABLE, "keyed": Repeat.LABELLED, "unsafe": Repeat.IRREVERSIBLE}
-_HALTS = {"none": Halt.NONE, "discard": Halt.DISCARD, "freeze": Halt.FREEZE}
-_SIGNALS = {
-    "none": Signal.NONE,
-    "floor": Signal.FLOOR,
-    "allowance": Signal.ALLOWANCE,
-    "weight": Signal.WEIGHT,
-}
 _run, _halt = frames.packer(1060, "IQ"), frames.packer(1090, "IQ")
 _dismiss, _forfeit = frames.packer(1050, "IQdB"), frames.packer(1140, "IQ")
 _call, _go_on = frames.packer(1040, "IQd"), frames.packer(1070, "IQ")
@@ -54,10 +46,6 @@
 }
 
 
-class BadPremises(ValueError):
-    """The settings at start cannot be read."""
-
-
 class InternalError(Exception):
     """The decision module failed; `who` is the instance it failed in."""
 
@@ -66,68 +54,14 @@
         self.who = who
 
 
-def us(ms: float) -> int:
-    return round(ms * 1000)
-
-
-def premises(raw: bytes) -> tuple[Premises, list[str]]:
-    """What the settings say, in the module's words, and the names of the gauges."""
-    try:
-        told = json.loads(raw)
-        info, rules, caps = told["family_info"], told["invariants"], told.get("caps", {})
-        calls = info.get("class_calls") or []
-        without = info.get("worth_without") or []
-        below = info.get("downstream", "none") != "none"
-        types = tuple(
-            TrafficType(
-                expected_time=us(lane["promise"]),
-                outer_limit=us(lane["deadline"]),
-                repeat=_REPEATS[lane["semantics"]],
-                window=us(lane.get("dedup_window", 0)),
-                calls=below and (bool(calls[n]) if n < len(calls) else True),
-                credit_without=float(without[n]) if n < len(without) else 0.0,
-            )
-            for n, lane in enumerate(told["lanes"])
-        )
-        facts = Premises(
-            types=types,
-            shares=tuple(float(realm.get("quota_per_s", 0)) for realm in told.get("realms") or ()),
-            over_share_credit=float(told.get("over_share_worth", 1)),
-            fleet=int(told.get("servers", 1)),
-            cores=int(info["cpus"]),
-            memory_kb=float(info["ram_kb"]),
-            run_factor=float(info.get("run_factor", 1)),
-            key_kb=float(info.get("key_kb", 0)),
-            halt=_HALTS[info.get("halt", "none")],
-            signal=_SIGNALS[info.get("signal", "none")],
-            stay_away_most=us(caps.get("max_retry_after", 0)) if caps.get("retry_after") else 0,
-            crowd=float(rules["fall_multiple"]),
-            cold=bool(info.get("cold", False)),
-            cold_from=float(rules.get("cold_from", 1)),
-            cold_for=us(rules.get("cold", 0)),
-            calls_share=float(info.get("calls_out", 0)) if info.get("downstream") == "one_for_all" else 0.0,
-            calls_over=us(info.get("calls_over", 0)),
-            lingers=us(info.get("lingers", 0)),
-            fresh_for=us(info.get("fresh_for", 0)),
-            idle_most=us(info.get("keepalive_max", 0)),
-            answer_slack=us(rules.get("answer_slack", 0)),
-            grace=us(rules.get("stop_sending_within", 0)),
-        )
-        return facts, list(info.get("gauges") or ())
-    except KeyError as missing:
-        raise BadPremises(f"settings: missing or unknown {missing}") from None
-    except (ValueError, TypeError, AttributeError, RecursionError) as wrong:
-        raise BadPremises(f"settings: {wrong}") from None
-
-
 class Host:
     """One life of one backend: its manager and its open tickets, which each answer empties."""
 
     __slots__ = ("manager", "tickets", "gauges")
 
     def __init__(self, now: int, entropy: int, settings: bytes) -> None:
-        facts, names = premises(settings)
-        self.gauges = names
+        facts, names = decode(settings)
+        self.gauges = names.gauges
         self.tickets: dict[int, Ticket] = {}
         self.manager = LoadManager(facts, now, random.Random(entropy))
 
--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -10,7 +10,7 @@
 from collections import deque
 from random import Random
 
-from crowwing.contract import Halt, Outcome, Premises, Repeat, Result, Signal, Step
+from crowwing.contract import Halt, Id, Outcome, Premises, Repeat, Result, Signal, Step
 
 WAKE_EVERY, WAKE_QUIET = 40_000, 200_000  # the watch over outer limits and gauges; with no ticket open
 SAMPLES, ENOUGH = 64, 8  # ended runs a traffic type that its P90 is taken from, and before it counts
@@ -36,7 +36,7 @@
 class Ticket:
     """The handle of one ticket; its news comes as calls."""
 
-    def __init__(self, manager: "LoadManager", op_id: int, kind: int, kb: float) -> None:
+    def __init__(self, manager: "LoadManager", op_id: Id, kind: int, kb: float) -> None:
         self.manager, self.id, self.kind, self.kb = manager, op_id, kind, kb
         self.type = manager.facts.types[kind]
         self.state, self.weight, self.crowd = OVER, 0.0, 0.0
@@ -113,12 +113,12 @@
 
     def __init__(self, facts: Premises, now: int, chance: Random) -> None:
         self.facts, self.random = facts, chance.random
-        self.open: dict[int, Ticket] = {}  # emptied by each ticket's end
+        self.open: dict[Id, Ticket] = {}  # emptied by each ticket's end
         self.arrivals: list[Ticket] = []  # read since the last turn, which empties it
         self.queues: list[list[Ticket]] = [[] for _ in facts.types]  # emptied by release and timeout
         self.asking: list[Ticket] = []  # at a call that is not out yet; emptied by calls and bounds
-        self.kept: dict[int, int] = {}  # entry -> when it runs out, which empties it
-        self.unrun: set[int] = set()  # let go without a run in this turn, whose end empties it
+        self.kept: dict[Id, int] = {}  # entry -> when it runs out, which empties it
+        self.unrun: set[Id] = set()  # let go without a run in this turn, whose end empties it
         self.lingering: deque[int] = deque()  # calls given up; emptied as they leave
         self.counts = [0] * 8  # open tickets by state
         self.born = self.last_step = self.next_watch = self.next_wake = self.moved = self.faded = now
@@ -143,8 +143,8 @@
         return [(Step.READY, None, 0)]
 
     # fmt: off
-    def take(self, now: int, op_id: int, kind: int, team: int, rank: float, kb: float, arrived: int, due: int,
-             by: int, repeats: int, key: int, write: bool) -> Ticket:
+    def take(self, now: int, op_id: Id, kind: int, team: int, rank: float, kb: float, arrived: int, due: int,
+             by: int, repeats: Id, key: Id, write: bool) -> Ticket:
         # fmt: on
         """A ticket has been read; `due` is 0 where its caller's patience is not told."""
         t = Ticket(self, op_id, kind, kb)
--- /dev/null
+++ b/crowwing/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program round the decision module: configuration, wiring, signals, log."""
--- /dev/null
+++ b/crowwing/program/backend.py
@@ -0,0 +1,131 @@
+"""One real backend: wires the parts, and sees it through its life from start to drain."""
+
+import asyncio
+import gc
+import signal
+
+from crowwing.program.configuration import Posting
+from crowwing.program.front import Front
+from crowwing.program.log import Log
+from crowwing.program.reporter import Reporter
+from crowwing.routing.book import Book
+from crowwing.routing.desk import Desk
+from crowwing.transport.budget import DescriptorBudget
+from crowwing.transport.listener import Listener
+from crowwing.transport.pool import BufferPool
+
+FIGURES = 5.0  # seconds between lines of figures
+LAST_WORDS = 0.15  # seconds before the end by which it has gone
+
+
+class Backend:
+    """Also what the module speaks to beyond single tickets."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, posting: Posting, log: Log) -> None:
+        self.loop, self.posting, self.log = loop, posting, log
+        facts = posting.facts
+        self.book, self.pool = Book(log.write), BufferPool()
+        budget = DescriptorBudget(posting.sockets)
+        shortest = min(kind.expected_time for kind in facts.types) / 1e6
+        self.front = Front(loop, self.book, posting.names.deep_checks, shortest / 2)
+        self.listener = Listener(loop, self.pool, budget.incoming, self.front.window)
+        self.listener.patience = max(kind.outer_limit for kind in facts.types) / 1e6
+        self.listener.idle = facts.idle_most / 1e6 or None
+        self.reporter = Reporter(loop, posting.control, self.pool, posting.name, self.book)
+        self.desk = self.front.desk = Desk(
+            loop, facts, posting.names, posting.seed, posting.agent, posting.below, budget.below, self.pool,
+            self.book, self,
+        )  # fmt: skip
+        self.over = asyncio.Event()
+        self.lag = 0.0
+        self.due = loop.time() + FIGURES
+        self.watched: list[asyncio.Task] = []
+
+    # What the module sets
+
+    def ready(self, good: bool) -> None:
+        self.front.good = good
+        self.reporter.tell(good)
+        self.book.event("ready" if good else "unready")
+
+    def free_value(self, value: float) -> None:
+        self.front.free_value = value
+
+    def idle(self, span: float) -> None:
+        self.listener.idle = span / 1e6 or None
+
+    # Its life
+
+    async def run(self) -> None:
+        """Until it has drained. OSError if the address cannot be had."""
+        self.listener.open(*self.posting.listen)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.leave)
+        for duty in (self.desk.send.link.run(), self.reporter.run(), self._beat()):
+            task = self.loop.create_task(duty)
+            task.add_done_callback(self._ended)
+            self.watched.append(task)
+        self.log.write(
+            "started", listen=":".join(map(str, self.posting.listen)), sockets=self.posting.sockets
+        )
+        gc.freeze()
+        await self.over.wait()
+        self.figures()
+        self.log.write("stopped")
+
+    def _ended(self, task: asyncio.Task) -> None:
+        """No duty ends by itself: a defect in one is logged, and it starts no half-dead life."""
+        if not task.cancelled() and task.exception() is not None:
+            self.log.write("duty_failed", why=repr(task.exception()))
+            self.over.set()
+
+    def leave(self) -> None:
+        """The notice to leave; a second one changes nothing."""
+        if self.front.draining:
+            return
+        self.front.draining = True
+        self.log.write("leaving", open=len(self.desk.slips))
+        stop = self.posting.stop
+        self.desk.leave(self.desk.now() + stop)
+        self.loop.create_task(self._drain(self.loop.time(), stop / 1e6))
+
+    async def _drain(self, began: float, stop: float) -> None:
+        """Stays for what callers still send, until they have all gone or the end is near."""
+        grace = self.posting.facts.grace / 1e6
+        while True:
+            passed = self.loop.time() - began
+            nobody = not self.desk.slips and not self.listener.connections
+            if (nobody and passed > grace) or passed > stop - LAST_WORDS or self.desk.manager is None:
+                break
+            await asyncio.sleep(0.02)
+        self.listener.close()
+        await asyncio.sleep(0.02)  # what was just answered goes out
+        self.over.set()
+
+    async def _beat(self) -> None:
+        """The figures, and how late the loop runs."""
+        next_figures = self.loop.time() + FIGURES
+        while True:
+            due = self.loop.time() + 0.1
+            await asyncio.sleep(0.1)
+            self.lag = max(self.lag, self.loop.time() - due)
+            if self.loop.time() >= next_figures:
+                next_figures += FIGURES
+                self.figures()
+
+    def figures(self) -> None:
+        manager, counts = self.desk.manager, self.book.counts
+        running = {
+            "open": len(self.desk.slips), "connections": len(self.listener.connections),
+            "buffers": self.pool.lent, "unproven": len(self.desk.send.unproven),
+            "calls": self.desk.call.exchanges.open, "waits_to_accept": self.listener.waits,
+            "lag_ms": round(self.lag * 1000, 1),
+        }  # fmt: skip
+        if manager is not None:
+            running |= {
+                "held": manager.counts[1], "running": manager.counts[2], "limit": round(manager.limit, 2),
+                "cut": round(manager.cut, 3), "errors": round(manager.errors, 3),
+                "unread_ms": round(manager.unread / 1000, 1),
+            }  # fmt: skip
+        self.lag = 0.0
+        self.log.write("figures", **running, counts=dict(counts))
--- /dev/null
+++ b/crowwing/program/configuration.py
@@ -0,0 +1,87 @@
+"""The configuration named by the environment, read and checked once."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from crowwing.contract import Halt, Names, Premises, Repeat
+from crowwing.premises import BadPremises, decode
+
+Address = tuple[str, int]
+
+
+class BadConfiguration(ValueError):
+    """One line that says what cannot be read or served."""
+
+
+@dataclass(frozen=True, slots=True)
+class Posting:
+    """Where this backend stands, and whom it speaks with."""
+
+    name: str
+    listen: Address
+    agent: Address
+    control: Address
+    below: Address
+    seed: int
+    stop: int  # microseconds from the notice to the end
+    sockets: int
+    facts: Premises
+    names: Names
+
+
+def read(environment: Mapping[str, str]) -> Posting:
+    path = environment.get("PROXY_CONFIG")
+    if not path:
+        raise BadConfiguration("PROXY_CONFIG names no configuration")
+    try:
+        with open(path, "rb") as file:
+            told = json.load(file)
+    except OSError as wrong:
+        raise BadConfiguration(f"{path}: {wrong.strerror}") from None
+    except (ValueError, RecursionError) as wrong:
+        raise BadConfiguration(f"{path}: no JSON: {wrong}") from None
+    try:
+        facts, names = decode(told["settings"])
+        posting = Posting(
+            name=str(environment.get("PROXY_NAME") or told["name"]),
+            listen=_address(environment.get("PROXY_LISTEN") or told["listen"]),
+            agent=_address(told["agent"]),
+            control=_address(told["control"]),
+            below=_address(told["backend"]),
+            seed=int(str(told["seed"]), 16),
+            stop=round(float(told["stop_ms"]) * 1000),
+            sockets=int(told.get("limits", {}).get("sockets", 1024)),
+            facts=facts,
+            names=names,
+        )
+    except KeyError as missing:
+        raise BadConfiguration(f"{path}: {missing} is missing") from None
+    except BadPremises as wrong:
+        raise BadConfiguration(f"{path}: {wrong}") from None
+    except (ValueError, TypeError, AttributeError, OverflowError) as wrong:
+        raise BadConfiguration(f"{path}: {wrong}") from None
+    _check(path, posting)
+    return posting
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def _check(path: str, posting: Posting) -> None:
+    """What these wires cannot carry is said at the start, not found out by a broken rule."""
+    facts = posting.facts
+    if posting.stop <= 0:
+        raise BadConfiguration(f"{path}: stop_ms is not above 0")
+    if not facts.types:
+        raise BadConfiguration(f"{path}: no traffic types")
+    if any(kind.repeat is Repeat.LABELLED for kind in facts.types):
+        raise BadConfiguration(f"{path}: labelled traffic types: nothing on these wires shows the label")
+    if any(kind.credit_without > 0 for kind in facts.types):
+        raise BadConfiguration(f"{path}: answers without their calls: the farm agent has no command for them")
+    if facts.halt is Halt.FREEZE:
+        raise BadConfiguration(f"{path}: frozen work: the farm agent has no command to go on with it")
--- /dev/null
+++ b/crowwing/program/front.py
@@ -0,0 +1,121 @@
+"""The sidecars' HTTP in front of the desk: one window a connection."""
+
+import asyncio
+from collections import deque
+
+from crowwing.protocol import sidecar
+from crowwing.protocol.arrival import Arrival
+from crowwing.routing.book import Book
+from crowwing.routing.desk import Desk
+from crowwing.routing.slip import Slip
+from crowwing.routing.take_in import NoTicket
+from crowwing.transport.connection import Connection
+
+
+class Front:
+    """What every answer carries, and the answer to health checks."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, book: Book, deep_checks: bool, bound: float) -> None:
+        self.loop, self.book, self.deep_checks, self.bound = loop, book, deep_checks, bound
+        self.desk: Desk
+        self.free_value: float | None = None
+        self.good = False  # until the module says so
+        self.draining = False
+        self.checks: set[asyncio.Task] = set()  # deep checks out; each ends within the bound
+
+    def window(self, connection: Connection) -> "Window":
+        return Window(self, connection)
+
+
+class Window:
+    """One sidecar connection: one ticket or check at a time, answered in order."""
+
+    __slots__ = ("front", "connection", "reader", "waiting", "slip", "last")
+
+    def __init__(self, front: Front, connection: Connection) -> None:
+        self.front, self.connection = front, connection
+        self.reader = sidecar.SidecarReader()
+        self.waiting: deque[Arrival | sidecar.Check | sidecar.Bad] = deque()  # emptied by answers
+        self.slip: Slip | None = None
+        self.last = False  # the one being answered is the last here
+
+    # From the connection
+
+    def received(self, view: memoryview) -> None:
+        found = self.reader.feed(view)
+        if found and (self.connection.busy or len(found) > 1):
+            keep = found[:0] if self.connection.busy else found[:1]
+            self.reader.dead = True  # a second one before the answer: the stream is not one of ours
+            found = [*keep, sidecar.Bad(400, "a second request before the answer", fatal=True)]
+        self.waiting += found
+        self.connection.began = (
+            (self.connection.began or self.connection.since) if self.reader.partial else 0.0
+        )
+        self._next()
+
+    def ended(self, broken: bool) -> None:
+        if broken and self.slip is not None:
+            self.front.desk.gone(self.slip, self)
+            self._free()
+
+    def _next(self) -> None:
+        while self.waiting and not self.connection.busy:
+            asked = self.waiting.popleft()
+            self.connection.busy = True
+            self.last = self.reader.dead and not self.waiting
+            if isinstance(asked, Arrival):
+                self._arrive(asked)
+            elif isinstance(asked, sidecar.Bad):
+                self._turn_down(asked)
+            elif asked.deep and self.front.deep_checks and self.front.good:
+                task = self.front.loop.create_task(self._exercise())
+                self.front.checks.add(task)
+                task.add_done_callback(self.front.checks.discard)
+            else:
+                self._checked(self.front.good)
+
+    def _arrive(self, arrival: Arrival) -> None:
+        try:
+            self.slip = self.front.desk.arrive(arrival, self)
+        except NoTicket as wrong:
+            self._turn_down(sidecar.Bad(400, str(wrong)))
+
+    async def _exercise(self) -> None:
+        self._checked(await self.front.desk.exercise(self.front.bound))
+
+    # Answers
+
+    def settled(self, result: bytes) -> None:
+        self._send(sidecar.settled(result, self.front.free_value, self._closes()))
+
+    def dismissed(self, away: int, nowhere_else: bool) -> None:
+        self._send(sidecar.dismissed(away, nowhere_else, self.front.free_value, self._closes()))
+
+    def forfeited(self) -> None:
+        self._send(sidecar.forfeited(self.front.free_value, self._closes()))
+
+    def _checked(self, good: bool) -> None:
+        self.front.book.count("checks_good" if good else "checks_bad")
+        self._send(sidecar.checked(good, self.front.free_value, self._closes()))
+
+    def _turn_down(self, bad: sidecar.Bad) -> None:
+        self.front.book.event("bad_request", status=bad.status, why=bad.why)
+        self.last |= bad.fatal
+        self._send(sidecar.turned_down(bad.status, self._closes()))
+
+    def _closes(self) -> bool:
+        return self.last or self.front.draining
+
+    def _send(self, data: bytes) -> None:
+        if self.connection.busy:
+            closes = self._closes()
+            self.connection.send(data)
+            self._free()
+            if closes and not self.waiting:
+                self.connection.close()
+            else:
+                self._next()
+
+    def _free(self) -> None:
+        self.slip = None
+        self.connection.free()
--- /dev/null
+++ b/crowwing/program/log.py
@@ -0,0 +1,31 @@
+"""One JSON line an event on standard output. A full pipe costs lines, never time."""
+
+import os
+import time
+
+import orjson
+
+LINE_MOST = 4000  # a pipe takes a line of up to this whole or not at all
+
+
+class Log:
+    def __init__(self, name: str, descriptor: int = 1) -> None:
+        self.name, self.descriptor = name, descriptor
+        self.lost = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, what: str, **facts: object) -> None:
+        line = {"at": time.time_ns() // 1000, "backend": self.name, "event": what, **facts}
+        if self.lost:
+            line["lines_lost"] = self.lost
+        data = orjson.dumps(line, default=str)
+        if len(data) > LINE_MOST:
+            cut = {
+                key: str(value)[-1000:] if key == "trace" else str(value)[:200] for key, value in line.items()
+            }
+            data = orjson.dumps(cut, default=str)[:LINE_MOST]
+        try:
+            os.write(self.descriptor, data + b"\n")
+            self.lost = 0
+        except OSError:
+            self.lost += 1
--- /dev/null
+++ b/crowwing/protocol/arrival.py
@@ -0,0 +1,19 @@
+"""A ticket as it comes in, whatever protocol brought it."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Times are in microseconds; `due` is 0 where no patience is told."""
+
+    id: str
+    type: str
+    customer: str
+    arrived: int
+    due: int
+    sidecar: int
+    kb: float
+    rank: float
+    row: str
+    body: bytes
--- /dev/null
+++ b/crowwing/protocol/sidecar.py
@@ -0,0 +1,203 @@
+"""Sidecar HTTP: what comes in as tickets and health checks, and the answers that go back."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from urllib.parse import parse_qs
+
+import httptools
+
+from crowwing.protocol.arrival import Arrival
+
+BODY_MOST = 2048
+HEAD_MOST = 8192
+RESULT_MOST = 4096
+_HEX = frozenset("0123456789abcdefABCDEF")
+_REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable",
+}  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """A health check; a deep one asks whether work gets done."""
+
+    deep: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Bad:
+    """What is answered with a 4xx; `fatal` where the stream cannot be trusted any further."""
+
+    status: int
+    why: str
+    fatal: bool = False
+
+
+class _Wrong(ValueError):
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class SidecarReader:
+    """Takes the bytes of one connection in any pieces and gives what was asked, in order."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpRequestParser(self)
+        self.found: list[Arrival | Check | Bad] = []
+        self.dead = self.partial = self.whole_head = False
+        self.head = 0
+        self.on_message_begin()
+
+    def feed(self, view: memoryview) -> list[Arrival | Check | Bad]:
+        if self.dead:
+            return []
+        try:
+            if not self.whole_head:
+                self.head += len(view)
+            self.parser.feed_data(view)
+            if not self.whole_head and self.partial and self.head > HEAD_MOST:
+                raise _Wrong(431, "headers over their limit")
+        except httptools.HttpParserUpgrade:
+            self._fail(400, "an upgrade was asked for")
+        except httptools.HttpParserError as wrong:
+            cause = wrong.__context__ if isinstance(wrong.__context__, _Wrong) else None
+            self._fail(cause.status if cause else 400, str(cause or wrong))
+        except _Wrong as wrong:
+            self._fail(wrong.status, str(wrong))
+        found, self.found = self.found, []
+        return found
+
+    def _fail(self, status: int, why: str) -> None:
+        self.dead = True
+        self.found.append(Bad(status, why, fatal=True))
+
+    # httptools calls these
+
+    def on_message_begin(self) -> None:
+        self.url, self.body = b"", bytearray()
+        self.headers: dict[bytes, bytes] = {}
+        self.partial, self.whole_head, self.head = True, False, 0
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        name = name.lower()
+        if name in self.headers and name.startswith(b"x-"):
+            raise _Wrong(400, f"{name.decode('latin-1')} given twice")
+        self.headers[name] = value
+
+    def on_headers_complete(self) -> None:
+        self.whole_head = True
+        if len(self.url) > HEAD_MOST or int(self.headers.get(b"content-length", b"0")) > BODY_MOST:
+            raise _Wrong(413, "body over its limit")
+
+    def on_body(self, part: bytes) -> None:
+        self.body += part
+        if len(self.body) > BODY_MOST:
+            raise _Wrong(413, "body over its limit")
+
+    def on_message_complete(self) -> None:
+        self.partial, self.head = False, 0
+        try:
+            self.found.append(self._value(self.parser.get_method(), self.url.decode("ascii")))
+        except _Wrong as wrong:
+            self.found.append(Bad(wrong.status, str(wrong)))
+        except UnicodeDecodeError:
+            self.found.append(Bad(400, "a path that is not ASCII"))
+        if not self.parser.should_keep_alive():
+            self.dead = True
+        self.body = bytearray()
+
+    def _value(self, method: bytes, target: str) -> Arrival | Check:
+        path, _, query = target.partition("?")
+        if path == "/ping":
+            if method != b"GET":
+                raise _Wrong(405, "a health check is a GET")
+            return Check(deep=parse_qs(query).get("engine") == ["1"])
+        if not path.startswith("/call/") or "/" in path[6:] or path == "/call/":
+            raise _Wrong(404, "no such path")
+        if method != b"POST":
+            raise _Wrong(405, "a ticket is a POST")
+        ident, patience = self._text(b"x-txn"), self.headers.get(b"x-ttl-ms")
+        if len(ident) != 16 or not _HEX.issuperset(ident):
+            raise _Wrong(400, "x-txn is not 16 hex digits")
+        arrived = self._whole(b"x-ingress-time", 10**15) * 1000
+        rank, kb = self._number(b"x-shed-order"), self._number(b"x-working-set-kb")
+        if not 0 <= rank < 1:
+            raise _Wrong(400, "x-shed-order out of its range")
+        if not 0 < kb < 2000:
+            raise _Wrong(400, "x-working-set-kb out of its range")
+        return Arrival(
+            id=ident,
+            type=path[6:],
+            customer=self.headers.get(b"x-merchant", b"").decode("latin-1"),
+            arrived=arrived,
+            due=arrived + self._whole(b"x-ttl-ms", 10**9) * 1000 if patience is not None else 0,
+            sidecar=self._whole(b"x-router", 10**9),
+            kb=kb,
+            rank=rank,
+            row=self.headers.get(b"x-row", b"").decode("latin-1"),
+            body=bytes(self.body),
+        )
+
+    def _text(self, name: bytes) -> str:
+        if name not in self.headers:
+            raise _Wrong(400, f"{name.decode()} is missing")
+        return self.headers[name].decode("latin-1")
+
+    def _whole(self, name: bytes, most: int) -> int:
+        text = self._text(name)
+        if not (text.isascii() and text.isdigit() and len(text) < 20 and int(text) <= most):
+            raise _Wrong(400, f"{name.decode()} is no whole number in its range")
+        return int(text)
+
+    def _number(self, name: bytes) -> float:
+        try:
+            return float(self._text(name))
+        except ValueError:
+            raise _Wrong(400, f"{name.decode()} is no number") from None
+
+
+def _answer(status: int, headers: Iterator[str], body: bytes) -> bytes:
+    head = f"HTTP/1.1 {status} {_REASONS[status]}\r\n{''.join(headers)}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode("latin-1") + body
+
+
+def _common(free_value: float | None, closes: bool) -> Iterator[str]:
+    if free_value is not None:
+        yield f"X-Capacity: {free_value:.4f}\r\n"
+    if closes:
+        yield "Connection: close\r\n"
+
+
+def settled(result: bytes, free_value: float | None, closes: bool) -> bytes:
+    return _answer(200, _common(free_value, closes), result)
+
+
+def dismissed(away: int, nowhere_else: bool, free_value: float | None, closes: bool) -> bytes:
+    """`away` in microseconds: how long to stay away."""
+
+    def headers() -> Iterator[str]:
+        if away > 0:
+            yield f"X-Throttle-Ms: {max(1, away // 1000)}\r\n"
+        if nowhere_else:
+            yield "X-Give-Up: 1\r\n"
+        yield from _common(free_value, closes)
+
+    return _answer(503, headers(), b"")
+
+
+def forfeited(free_value: float | None, closes: bool) -> bytes:
+    return _answer(500, _common(free_value, closes), b"")
+
+
+def checked(good: bool, free_value: float | None, closes: bool) -> bytes:
+    return _answer(200 if good else 503, _common(free_value, closes), b"")
+
+
+def turned_down(status: int, closes: bool) -> bytes:
+    """The 4xx for what is no ticket."""
+    return _answer(status, _common(None, closes), b"")
--- /dev/null
+++ b/crowwing/routing/admit.py
@@ -0,0 +1,13 @@
+"""Admit: hands a ticket to the module, which keeps its handle's news from then on."""
+
+from crowwing.logic import LoadManager
+from crowwing.protocol.arrival import Arrival
+from crowwing.routing.slip import Slip
+
+
+def admit(manager: LoadManager, now: int, slip: Slip, arrival: Arrival, kind: int, team: int) -> None:
+    # A stamp ahead of our clock counts as now: the machine's clock may have stepped between the two readings.
+    arrived = min(now, arrival.arrived)
+    slip.handle = manager.take(
+        now, slip.id, kind, team, arrival.rank, arrival.kb, arrived, arrival.due, arrival.sidecar, 0, 0, False
+    )
--- /dev/null
+++ b/crowwing/routing/desk.py
@@ -0,0 +1,298 @@
+"""The desk: owns the manager, the clock and the open tickets, and lets the module decide once a loop turn.
+
+News is kept as it comes and handed in together at the loop's next pass, at one reading of the clock, followed
+by one turn() of the module, whose steps are carried out in order. Nothing else calls the module.
+"""
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from crowwing.contract import Names, Outcome, Premises, Step
+from crowwing.logic import NEW, LoadManager
+from crowwing.protocol import agent
+from crowwing.protocol.arrival import Arrival
+from crowwing.routing.admit import admit
+from crowwing.routing.book import Book
+from crowwing.routing.call import Call
+from crowwing.routing.relay import Relay
+from crowwing.routing.route import Route
+from crowwing.routing.send import Send
+from crowwing.routing.slip import Caller, Slip
+from crowwing.routing.take_in import TakeIn
+from crowwing.transport.pool import BufferPool
+
+ENDS = {"OK": Outcome.GOOD, "ERROR": Outcome.FAILED, "STOPPED": Outcome.STOPPED, "MOOT": Outcome.NEVER_RAN}
+
+
+class Outward(Protocol):
+    """What the module sets beyond single tickets."""
+
+    def ready(self, good: bool) -> None: ...
+
+    def free_value(self, value: float) -> None: ...
+
+    def idle(self, span: float) -> None: ...
+
+
+class Desk:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        facts: Premises,
+        names: Names,
+        seed: int,
+        farm: tuple[str, int],
+        below: tuple[str, int],
+        calls_most: int,
+        pool: BufferPool,
+        book: Book,
+        outward: Outward,
+    ) -> None:
+        self.loop, self.facts, self.names, self.seed, self.book = loop, facts, names, seed, book
+        self.manager: LoadManager | None = None  # from the farm agent's greeting on
+        self.slips: dict[str, Slip] = {}  # open tickets by id; emptied as the module closes them
+        self.news: list[tuple[Callable, Slip | None, tuple]] = []  # emptied by each turn
+        self.checks: dict[str, asyncio.Future[bool]] = {}  # deep checks out; emptied by answers and bounds
+        self.clock = self.check = self.sampled_at = 0
+        self.due = False  # a turn is on its way
+        self.notice = 0
+        self.take_in, self.relay = TakeIn(names), Relay(book)
+        self.send = Send(loop, farm, pool, book, self._notice)
+        self.call = Call(loop, below, pool, calls_most, book, self._reply)
+        by_ticket: dict[Step, Callable] = {
+            Step.RUN: self.send.launch,
+            Step.HALT: self.send.freeze,
+            Step.CALL: self.call.begin,
+            Step.KEEP: lambda slip, span: None,  # no wire here shows repeats, so nothing is looked up
+            Step.FORGET: lambda slip, span: None,
+            **self.relay.steps(),
+        }
+        outward_steps: dict[Step, Callable] = {
+            Step.READY: lambda _: outward.ready(True),
+            Step.UNREADY: lambda _: outward.ready(False),
+            Step.FREE_VALUE: outward.free_value,
+            Step.IDLE: outward.idle,
+            Step.WAKE: lambda span: loop.call_later(span / 1e6, self._wake, span / 1e6),
+        }
+        self.route = Route(self.slips, by_ticket, outward_steps)
+
+    def now(self) -> int:
+        """The system's clock; for the module it never runs backward."""
+        self.clock = max(self.clock, time.time_ns() // 1000)
+        return self.clock
+
+    # What comes in
+
+    def arrive(self, arrival: Arrival, caller: Caller) -> Slip | None:
+        """Raises NoTicket for what is none; None where it was answered on the spot."""
+        kind, team = self.take_in.place(arrival)
+        known = self.slips.get(arrival.id)
+        if self.manager is None:
+            caller.dismissed(0, False)  # nothing can run before the farm agent is up
+        elif known is None:
+            self.book.count("had")
+            slip = self.slips[arrival.id] = Slip(arrival.id, arrival.type, arrival.body, caller)
+            self._hear(self._admit, slip, arrival, kind, team)
+            return slip
+        elif known.answered:
+            caller.forfeited()  # its run is still on
+        else:
+            self.book.count("joined")
+            known.callers.append(caller)
+            return known
+        return None
+
+    def gone(self, slip: Slip, caller: Caller) -> None:
+        """The caller's connection was reset: no answer can reach it."""
+        self._hear(self._gone, slip, caller)
+
+    def leave(self, stop: int) -> None:
+        """The notice to leave; `stop` is when the process is ended."""
+        self.notice = self.now()
+        if self.manager is not None:
+            self._hear(lambda now, slip: self.manager.leave(now, stop), None)
+
+    async def exercise(self, bound: float) -> bool:
+        """Whether the farm agent gets work done, within `bound` seconds."""
+        self.check += 1
+        tag = f"c{self.check}"
+        self.checks[tag] = self.loop.create_future()
+        try:
+            if not self.send.exercise(tag):
+                return False
+            async with asyncio.timeout(bound):
+                return await self.checks[tag]
+        except TimeoutError:
+            return False
+        finally:
+            del self.checks[tag]
+
+    def _notice(self, notice: agent.Notice) -> None:
+        self._hear(self._farm_news, None, notice)
+
+    def _reply(self, slip: Slip, took: int, outcome: Outcome, body: bytes) -> None:
+        self._hear(self._called, slip, took, outcome, body)
+
+    # The turn
+
+    def _hear(self, what: Callable, slip: Slip | None, *given: object) -> None:
+        self.news.append((what, slip, given))
+        if not self.due:
+            self.due = True
+            self.loop.call_soon(self._turn)
+
+    def _turn(self) -> None:
+        self.due = False
+        news, self.news = self.news, []
+        now = self.now()
+        for what, slip, given in news:
+            try:
+                if results := what(now, slip, *given):
+                    self.route.carry_out(results)
+            except Exception:
+                self.book.defect(what.__name__, slip.id if slip else None)
+                if slip is not None:
+                    self._abandon(slip, now)
+        if self.manager is not None:
+            self._decide(now)
+            for slip in [slip for slip in self.slips.values() if slip.handle and slip.handle.closed]:
+                self._close(slip)
+
+    def _decide(self, now: int) -> None:
+        """Guards against a ticket that the module or a stage fails on: it is given up, the others go on."""
+        try:
+            self.route.carry_out(self.manager.turn(now))
+            return
+        except Exception:
+            self.book.defect("turn", None)
+        self.manager.arrivals.clear()
+        overdue = [
+            s for s in self.slips.values() if s.handle and (now >= s.handle.due or s.handle.state == NEW)
+        ]
+        for slip in overdue:
+            self._abandon(slip, now)
+        self.loop.call_later(0.02, self._hear, lambda now, slip: None, None)
+
+    def _abandon(self, slip: Slip, now: int) -> None:
+        """Forfeits a ticket whose handling failed, and makes the module and the farm agent let go of it."""
+        if not slip.answered:
+            self.relay.forfeit(slip)
+        self.call.give_up(slip)
+        if slip.launched:
+            self.send.freeze(slip)
+        handle = slip.handle
+        if handle is not None and not handle.closed:
+            handle.answered = True
+            try:
+                self.manager.close(handle)
+            except Exception:
+                self.book.defect("close", slip.id)
+                handle.closed = True
+                self.manager.open.pop(slip.id, None)
+        self._close(slip)
+
+    def _close(self, slip: Slip) -> None:
+        if not self.book.holds(slip.answered, "closed without an answer"):
+            self.relay.forfeit(slip)
+        self.call.give_up(slip)
+        slip.launched = False
+        if self.slips.get(slip.id) is slip:
+            del self.slips[slip.id]
+
+    def _wake(self, span: float) -> None:
+        """The module's timer is due: it wants gauges, but the watch over outer limits goes on without."""
+        if self.send.sample():
+            asked = self.send.tag
+            self.loop.call_later(span / 2, self._unsampled, asked)
+        else:
+            self._hear(lambda now, slip: None, None)
+
+    def _unsampled(self, asked: int) -> None:
+        if self.sampled_at < asked:
+            self.book.count("samples_late")
+            self._hear(lambda now, slip: None, None)
+
+    # News, each handed in at the turn's reading of the clock
+
+    def _admit(self, now: int, slip: Slip, arrival: Arrival, kind: int, team: int) -> None:
+        admit(self.manager, now, slip, arrival, kind, team)
+
+    def _gone(self, now: int, slip: Slip, caller: Caller) -> list | None:
+        if caller in slip.callers:
+            slip.callers.remove(caller)
+        if slip.callers or slip.answered or self.slips.get(slip.id) is not slip:
+            return None
+        self.book.count("gone")
+        slip.answered, slip.body = True, b""
+        return slip.handle.gone(now)
+
+    def _called(self, now: int, slip: Slip, took: int, outcome: Outcome, body: bytes) -> list | None:
+        if not slip.launched or slip.wanted is None:
+            return None
+        if outcome is Outcome.GOOD:
+            self.send.deliver(slip, body)
+            slip.wanted = None
+        return slip.handle.called(now, took, outcome)
+
+    def _farm_news(self, now: int, _: None, notice: agent.Notice) -> list | None:
+        match notice:
+            case agent.Ended():
+                return self._per_ticket(self._ended, now, notice)
+            case agent.Wants():
+                return self._per_ticket(self._wants, now, notice)
+            case agent.Sampled():
+                asked = self.send.tag
+                if self.send.sampled(notice.tag) and notice.tag == f"s{asked}":
+                    self.sampled_at = asked
+                    return self.manager.wake(now, dict(zip(self.names.gauges, notice.gauges, strict=False)))
+            case agent.Exercised():
+                future = self.checks.get(notice.tag)
+                if future is not None and not future.done():
+                    future.set_result(notice.good)
+            case agent.Greeting():
+                return self._greeted(now, notice)
+            case agent.Refusal():
+                self.book.event("agent_refusal", command=notice.command, id=notice.id)
+                slip = self.slips.get(notice.id)
+                if notice.command == "launch" and slip is not None and slip.launched:
+                    return self._per_ticket(self._ended, now, agent.Ended(0, slip.id, "ERROR", 0, b""))
+        return None
+
+    def _per_ticket(self, what: Callable, now: int, notice: agent.Ended | agent.Wants) -> list | None:
+        slip = self.slips.get(notice.id)
+        if slip is None or not slip.launched:
+            return None  # news of a ticket that is over
+        try:
+            return what(now, slip, notice)
+        except Exception:
+            self.book.defect(what.__name__, slip.id)
+            self._abandon(slip, now)
+            return None
+
+    def _greeted(self, now: int, notice: agent.Greeting) -> list | None:
+        self.send.greeting()
+        if self.manager is not None:
+            return None
+        self.book.event("greeted", cold=notice.cold, age_ms=notice.age // 1000)
+        facts = dataclasses.replace(self.facts, cold=notice.cold)
+        self.manager = LoadManager(facts, now - notice.age, random.Random(self.seed))
+        return self.manager.begin(now)
+
+    def _ended(self, now: int, slip: Slip, notice: agent.Ended) -> list:
+        slip.launched, slip.wanted = False, None
+        self.call.give_up(slip)
+        if not slip.answered:
+            if notice.end == "OK":
+                self.relay.settle(slip, notice.result)
+            elif notice.end != "STOPPED":
+                self.relay.forfeit(slip)
+        return slip.handle.ended(now, notice.took, ENDS[notice.end])
+
+    def _wants(self, now: int, slip: Slip, notice: agent.Wants) -> list:
+        slip.asks += 1
+        slip.wanted = notice.body
+        return slip.handle.needs_call(now)
--- /dev/null
+++ b/crowwing/routing/send.py
@@ -0,0 +1,122 @@
+"""Send: the farm agent's side of a ticket. Commands survive a broken link, and none is done twice by it.
+
+A command is unproven until a sample asked for after it has come back. A new link first reads back all notices
+since the last one known; the fence, a sample, says when they are all in. Only then are those unproven
+commands sent again that the notices have not made pointless.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from crowwing.protocol import agent
+from crowwing.routing.book import Book
+from crowwing.routing.slip import Slip
+from crowwing.transport.link import Link
+from crowwing.transport.pool import BufferPool
+
+
+class Send:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        pool: BufferPool,
+        book: Book,
+        hear: Callable[[agent.Notice], None],
+    ) -> None:
+        self.book, self.hear = book, hear
+        self.link = Link(loop, address, pool, self._opened, self._received, self._closed)
+        self.reader = agent.AgentReader()
+        self.last = 0  # the last notice read
+        self.greeted = self.fenced = False  # on this link
+        self.issued = self.tag = 0
+        self.unproven: deque[tuple[int, bytes, Callable[[], bool]]] = deque()  # emptied by samples
+        self.tags: dict[
+            str, int
+        ] = {}  # sample out -> the last command before it; emptied by answers and breaks
+
+    # Commands
+
+    def launch(self, slip: Slip, _: float = 0) -> None:
+        slip.launched = True
+        slip.runs += 1
+        self._issue(agent.launch(slip.id, slip.type, slip.body), self._still_runs(slip))
+
+    def freeze(self, slip: Slip, _: float = 0) -> None:
+        self._issue(agent.freeze(slip.id), self._still_runs(slip))
+
+    def deliver(self, slip: Slip, reply: bytes) -> None:
+        asks = slip.asks
+        self._issue(agent.deliver(slip.id, reply), lambda: slip.launched and slip.asks == asks)
+
+    def sample(self) -> bool:
+        """Asks for the gauges; whether it could. One is out at a time."""
+        if not self.fenced or self.tags:
+            return False
+        self._sample()
+        return True
+
+    def exercise(self, tag: str) -> bool:
+        if self.fenced:
+            self.link.send(agent.exercise(tag))
+        return self.fenced
+
+    @staticmethod
+    def _still_runs(slip: Slip) -> Callable[[], bool]:
+        runs = slip.runs
+        return lambda: slip.launched and slip.runs == runs
+
+    def _issue(self, data: bytes, still: Callable[[], bool]) -> None:
+        self.issued += 1
+        self.unproven.append((self.issued, data, still))
+        if self.fenced:
+            self.link.send(data)
+
+    def _sample(self) -> None:
+        self.tag += 1
+        self.tags[f"s{self.tag}"] = self.issued if self.fenced else 0
+        self.link.send(agent.sample(f"s{self.tag}"))
+
+    # The link
+
+    def _opened(self) -> None:
+        self.reader = agent.AgentReader()
+        self.link.send(agent.subscribe(self.last))
+
+    def _closed(self, why: str) -> None:
+        self.greeted = self.fenced = False
+        self.tags.clear()
+        self.book.event("agent_lost", why=why, last=self.last)
+
+    def _received(self, view: memoryview) -> None:
+        for notice in self.reader.feed(view):
+            number = getattr(notice, "number", None)
+            if number is not None:
+                if number <= self.last:
+                    continue  # it was read on an earlier link
+                if number > self.last + 1:
+                    self.book.count("notices_missed", number - self.last - 1)
+                self.last = number
+            self.hear(notice)
+
+    def greeting(self) -> None:
+        self.greeted = True
+        self._sample()  # the fence
+
+    def sampled(self, tag: str) -> bool:
+        """Whether it brings gauges that were asked for."""
+        if tag not in self.tags:
+            return False
+        proven = self.tags.pop(tag)
+        while self.unproven and self.unproven[0][0] <= proven:
+            self.unproven.popleft()
+        if not self.fenced:
+            self.fenced = True
+            again = [entry for entry in self.unproven if entry[2]()]
+            self.unproven = deque(again)
+            for _, data, _ in again:
+                self.link.send(data)
+            if again:
+                self.book.event("agent_resent", commands=len(again))
+        return True
--- /dev/null
+++ b/crowwing/routing/slip.py
@@ -0,0 +1,44 @@
+"""What the desk keeps of an open ticket, beside the module's handle."""
+
+import asyncio
+from typing import Protocol
+
+from crowwing.logic import Ticket
+
+
+class Caller(Protocol):
+    """The way back to whoever waits for a ticket."""
+
+    def settled(self, result: bytes) -> None: ...
+
+    def dismissed(self, away: int, nowhere_else: bool) -> None: ...
+
+    def forfeited(self) -> None: ...
+
+
+class Slip:
+    """One open ticket: who waits for it, what the farm agent was told, and the call that is out."""
+
+    __slots__ = (
+        "id",
+        "type",
+        "body",
+        "callers",
+        "handle",
+        "answered",
+        "launched",
+        "runs",
+        "asks",
+        "wanted",
+        "call",
+    )
+
+    def __init__(self, ident: str, kind: str, body: bytes, caller: Caller) -> None:
+        self.id, self.type, self.body = ident, kind, body
+        self.callers = [caller]  # more than one where the same try came again over another connection
+        self.handle: Ticket | None = None
+        self.answered = False
+        self.launched = False  # from the launch until the run's end is known
+        self.runs = self.asks = 0  # launches so far, and calls the runs have wanted
+        self.wanted: bytes | None = None  # the body of the call the run waits for
+        self.call: asyncio.Task | None = None
--- /dev/null
+++ b/crowwing/transport/connection.py
@@ -0,0 +1,124 @@
+"""One accepted connection: reads into a pooled buffer, sends in order, and cuts nothing off."""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from crowwing.transport.pool import BufferPool
+
+LINGER = 1.0  # seconds for the far side to see our end before the descriptor goes
+STUCK_SEND = 5.0  # seconds after which an answer that the far side does not read is given up
+
+
+class User(Protocol):
+    """What stands behind a connection."""
+
+    def received(self, view: memoryview) -> None: ...
+
+    def ended(self, broken: bool) -> None: ...
+
+
+class Connection:
+    """`busy` keeps it open; `since`: when it last carried something; `began`: what is half read."""
+
+    __slots__ = (
+        "loop", "sock", "pool", "user", "busy", "since", "began",
+        "outbox", "sender", "task", "closing", "done",
+    )  # fmt: skip
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, pool: BufferPool) -> None:
+        self.loop, self.sock, self.pool = loop, sock, pool
+        self.busy = self.closing = False
+        self.since = loop.time()
+        self.began = 0.0
+        self.outbox: deque[bytes] = deque()  # emptied by the sender
+        self.sender: asyncio.Task | None = None
+        self.done: asyncio.Event | None = None  # set once nothing is owed, when someone waits for that
+        self.user: User
+        self.task: asyncio.Task
+
+    def start(self, user: User, over: Callable[["Connection"], None]) -> None:
+        self.user = user
+        self.task = self.loop.create_task(self._live())
+        self.task.add_done_callback(lambda _: over(self))
+
+    async def _live(self) -> None:
+        buffer = self.pool.borrow()
+        broken = await self._read(buffer)
+        try:
+            if not self.closing:
+                self.closing = True
+                self.user.ended(broken)
+            if not broken:
+                await self._finish(buffer)
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            if self.sender is not None:
+                self.sender.cancel()
+            self.sock.close()
+            self.pool.give_back(buffer)
+
+    async def _read(self, buffer: bytearray) -> bool:
+        """Until either side ends it; whether it broke."""
+        with memoryview(buffer) as view:
+            try:
+                while not self.closing:
+                    size = await self.loop.sock_recv_into(self.sock, buffer)
+                    if not size:
+                        return False
+                    self.since = self.loop.time()
+                    self.user.received(view[:size])
+            except OSError:
+                return True
+            except asyncio.CancelledError:
+                if not self.closing:
+                    raise
+                self.task.uncancel()  # close() ended the read
+        return False
+
+    async def _finish(self, buffer: bytearray) -> None:
+        """Sends what is owed, says that no more comes, and throws away what crosses that."""
+        self.done = asyncio.Event()
+        self._settle()
+        await self.done.wait()
+        self.sock.shutdown(socket.SHUT_WR)
+        async with asyncio.timeout(LINGER):
+            while await self.loop.sock_recv_into(self.sock, buffer):
+                pass
+
+    def _settle(self) -> None:
+        if self.done is not None and not self.busy and self.sender is None:
+            self.done.set()
+
+    def send(self, data: bytes) -> None:
+        self.since = self.loop.time()
+        self.outbox.append(data)
+        if self.sender is None:
+            self.sender = self.loop.create_task(self._send())
+
+    async def _send(self) -> None:
+        try:
+            while self.outbox:
+                async with asyncio.timeout(STUCK_SEND):
+                    await self.loop.sock_sendall(self.sock, self.outbox.popleft())
+        except (OSError, TimeoutError):
+            self.outbox.clear()
+            self.close()
+        finally:
+            self.sender = None
+            self._settle()
+
+    def free(self) -> None:
+        """Nothing is open on it any more."""
+        self.busy = False
+        self._settle()
+
+    def close(self) -> None:
+        """Ends it once what is owed has gone out; nothing more is taken from it."""
+        if not self.closing:
+            self.closing = True
+            if asyncio.current_task(self.loop) is not self.task:
+                self.task.cancel()
--- /dev/null
+++ b/crowwing/transport/exchange.py
@@ -0,0 +1,125 @@
+"""Kept-alive connections on which one asks and one answers at a time."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from crowwing.transport.pool import BufferPool
+
+
+class Reader(Protocol):
+    """Turns bytes into one reply; `end` is the far side's end of stream."""
+
+    reusable: bool
+
+    def feed(self, view: memoryview) -> Any: ...  # noqa: ANN401
+
+    def end(self) -> Any: ...  # noqa: ANN401
+
+
+class NeverSent(Exception):
+    """No connection came about, so nothing was sent."""
+
+
+class Broken(Exception):
+    """The exchange broke off; the far side may have seen it."""
+
+
+class Exchanges:
+    """Connections to one address; an idle one is closed after `idle` seconds, or when its far side moves."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        pool: BufferPool,
+        reader: Callable[[], Reader],
+        idle: float,
+        most: int,
+    ) -> None:
+        self.loop, self.address, self.pool, self.reader = loop, address, pool, reader
+        self.idle, self.most = idle, most
+        self.spare: dict[socket.socket, asyncio.TimerHandle] = {}  # emptied by use, age and the far side
+        self.open = 0
+
+    async def ask(self, data: bytes, limit: float) -> Any:  # noqa: ANN401
+        """The reply, within `limit` seconds. Cancelling gives it up, as running out of time does."""
+        sock, reusable = self._take(), False
+        try:
+            async with asyncio.timeout(limit):
+                if sock is None:
+                    sock = await self._connect()
+                buffer = self.pool.borrow()
+                try:
+                    reply, reusable = await self._exchange(sock, data, buffer)
+                finally:
+                    self.pool.give_back(buffer)
+        except TimeoutError:
+            if sock is None:
+                raise NeverSent("no connection in time") from None
+            raise Broken("no reply in time") from None
+        except (OSError, ValueError) as wrong:
+            raise Broken(str(wrong) or type(wrong).__name__) from None
+        finally:
+            if sock is not None:
+                self._put(sock) if reusable else self._close(sock)
+        return reply
+
+    async def _exchange(self, sock: socket.socket, data: bytes, buffer: bytearray) -> tuple[Any, bool]:
+        await self.loop.sock_sendall(sock, data)
+        reader, reply = self.reader(), None
+        with memoryview(buffer) as view:
+            while reply is None:
+                size = await self.loop.sock_recv_into(sock, buffer)
+                reply = reader.feed(view[:size]) if size else reader.end()
+                if reply is None and not size:
+                    raise ValueError("ended before a whole reply")
+        return reply, reader.reusable and size > 0
+
+    async def _connect(self) -> socket.socket:
+        if self.open >= self.most:
+            raise NeverSent("no descriptor is left for it")
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as wrong:
+            raise NeverSent(str(wrong)) from None
+        self.open += 1
+        try:
+            sock.setblocking(False)
+            await self.loop.sock_connect(sock, self.address)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as wrong:
+            self._close(sock)
+            raise NeverSent(str(wrong)) from None
+        except BaseException:
+            self._close(sock)
+            raise
+        return sock
+
+    def _take(self) -> socket.socket | None:
+        if not self.spare:
+            return None
+        sock, timer = self.spare.popitem()
+        timer.cancel()
+        self.loop.remove_reader(sock)
+        return sock
+
+    def _put(self, sock: socket.socket) -> None:
+        self.spare[sock] = self.loop.call_later(self.idle, self._drop, sock)
+        self.loop.add_reader(sock, self._drop, sock)  # nothing is owed: whatever comes ends it
+
+    def _drop(self, sock: socket.socket) -> None:
+        timer = self.spare.pop(sock, None)
+        if timer is not None:
+            timer.cancel()
+            self.loop.remove_reader(sock)
+            self._close(sock)
+
+    def _close(self, sock: socket.socket) -> None:
+        self.open -= 1
+        sock.close()
+
+    def close(self) -> None:
+        for sock in list(self.spare):
+            self._drop(sock)
--- /dev/null
+++ b/crowwing/transport/link.py
@@ -0,0 +1,85 @@
+"""A link to one address that is kept open: it connects again by itself, and sends in order."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from crowwing.transport.pool import BufferPool
+
+RETRY_FIRST, RETRY_MOST = 0.02, 0.5  # seconds between tries to connect
+
+
+class Link:
+    """`opened` sends first; a ValueError of `received` closes the link, which then starts anew."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        pool: BufferPool,
+        opened: Callable[[], None],
+        received: Callable[[memoryview], None],
+        closed: Callable[[str], None],
+    ) -> None:
+        self.loop, self.address, self.pool = loop, address, pool
+        self.opened, self.received, self.closed = opened, received, closed
+        self.outbox: list[bytes] = []  # emptied by each send, and when the link breaks
+        self.pending = asyncio.Event()
+        self.up = False
+        self.breaks = 0
+
+    async def run(self) -> None:
+        delay = RETRY_FIRST
+        while True:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            why = "closed by the far side"
+            sender: asyncio.Task | None = None
+            try:
+                await self.loop.sock_connect(sock, self.address)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self.up, delay = True, RETRY_FIRST
+                self.opened()
+                sender = self.loop.create_task(self._send(sock))
+                await self._read(sock)
+            except (OSError, ValueError) as wrong:
+                why = str(wrong) or type(wrong).__name__
+            finally:
+                if sender is not None:
+                    sender.cancel()
+                    await asyncio.gather(sender, return_exceptions=True)
+                sock.close()
+                self.outbox.clear()
+                if self.up:
+                    self.up = False
+                    self.breaks += 1
+                    self.closed(why)
+            await asyncio.sleep(delay)
+            delay = min(RETRY_MOST, 2 * delay)
+
+    async def _read(self, sock: socket.socket) -> None:
+        buffer = self.pool.borrow()
+        try:
+            with memoryview(buffer) as view:
+                while size := await self.loop.sock_recv_into(sock, buffer):
+                    self.received(view[:size])
+        finally:
+            self.pool.give_back(buffer)
+
+    def send(self, data: bytes) -> None:
+        """Goes out after what was given before; lost if the link is not up."""
+        if self.up:
+            self.outbox.append(data)
+            self.pending.set()
+
+    async def _send(self, sock: socket.socket) -> None:
+        try:
+            while True:
+                await self.pending.wait()
+                self.pending.clear()
+                data = b"".join(self.outbox)
+                self.outbox.clear()
+                if data:
+                    await self.loop.sock_sendall(sock, data)
+        except OSError:
+            sock.shutdown(socket.SHUT_RDWR)  # the reader sees the end
--- /dev/null
+++ b/crowwing/transport/listener.py
@@ -0,0 +1,95 @@
+"""Accepts connections within the budget, and closes those that have been idle for too long."""
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+
+from crowwing.transport.connection import Connection, User
+from crowwing.transport.pool import BufferPool
+
+SWEEP = 0.25  # seconds between looks at idle connections
+BACKLOG = 512
+SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+
+
+class Listener:
+    """Owns every accepted connection until its descriptor is gone, which takes it out of the table."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, pool: BufferPool, most: int, user: Callable[[Connection], User]
+    ) -> None:
+        self.loop, self.pool, self.most, self.user = loop, pool, most, user
+        self.connections: set[Connection] = set()
+        self.idle: float | None = None  # seconds that a connection may carry nothing; None: for ever
+        self.patience: float | None = None  # seconds that a half-read ticket may take
+        self.room = asyncio.Event()
+        self.sock: socket.socket | None = None
+        self.accepting: asyncio.Task | None = None
+        self.sweeping: asyncio.TimerHandle | None = None
+        self.waits = 0  # times that accepting had to wait
+
+    def open(self, host: str, port: int) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((host, port))
+            sock.listen(BACKLOG)
+            sock.setblocking(False)
+        except OSError:
+            sock.close()
+            raise
+        self.sock = sock
+        self.accepting = self.loop.create_task(self._accept())
+        self._sweep()
+
+    async def _accept(self) -> None:
+        while True:
+            while len(self.connections) >= self.most:
+                self.waits += 1
+                self._make_room()
+                self.room.clear()
+                await self.room.wait()
+            try:
+                sock, _ = await self.loop.sock_accept(self.sock)
+            except OSError as wrong:
+                if wrong.errno in SHORT_OF:
+                    self.waits += 1
+                    self._make_room()
+                    await asyncio.sleep(0.02)
+                continue  # any other ended with the one that came
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = Connection(self.loop, sock, self.pool)
+            self.connections.add(connection)
+            connection.start(self.user(connection), self._over)
+
+    def _over(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+        self.room.set()
+
+    def _make_room(self) -> None:
+        """At the limit the connection that has been idle longest goes first."""
+        idle = [c for c in self.connections if not c.busy and not c.closing]
+        if idle and not any(c.closing for c in self.connections):
+            min(idle, key=lambda c: c.since).close()
+
+    def _sweep(self) -> None:
+        now = self.loop.time()
+        for connection in self.connections:
+            if not connection.busy and not connection.closing:
+                late = connection.began and self.patience and now - connection.began >= self.patience
+                if late or (self.idle is not None and now - connection.since >= self.idle):
+                    connection.close()
+        if len(self.connections) >= self.most:
+            self._make_room()
+        self.sweeping = self.loop.call_later(SWEEP, self._sweep)
+
+    def close(self) -> None:
+        """Takes no more connections; those there are go on."""
+        if self.accepting is not None:
+            self.accepting.cancel()
+        if self.sock is not None:
+            self.loop.remove_reader(self.sock)
+            self.sock.close()
+            self.sock = None
