Hand the module its wake only once it is due, not when the loop's timer fires early

Logs: no lag over 6 ms, no defect, the counts of answers add up: the answers were late, not missing. Checked with a probe: the loop's timers round to milliseconds, and nearly every wake fired up to 1 ms before the module's time. Handed in then, the module takes its timer to be still out (rest() in logic.py) and asks for no other, so the watch over outer limits stops until other news; the way of a sample mostly hid it, a turn without a sample did not. Ruled out: idle closing (0 requests written to closed connections), lag, the link. At fault: Desk._wake, which took the loop's timer at its word.

--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -25,6 +25,7 @@
 from crowwing.routing.take_in import TakeIn
 from crowwing.transport.pool import BufferPool
 
+TIMER = 0.001  # seconds that the loop's timers round to
 ENDS = {"OK": Outcome.GOOD, "ERROR": Outcome.FAILED, "STOPPED": Outcome.STOPPED, "MOOT": Outcome.NEVER_RAN}
 
 
@@ -79,7 +80,7 @@
             Step.UNREADY: lambda _: outward.ready(False),
             Step.FREE_VALUE: outward.free_value,
             Step.IDLE: outward.idle,
-            Step.WAKE: lambda span: loop.call_later(span / 1e6, self._wake, span / 1e6),
+            Step.WAKE: lambda span: self._wake_at(self.clock + round(span), span / 1e6),
         }
         self.route = Route(self.slips, by_ticket, outward_steps, book, self._abandon)
 
@@ -211,9 +212,19 @@
             self.ran = {ident: until for ident, until in self.ran.items() if until > self.clock}
             self.ran[slip.id] = self.clock + slip.handle.type.outer_limit
 
-    def _wake(self, span: float) -> None:
-        """The module's timer is due: it wants gauges, but the watch over outer limits goes on without."""
-        if self.send.sample():
+    def _wake_at(self, due: int, span: float) -> None:
+        self.loop.call_later(max(0, due - self.now()) / 1e6 + TIMER, self._wake, due, span)
+
+    def _wake(self, due: int, span: float) -> None:
+        """The module's timer is due: it wants gauges, but the watch over outer limits goes on without.
+
+        Guards against the loop's timers, which round to milliseconds and fire early: the module would hold
+        its timer to be still out and ask for no other, and outer limits would pass unseen until other news.
+        """
+        if self.now() < due:
+            self.book.count("woken_early")
+            self._wake_at(due, span)
+        elif self.send.sample():
             asked = self.send.tag
             self.loop.call_later(span / 2, self._unsampled, asked)
         else:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -115,6 +115,23 @@
     play_in(Town(), scene)
 
 
+def test_the_module_is_woken_when_its_timer_is_due_and_not_before() -> None:
+    """A timer fired early is, for the module, still out: it asks for no other, and its watch ends."""
+
+    async def scene(town: Town) -> None:
+        manager, early = town.backend.desk.manager, []
+        wake = manager.wake
+        manager.wake = lambda now, gauges: early.append(now < manager.next_wake) or wake(now, gauges)
+        town.farm.hold = True
+        asked = asyncio.create_task(ask_one(town, 1))
+        await town.until(lambda: len(early) > 25)  # with no other news
+        assert sum(early) <= 1  # the one asked for while nothing was open, and another sooner since
+        town.farm.go_on(ident(1))
+        assert (await asked)[0] == 200
+
+    play_in(Town(), scene)
+
+
 def test_a_line_that_cannot_be_read_is_a_break() -> None:
     async def scene(town: Town) -> None:
         town.farm.hold = True
