Leave the last answers time in a drain, and split descriptors as callers use them

Seen in review: the drain ended 150 ms before the stop, but the module forfeits what still runs only from 120 ms before it: a run that does not end would have been lost. Now the process stays while anything is unanswered, takes no more connections in the last 120 ms, and forfeits what is left as it ends. Test: a run that does not end. Descriptors: half the limit for sidecars as the protocol has it, room for checks, the rest (428 of 1,024, not 128) for calls below. The test of the module's wakes now fails without its mending (it did not, a sample hid the fault).

--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -17,7 +17,7 @@
 from crowwing.transport.pool import BufferPool
 
 FIGURES = 5.0  # seconds between lines of figures
-LAST_WORDS = 0.15  # seconds before the end by which it has gone
+LAST_CALL, LAST_WORDS = 0.12, 0.03  # seconds before the end: takes no more connections; has gone
 
 
 class Backend:
@@ -99,19 +99,21 @@
         self.log.write("leaving", open=len(self.desk.slips))
         stop = self.posting.stop
         self.desk.leave(self.desk.now() + stop)
-        self.loop.create_task(self._drain(self.loop.time(), stop / 1e6))
+        self.duties.append(self.loop.create_task(self._drain(self.loop.time(), stop / 1e6)))
 
     async def _drain(self, began: float, stop: float) -> None:
         """Stays for what callers still send, until they have all gone or the end is near."""
         grace = self.posting.facts.grace / 1e6
-        while True:
-            passed = self.loop.time() - began
-            nobody = not self.desk.slips and not self.listener.connections
-            if (nobody and passed > grace) or passed > stop - LAST_WORDS or self.desk.manager is None:
+        while self.desk.manager is not None and (passed := self.loop.time() - began) < stop - LAST_WORDS:
+            answered = all(slip.answered for slip in self.desk.slips.values())
+            if passed > stop - LAST_CALL:
+                self.listener.close()
+            if answered and (passed > stop - LAST_CALL or (passed > grace and not self.listener.connections)):
                 break
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.01)
         self.listener.close()
-        await asyncio.sleep(0.02)  # what was just answered goes out
+        self.desk.end()
+        await asyncio.sleep(0.01)  # what was just answered goes out
         self.over.set()
 
     async def _beat(self) -> None:
--- a/crowwing/program/front.py
+++ b/crowwing/program/front.py
@@ -72,6 +72,7 @@
     def _next(self) -> None:
         while self.waiting and not self.connection.busy:
             asked = self.waiting.popleft()
+            self.front.book.holds(self.slip is None, "one ticket a connection")
             self.connection.busy = True
             self.last = self.reader.dead and not self.waiting
             if isinstance(asked, Arrival):
--- a/crowwing/routing/call.py
+++ b/crowwing/routing/call.py
@@ -29,6 +29,7 @@
         self.exchanges = Exchanges(loop, address, pool, ReplyReader, IDLE, most)
 
     def begin(self, slip: Slip, span: float) -> None:
+        self.book.holds(slip.wanted is not None and slip.call is None, "a call that no run waits for")
         self.give_up(slip)
         slip.call = self.loop.create_task(self._call(slip, round(span)))
 
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -122,6 +122,12 @@
         if self.manager is not None:
             self._hear(lambda now, slip: self.manager.leave(now, stop), None)
 
+    def end(self) -> None:
+        """The process ends now. Guards against a loop held up for so long that the module had no turn."""
+        for slip in [slip for slip in self.slips.values() if not slip.answered]:
+            self.book.count("forfeited_at_the_end")
+            self._abandon(slip)
+
     async def exercise(self, bound: float) -> bool:
         """Whether the farm agent gets work done, within `bound` seconds."""
         self.check += 1
@@ -167,6 +173,7 @@
             self._decide(now)
             for slip in [slip for slip in self.slips.values() if slip.handle and slip.handle.closed]:
                 self._close(slip)
+            self.book.holds(len(self.slips) == len(self.manager.open), "the desk's tickets are the module's")
 
     def _decide(self, now: int) -> None:
         """Guards against a ticket that the module or a stage fails on: it is given up, the others go on."""
--- a/crowwing/routing/send.py
+++ b/crowwing/routing/send.py
@@ -50,6 +50,7 @@
     # Commands
 
     def launch(self, slip: Slip, _: float = 0) -> None:
+        self.book.holds(not slip.launched, "launched while its run is on")
         slip.launched = True
         slip.runs += 1
         once = slip if slip.handle.type.repeat is Repeat.IRREVERSIBLE else None
--- a/crowwing/transport/budget.py
+++ b/crowwing/transport/budget.py
@@ -6,10 +6,10 @@
 
 
 class DescriptorBudget:
-    """Splits the limit: what comes in takes what calls below and the process itself leave."""
+    """Sidecars open up to half of the limit; health checks come on top, and calls below have the rest."""
 
     def __init__(self, told: int) -> None:
         soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self.limit = min(told, soft) if soft > 0 else told
-        self.below = max(4, self.limit // 8)
-        self.incoming = max(1, self.limit - KEPT_FOR_ITSELF - self.below)
+        self.incoming = max(1, self.limit // 2 + self.limit // 16 + 4)
+        self.below = max(1, self.limit - self.incoming - KEPT_FOR_ITSELF)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -364,8 +364,8 @@
 class Town:
     """A backend with its farm agent, back end and control plane around it."""
 
-    def __init__(self, settings: dict = SETTINGS, sockets: int = 1024) -> None:
-        self.settings, self.sockets = settings, sockets
+    def __init__(self, settings: dict = SETTINGS, sockets: int = 1024, stop: int = 3000) -> None:
+        self.settings, self.sockets, self.stop = settings, sockets, stop * MS
         self.farm = FarmAgent()
         self.below = HttpStandIn(lambda head, body: reply(200, b"reply to " + body))
         self.control = HttpStandIn(lambda head, body: b"HTTP/1.1 204 So\r\n\r\n")
@@ -378,8 +378,8 @@
         self.servers = [await asyncio.start_server(self._kept(serve), "127.0.0.1", 0) for serve in places]
         farm, below, control = (server.sockets[0].getsockname() for server in self.servers)
         facts, names = decode(self.settings)
-        listen, stop = ("127.0.0.1", 0), 3000 * MS
-        posting = Posting("n1", listen, farm, control, below, 7, stop, self.sockets, facts, names)
+        listen = ("127.0.0.1", 0)
+        posting = Posting("n1", listen, farm, control, below, 7, self.stop, self.sockets, facts, names)
         self.backend = Backend(loop, posting, SimpleNamespace(write=self._write))
         self.life = loop.create_task(self.backend.run())
         await self.until(lambda: self.backend.desk.send.fenced)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -115,19 +115,17 @@
     play_in(Town(), scene)
 
 
-def test_the_module_is_woken_when_its_timer_is_due_and_not_before() -> None:
-    """A timer fired early is, for the module, still out: it asks for no other, and its watch ends."""
+def test_the_watch_goes_on_by_its_own_timers_when_no_gauges_and_no_news_come() -> None:
+    """A timer fired early is, for the module, still out: it would ask for no other and watch no more."""
 
     async def scene(town: Town) -> None:
-        manager, early = town.backend.desk.manager, []
-        wake = manager.wake
-        manager.wake = lambda now, gauges: early.append(now < manager.next_wake) or wake(now, gauges)
+        desk, turns = town.backend.desk, []
+        turn = desk.manager.turn
+        desk.manager.turn = lambda now: turns.append(now) or turn(now)
+        desk.send.sample = lambda: False
         town.farm.hold = True
-        asked = asyncio.create_task(ask_one(town, 1))
-        await town.until(lambda: len(early) > 25)  # with no other news
-        assert sum(early) <= 1  # the one asked for while nothing was open, and another sooner since
-        town.farm.go_on(ident(1))
-        assert (await asked)[0] == 200
+        asked = asyncio.create_task(ask_one(town, 1, left=2500))
+        assert (await asked)[0] == 500 and len(turns) > 10
 
     play_in(Town(), scene)
 
@@ -308,6 +306,18 @@
     play_in(Town(), scene)
 
 
+def test_a_drain_answers_for_what_does_not_end_in_time() -> None:
+    async def scene(town: Town) -> None:
+        town.farm.hold = True
+        asked = asyncio.create_task(ask_one(town, 1))
+        await town.until(lambda: ident(1) in town.farm.running)
+        town.backend.leave()
+        assert (await asked)[0] == 500
+        await town.life
+
+    play_in(Town(stop=600), scene)
+
+
 # As a process
 
 ROOT = Path(__file__).parent.parent
