--- a/crowwing/protocol/agent.py
+++ b/crowwing/protocol/agent.py
@@ -1,19 +1,17 @@
 """The farm agent's lines: notices that come in, commands that go out."""
 
-from dataclasses import dataclass
+from typing import NamedTuple
 
 LINE_MOST = 1024
 BLOB_MOST = 1 << 16
 
 
-@dataclass(frozen=True, slots=True)
-class Greeting:
+class Greeting(NamedTuple):
     cold: bool
     age: int  # microseconds
 
 
-@dataclass(frozen=True, slots=True)
-class Ended:
+class Ended(NamedTuple):
     number: int
     id: str
     end: str
@@ -21,8 +19,7 @@
     result: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Wants:
+class Wants(NamedTuple):
     """A run waits for a call."""
 
     number: int
@@ -30,26 +27,22 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Sampled:
+class Sampled(NamedTuple):
     tag: str
     gauges: tuple[float, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Exercised:
+class Exercised(NamedTuple):
     tag: str
     good: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(NamedTuple):
     command: str
     id: str
 
 
-@dataclass(frozen=True, slots=True)
-class Aside:
+class Aside(NamedTuple):
     number: int
     text: str
 
--- a/crowwing/protocol/arrival.py
+++ b/crowwing/protocol/arrival.py
@@ -1,10 +1,9 @@
 """A ticket as it comes in, whatever protocol brought it."""
 
-from dataclasses import dataclass
+from typing import NamedTuple
 
 
-@dataclass(frozen=True, slots=True)
-class Arrival:
+class Arrival(NamedTuple):
     """Times are in microseconds; `due` is 0 where no patience is told."""
 
     id: str
--- a/crowwing/protocol/reply.py
+++ b/crowwing/protocol/reply.py
@@ -1,14 +1,13 @@
 """One HTTP reply, as the back end and the control plane give them."""
 
-from dataclasses import dataclass
+from typing import NamedTuple
 
 import httptools
 
 REPLY_MOST = 1 << 16
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(NamedTuple):
     status: int
     turned_away: bool
     body: bytes
--- a/crowwing/protocol/sidecar.py
+++ b/crowwing/protocol/sidecar.py
@@ -1,7 +1,7 @@
 """Sidecar HTTP: what comes in as tickets and health checks, and the answers that go back."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from typing import NamedTuple
 from urllib.parse import parse_qs
 
 import httptools
@@ -18,15 +18,13 @@
 }  # fmt: skip
 
 
-@dataclass(frozen=True, slots=True)
-class Check:
+class Check(NamedTuple):
     """A health check; a deep one asks whether work gets done."""
 
     deep: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Bad:
+class Bad(NamedTuple):
     """What is answered with a 4xx; `fatal` where the stream cannot be trusted any further."""
 
     status: int
