Open a silent farm agent's link anew; bound tries to connect; test the start and a full log pipe

Seen in review: a farm agent gone without a word (no reset) left the link up for ever, with a sample out and no other asked for. Now a sample out for longer than the shortest expected time ends the link; a far side that only paused loses nothing, since runs go on and unproven commands are sent again behind the fence. Also: a try to connect is given a second, a socket that cannot be had is a failed try, and a cut log line keeps its numbers. Tests: a silent link, a ticket and a check before the greeting, coldness and age from a late greeting, a full and a broken log pipe.

--- a/crowwing/program/log.py
+++ b/crowwing/program/log.py
@@ -20,10 +20,8 @@
             line["lines_lost"] = self.lost
         data = orjson.dumps(line, default=str)
         if len(data) > LINE_MOST:
-            cut = {
-                key: str(value)[-1000:] if key == "trace" else str(value)[:200] for key, value in line.items()
-            }
-            data = orjson.dumps(cut, default=str)[:LINE_MOST]
+            cut = {key: value[-1000:] for key, value in line.items() if isinstance(value, str)}
+            data = orjson.dumps(line | cut, default=str)[:LINE_MOST]
         try:
             os.write(self.descriptor, data + b"\n")
             self.lost = 0
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -63,7 +63,8 @@
         self.due = False  # a turn is on its way
         self.notice = 0
         self.take_in, self.relay = TakeIn(names), Relay(book)
-        self.send = Send(loop, farm, pool, book, self._notice)
+        patience = min(kind.expected_time for kind in facts.types) / 1e6
+        self.send = Send(loop, farm, pool, book, self._notice, patience)
         self.call = Call(loop, below, pool, calls_most, book, self._reply)
         by_ticket: dict[Step, Callable] = {
             Step.RUN: self.send.launch,
--- a/crowwing/routing/send.py
+++ b/crowwing/routing/send.py
@@ -35,13 +35,15 @@
         pool: BufferPool,
         book: Book,
         hear: Callable[[agent.Notice], None],
+        patience: float,
     ) -> None:
-        self.book, self.hear = book, hear
+        self.loop, self.book, self.hear, self.patience = loop, book, hear, patience
         self.link = Link(loop, address, pool, self._opened, self._received, self._closed)
         self.reader = agent.AgentReader()
         self.last = 0  # the last notice read
         self.greeted = self.fenced = False  # on this link
         self.issued = self.tag = 0
+        self.asked = 0.0  # when the sample that is out was asked for
         self.unproven: deque[Command] = deque()  # emptied by samples
         self.tags: dict[
             str, int
@@ -67,6 +69,11 @@
 
     def sample(self) -> bool:
         """Asks for the gauges; whether it could. One is out at a time."""
+        if self.tags and self.loop.time() - self.asked > self.patience:
+            # Guards against a far side that is gone without a word; one that only paused loses nothing by it.
+            self.tags.clear()
+            self.book.event("agent_silent", seconds=self.patience)
+            self.link.drop()
         if not self.fenced or self.tags:
             return False
         self._sample()
@@ -90,6 +97,7 @@
 
     def _sample(self) -> None:
         self.tag += 1
+        self.asked = self.loop.time()
         self.tags[f"s{self.tag}"] = self.issued if self.fenced else 0
         self.link.send(agent.sample(f"s{self.tag}"))
 
--- a/crowwing/transport/link.py
+++ b/crowwing/transport/link.py
@@ -3,10 +3,12 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 from crowwing.transport.pool import BufferPool
 
-RETRY_FIRST, RETRY_MOST = 0.02, 0.5  # seconds between tries to connect
+CONNECT = 1.0  # seconds that one try to connect may take
+RETRY_FIRST, RETRY_MOST = 0.02, 0.5  # seconds between tries
 
 
 class Link:
@@ -25,18 +27,20 @@
         self.opened, self.received, self.closed = opened, received, closed
         self.outbox: list[bytes] = []  # emptied by each send, and when the link breaks
         self.pending = asyncio.Event()
+        self.sock: socket.socket | None = None
         self.up = self.sound = False  # it is there; what it brought could be read
         self.breaks = 0
 
     async def run(self) -> None:
         delay = RETRY_FIRST
         while True:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            sock.setblocking(False)
             why = "closed by the far side"
             sender: asyncio.Task | None = None
             try:
-                await self.loop.sock_connect(sock, self.address)
+                self.sock = sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                sock.setblocking(False)
+                async with asyncio.timeout(CONNECT):
+                    await self.loop.sock_connect(sock, self.address)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 self.up, self.sound = True, False
                 self.opened()
@@ -51,7 +55,9 @@
                 if sender is not None:
                     sender.cancel()
                     await asyncio.gather(sender, return_exceptions=True)
-                sock.close()
+                if self.sock is not None:
+                    self.sock.close()
+                    self.sock = None
                 self.outbox.clear()
                 if self.up:
                     self.up = False
@@ -72,6 +78,12 @@
         finally:
             self.pool.give_back(buffer)
 
+    def drop(self) -> None:
+        """Gives this link up; another is opened."""
+        if self.up:
+            with suppress(OSError):  # it has just gone by itself
+                self.sock.shutdown(socket.SHUT_RDWR)  # the reader sees the end
+
     def send(self, data: bytes) -> None:
         """Goes out after what was given before; lost if the link is not up."""
         if self.up:
@@ -88,4 +100,4 @@
                 if data:
                     await self.loop.sock_sendall(sock, data)
         except OSError:
-            sock.shutdown(socket.SHUT_RDWR)  # the reader sees the end
+            self.drop()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -244,7 +244,8 @@
         match words:
             case ["subscribe", number]:
                 self.writer = writer
-                writer.write(self.greet + b"".join(self.notices[int(number) :]))
+                if self.greet:
+                    writer.write(self.greet + b"".join(self.notices[int(number) :]))
             case ["launch", ident, kind, _] if ident not in self.running:
                 self.begun[ident] = self.begun.get(ident, 0) + 1
                 self.bodies[ident] = blob
@@ -382,7 +383,8 @@
         posting = Posting("n1", listen, farm, control, below, 7, self.stop, self.sockets, facts, names)
         self.backend = Backend(loop, posting, SimpleNamespace(write=self._write))
         self.life = loop.create_task(self.backend.run())
-        await self.until(lambda: self.backend.desk.send.fenced)
+        await self.until(lambda: self.backend.desk.send.fenced or not self.farm.greet)
+        await self.until(lambda: self.backend.listener.sock is not None)
         self.address = self.backend.listener.sock.getsockname()
         return self
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,6 +13,7 @@
 import pytest
 
 from crowwing.contract import Step
+from crowwing.program.log import Log
 from tests.rig import SETTINGS, Sidecar, Town, play_in, reply
 
 
@@ -130,6 +131,58 @@
     play_in(Town(), scene)
 
 
+def test_a_link_that_falls_silent_is_opened_anew() -> None:
+    async def scene(town: Town) -> None:
+        town.farm.hold = town.farm.mute = True
+        asked = asyncio.create_task(ask_one(town, 1))
+        await town.until(lambda: town.counts["agent_silent"] == 1)
+        town.farm.mute = False
+        await town.until(lambda: town.farm.links == 2 and ident(1) in town.farm.running)
+        town.farm.go_on(ident(1))
+        assert (await asked)[0] == 200
+        town.check()
+
+    lanes = [lane | {"promise": 300.0} for lane in SETTINGS["lanes"]]
+    play_in(Town(SETTINGS | {"lanes": lanes}), scene)
+
+
+def test_before_the_farm_agent_is_up_nothing_is_taken_and_checks_are_bad() -> None:
+    async def scene(town: Town) -> None:
+        assert (await (await Sidecar(town).open()).ask(b"GET /ping HTTP/1.1\r\n\r\n"))[0] == 503
+        assert (await ask_one(town, 1))[0] == 503
+        assert not town.control.heard
+        town.farm.greet = b"greeting COLD 1000\r\n"
+        town.farm.writer.write(town.farm.greet)
+        await town.until(lambda: town.backend.front.good)
+        manager = town.backend.desk.manager
+        assert manager.facts.cold and 900_000 < town.backend.desk.now() - manager.born < 30_000_000
+        await town.until(lambda: town.backend.desk.send.fenced)
+        assert (await ask_one(town, 2))[0] == 200
+
+    town = Town()
+    town.farm.greet = b""
+    play_in(town, scene)
+
+
+def test_a_full_log_pipe_costs_lines_and_says_so() -> None:
+    read, write = os.pipe()
+    log = Log("n1", write)
+    for _ in range(100):
+        log.write("filled", text="x" * 3000)
+    assert log.lost
+    os.set_blocking(read, False)
+    while len(os.read(read, 1 << 20)) == 1 << 20:
+        pass
+    log.write("after", trace="y" * 9000)
+    line = json.loads(os.read(read, 1 << 20))
+    assert (
+        line["lines_lost"] > 0 and line["event"] == "after" and line["trace"].endswith("y") and not log.lost
+    )
+    os.close(read)
+    log.write("nobody reads")
+    os.close(write)
+
+
 def test_a_line_that_cannot_be_read_is_a_break() -> None:
     async def scene(town: Town) -> None:
         town.farm.hold = True
