--- a/crowwing/program/front.py
+++ b/crowwing/program/front.py
@@ -93,7 +93,7 @@
             self._turn_down(sidecar.Bad(400, str(wrong)))
 
     async def _exercise(self) -> None:
-        self._checked(await self.front.desk.exercise(self.front.bound))
+        self._checked(await self.front.desk.check.exercise(self.front.bound))
 
     # Answers
 
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -18,14 +18,16 @@
 from crowwing.routing.admit import admit
 from crowwing.routing.book import Book
 from crowwing.routing.call import Call
+from crowwing.routing.check import Check
 from crowwing.routing.relay import Relay
 from crowwing.routing.route import Route
 from crowwing.routing.send import Send
 from crowwing.routing.slip import Caller, Slip
 from crowwing.routing.take_in import TakeIn
+from crowwing.routing.wake import Wake
 from crowwing.transport.pool import BufferPool
 
-TIMER = 0.001  # seconds that the loop's timers round to
+AGAIN = 0.02  # seconds to the next turn after one that failed
 ENDS = {"OK": Outcome.GOOD, "ERROR": Outcome.FAILED, "STOPPED": Outcome.STOPPED, "MOOT": Outcome.NEVER_RAN}
 
 
@@ -58,14 +60,14 @@
         self.slips: dict[str, Slip] = {}  # open tickets by id; emptied as the module closes them
         self.news: list[tuple[Callable, Slip | None, tuple]] = []  # emptied by each turn
         self.ran: dict[str, int] = {}  # irreversible tickets that ran -> their outer limit, which empties it
-        self.checks: dict[str, asyncio.Future[bool]] = {}  # deep checks out; emptied by answers and bounds
-        self.clock = self.check = self.sampled_at = 0
+        self.clock = 0
         self.due = False  # a turn is on its way
-        self.notice = 0
         self.take_in, self.relay = TakeIn(names), Relay(book)
         patience = min(kind.expected_time for kind in facts.types) / 1e6
         self.send = Send(loop, farm, pool, book, self._notice, patience)
         self.call = Call(loop, below, pool, calls_most, book, self._reply)
+        self.wake = Wake(loop, self.now, self.send, book, lambda: self._hear(self._nothing, None))
+        self.check = Check(loop, self.send)
         by_ticket: dict[Step, Callable] = {
             Step.RUN: self.send.launch,
             Step.HALT: self.send.freeze,
@@ -81,7 +83,7 @@
             Step.UNREADY: lambda _: outward.ready(False),
             Step.FREE_VALUE: outward.free_value,
             Step.IDLE: outward.idle,
-            Step.WAKE: lambda span: self._wake_at(self.clock + round(span), span / 1e6),
+            Step.WAKE: self.wake.ask,
         }
         self.route = Route(self.slips, by_ticket, outward_steps, book, self._abandon)
 
@@ -119,7 +121,6 @@
 
     def leave(self, stop: int) -> None:
         """The notice to leave; `stop` is when the process is ended."""
-        self.notice = self.now()
         if self.manager is not None:
             self._hear(lambda now, slip: self.manager.leave(now, stop), None)
 
@@ -129,21 +130,6 @@
             self.book.count("forfeited_at_the_end")
             self._abandon(slip)
 
-    async def exercise(self, bound: float) -> bool:
-        """Whether the farm agent gets work done, within `bound` seconds."""
-        self.check += 1
-        tag = f"c{self.check}"
-        self.checks[tag] = self.loop.create_future()
-        try:
-            if not self.send.exercise(tag):
-                return False
-            async with asyncio.timeout(bound):
-                return await self.checks[tag]
-        except TimeoutError:
-            return False
-        finally:
-            del self.checks[tag]
-
     def _notice(self, notice: agent.Notice) -> None:
         self._hear(self._farm_news, None, notice)
 
@@ -189,7 +175,7 @@
         ]
         for slip in overdue:
             self._abandon(slip)
-        self.loop.call_later(0.02, self._hear, lambda now, slip: None, None)
+        self.loop.call_later(AGAIN, self._hear, self._nothing, None)
 
     def _abandon(self, slip: Slip) -> None:
         """Forfeits a ticket whose handling failed, and makes the module and the farm agent let go of it."""
@@ -220,31 +206,11 @@
             self.ran = {ident: until for ident, until in self.ran.items() if until > self.clock}
             self.ran[slip.id] = self.clock + slip.handle.type.outer_limit
 
-    def _wake_at(self, due: int, span: float) -> None:
-        self.loop.call_later(max(0, due - self.now()) / 1e6 + TIMER, self._wake, due, span)
-
-    def _wake(self, due: int, span: float) -> None:
-        """The module's timer is due: it wants gauges, but the watch over outer limits goes on without.
-
-        Guards against the loop's timers, which round to milliseconds and fire early: the module would hold
-        its timer to be still out and ask for no other, and outer limits would pass unseen until other news.
-        """
-        if self.now() < due:
-            self.book.count("woken_early")
-            self._wake_at(due, span)
-        elif self.send.sample():
-            asked = self.send.tag
-            self.loop.call_later(span / 2, self._unsampled, asked)
-        else:
-            self._hear(lambda now, slip: None, None)
-
-    def _unsampled(self, asked: int) -> None:
-        if self.sampled_at < asked:
-            self.book.count("samples_late")
-            self._hear(lambda now, slip: None, None)
-
     # News, each handed in at the turn's reading of the clock
 
+    def _nothing(self, now: int, _: None) -> None:
+        """No news, but a turn."""
+
     def _admit(self, now: int, slip: Slip, arrival: Arrival, kind: int, team: int) -> None:
         admit(self.manager, now, slip, arrival, kind, team)
 
@@ -272,14 +238,10 @@
             case agent.Wants():
                 return self._per_ticket(self._wants, now, notice)
             case agent.Sampled():
-                asked = self.send.tag
-                if self.send.sampled(notice.tag) and notice.tag == f"s{asked}":
-                    self.sampled_at = asked
+                if self.wake.sampled(notice.tag):
                     return self.manager.wake(now, dict(zip(self.names.gauges, notice.gauges, strict=False)))
             case agent.Exercised():
-                future = self.checks.get(notice.tag)
-                if future is not None and not future.done():
-                    future.set_result(notice.good)
+                self.check.answered(notice.tag, notice.good)
             case agent.Greeting():
                 return self._greeted(now, notice)
             case agent.Refusal():
