Read what lies in an idle connection as it closes, since it may be a ticket

Checked with a test: a ticket already in the socket when an idle connection is closed got no answer. At fault: Connection.close, which cancelled the pending read, and the linger, which threw away what it read. Now closing ends only the receiving side; what has come in is read and answered with Connection: close.

--- a/crowwing/program/front.py
+++ b/crowwing/program/front.py
@@ -116,7 +116,7 @@
         self._send(sidecar.turned_down(bad.status, self.front.free_value, self._closes()))
 
     def _closes(self) -> bool:
-        return self.last or self.front.draining
+        return self.last or self.front.draining or self.connection.closing
 
     def _send(self, data: bytes) -> None:
         if self.connection.busy:
--- a/crowwing/transport/connection.py
+++ b/crowwing/transport/connection.py
@@ -4,11 +4,12 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Protocol
 
 from crowwing.transport.pool import BufferPool
 
-LINGER = 0.1  # seconds in which what crosses our end is still thrown away, before the descriptor goes
+LINGER = 0.1  # seconds between our end and the descriptor's: what crosses it is sent anew within 50 ms
 STUCK_SEND = 5.0  # seconds after which an answer that the far side does not read is given up
 
 
@@ -48,14 +49,14 @@
         buffer = self.pool.borrow()
         broken = await self._read(buffer)
         try:
-            if not self.closing:
-                self.closing = True
+            if broken or not self.closing:
                 self.user.ended(broken)
             if not broken:
-                await self._finish(buffer)
-        except (OSError, TimeoutError):
+                await self._finish()
+        except OSError:
             pass
         finally:
+            self.closing = True
             if self.sender is not None:
                 self.sender.cancel()
             self.sock.close()
@@ -63,31 +64,24 @@
 
     async def _read(self, buffer: bytearray) -> bool:
         """Until either side ends it; whether it broke."""
-        with memoryview(buffer) as view:
-            try:
-                while not self.closing:
-                    size = await self.loop.sock_recv_into(self.sock, buffer)
-                    if not size:
-                        return False
+        try:
+            with memoryview(buffer) as view:
+                while size := await self.loop.sock_recv_into(self.sock, buffer):
                     self.since = self.loop.time()
                     self.user.received(view[:size])
-            except OSError:
-                return True
-            except asyncio.CancelledError:
-                if not self.closing:
-                    raise
-                self.task.uncancel()  # close() ended the read
-        return False
-
-    async def _finish(self, buffer: bytearray) -> None:
-        """Sends what is owed, says that no more comes, and throws away what crosses that."""
+            return False
+        except OSError:
+            return True
+
+    async def _finish(self) -> None:
+        """Sends what is owed and says that no more comes; what crosses that has its time to turn back."""
+        ours, self.closing = self.closing, True
         self.done = asyncio.Event()
         self._settle()
         await self.done.wait()
         self.sock.shutdown(socket.SHUT_WR)
-        async with asyncio.timeout(LINGER):
-            while await self.loop.sock_recv_into(self.sock, buffer):
-                pass
+        if ours:
+            await asyncio.sleep(LINGER)
 
     def _settle(self) -> None:
         if self.done is not None and not self.busy and self.sender is None:
@@ -117,8 +111,8 @@
         self._settle()
 
     def close(self) -> None:
-        """Ends it once what is owed has gone out; nothing more is taken from it."""
+        """Ends it once what is owed has gone out. What has come in by now is still read: a ticket may be."""
         if not self.closing:
             self.closing = True
-            if asyncio.current_task(self.loop) is not self.task:
-                self.task.cancel()
+            with suppress(OSError):  # the far side was faster
+                self.sock.shutdown(socket.SHUT_RD)  # the read ends behind what is there
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -298,6 +298,24 @@
     play_in(Town(sockets=64), scene)
 
 
+def test_a_ticket_that_lies_there_when_an_idle_connection_closes_is_answered() -> None:
+    async def scene(town: Town) -> None:
+        with socket.create_connection(town.address) as side:
+            await town.until(lambda: len(town.backend.listener.connections) == 1)
+            side.sendall(Sidecar.ticket(ident(1)))
+            for connection in town.backend.listener.connections:
+                connection.close()
+            side.setblocking(False)
+            answer = b""
+            while part := await asyncio.get_running_loop().sock_recv(side, 4096):
+                answer += part
+        assert answer.startswith(b"HTTP/1.1 200 OK\r\n") and b"Connection: close\r\n" in answer
+        assert answer.endswith(town.farm.result(ident(1)))
+        town.check()
+
+    play_in(Town(), scene)
+
+
 def test_a_defect_in_one_ticket_costs_no_other() -> None:
     async def scene(town: Town) -> None:
         launch = town.backend.desk.send.launch
