Answer 400 to what ends before it is whole, and count it

Seen in review against the issue: a truncated request, or one that took longer than the longest outer limit, was closed without a word and not counted. Tests: a sender that ends in the middle, a slow one, and one whose request could not be read, which gets one answer and not two.

--- a/crowwing/program/front.py
+++ b/crowwing/program/front.py
@@ -65,9 +65,13 @@
         self._next()
 
     def ended(self, broken: bool) -> None:
+        """The far side's end, or ours behind what is there."""
         if broken and self.slip is not None:
             self.front.desk.gone(self.slip, self)
             self._free()
+        elif not broken and self.connection.began and not (self.connection.busy or self.reader.dead):
+            self.connection.busy = True
+            self._turn_down(sidecar.Bad(400, "ended before it was whole", fatal=True))
 
     def _next(self) -> None:
         while self.waiting and not self.connection.busy:
--- a/crowwing/transport/connection.py
+++ b/crowwing/transport/connection.py
@@ -49,8 +49,7 @@
         buffer = self.pool.borrow()
         broken = await self._read(buffer)
         try:
-            if broken or not self.closing:
-                self.user.ended(broken)
+            self.user.ended(broken)
             if not broken:
                 await self._finish()
         except OSError:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -241,10 +241,19 @@
         both = await side.ask(Sidecar.ticket(ident(3), "look") + Sidecar.ticket(ident(4)))
         assert both[0] == 200 and both[2] == town.farm.result(ident(3))
         assert (await side.answer())[0] == 400 and await side.reader.read() == b""
+        wrong = await Sidecar(town).open()
+        assert (await wrong.ask(b"POST /call/book HTTP/1.1\r\nContent-Length: x\r\n"))[0] == 400
+        assert await wrong.reader.read() == b""  # and nothing behind it
         slow = await Sidecar(town).open()
         slow.writer.write(Sidecar.ticket(ident(5))[:-1])
         assert (await ask_one(town, 6))[0] == 200
-        assert town.counts["had"] == 3 and town.counts["bad_request"] == 5
+        slow.writer.write_eof()
+        assert (await slow.answer())[0] == 400 and await slow.reader.read() == b""
+        slower = await Sidecar(town).open()
+        town.backend.listener.patience = 0.01
+        slower.writer.write(Sidecar.ticket(ident(7))[:-1])
+        assert (await slower.answer())[0] == 400 and await slower.reader.read() == b""
+        assert town.counts["had"] == 3 and town.counts["bad_request"] == 8
         town.check()
 
     play_in(Town(), scene)
