Read the configuration again on SIGHUP; join a ticket only to its like

Cause: SIGHUP had no handler, so the program ended (exit 129) and all it had was lost. An id already open joined whatever came under it (desk.arrive), so another body was answered with the first one's result. A refusal by the farm agent of an id it does not know counted as a failed run and moved the error rate.

The handler reads the file again and moves the farm agent's link, the calls and the reports; a file that cannot be read changes nothing and is tried every 0.25 s. SIGHUP is ignored from the first line of the program and made good by one reading once the loop hears signals. Reports whose answer is lost no longer say control_lost, and a change is said at once while one is out.

--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -6,7 +6,7 @@
 import traceback
 from collections.abc import Callable, Coroutine
 
-from crowwing.program.configuration import Posting
+from crowwing.program.configuration import BadConfiguration, Posting
 from crowwing.program.front import Front
 from crowwing.program.log import Log
 from crowwing.program.reporter import Reporter
@@ -17,14 +17,18 @@
 from crowwing.transport.pool import BufferPool
 
 FIGURES = 5.0  # seconds between lines of figures
+READ_AGAIN = 0.25  # seconds to the next reading of a configuration that could not be read
 LAST_CALL, LAST_WORDS = 0.12, 0.03  # seconds before the end: takes no more connections; has gone
 
 
 class Backend:
     """Also what the module speaks to beyond single tickets."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, posting: Posting, log: Log) -> None:
-        self.loop, self.posting, self.log = loop, posting, log
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, posting: Posting, log: Log, read: Callable[[], Posting]
+    ) -> None:
+        self.loop, self.posting, self.log, self.read = loop, posting, log, read
+        self.unread: tuple[str, asyncio.TimerHandle] | None = None  # why, and the next try
         facts = posting.facts
         self.book, self.pool = Book(log.write), BufferPool()
         budget = DescriptorBudget(posting.sockets)
@@ -62,6 +66,8 @@
         self.listener.open(*self.posting.listen)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.leave)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.reload()  # a SIGHUP that came before went unheard
         self.loop.set_exception_handler(self._stray)
         duties = (self.listener.accept, self.desk.send.link.run, self.reporter.run, self._beat)
         self.duties = [self.loop.create_task(self._keep(duty)) for duty in duties]
@@ -91,6 +97,25 @@
         trace = "".join(traceback.format_exception(wrong)) if wrong else ""
         self.book.event("stray_defect", message=str(context.get("message")), trace=trace)
 
+    def reload(self) -> None:
+        """Reads the configuration again. What cannot be read changes nothing, and is tried until it can."""
+        before, self.unread = self.unread, None
+        if before is not None:
+            before[1].cancel()
+        try:
+            told = self.read()
+        except BadConfiguration as wrong:
+            if before is None or before[0] != str(wrong):
+                self.log.write("not_reloaded", why=str(wrong))
+            self.unread = str(wrong), self.loop.call_later(READ_AGAIN, self.reload)
+            return
+        was = self.posting
+        self.posting, changed, fixed = was.follow(told)
+        if changed or fixed:
+            self.log.write("reloaded", changed=changed, cannot_change=fixed)
+        self.desk.move(self.posting.agent, self.posting.below)
+        self.reporter.move(self.posting.control)
+
     def leave(self) -> None:
         """The notice to leave; a second one changes nothing."""
         if self.front.draining:
--- a/crowwing/program/configuration.py
+++ b/crowwing/program/configuration.py
@@ -2,12 +2,13 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 
 from crowwing.contract import Halt, Names, Premises, Repeat
 from crowwing.premises import BadPremises, decode
 
 Address = tuple[str, int]
+IN_SERVICE = {"agent", "control", "below", "stop"}  # the parts that a reading in service changes
 
 
 class BadConfiguration(ValueError):
@@ -29,6 +30,13 @@
     facts: Premises
     names: Names
 
+    def follow(self, told: "Posting") -> tuple["Posting", list[str], list[str]]:
+        """This one with the parts of another that can change in service; what those are, and what cannot."""
+        differs = [f.name for f in fields(self) if getattr(self, f.name) != getattr(told, f.name)]
+        changed = [name for name in differs if name in IN_SERVICE]
+        fixed = [name for name in differs if name not in IN_SERVICE]
+        return replace(self, **{name: getattr(told, name) for name in changed}), changed, fixed
+
 
 def read(environment: Mapping[str, str]) -> Posting:
     path = environment.get("PROXY_CONFIG")
--- a/crowwing/program/main.py
+++ b/crowwing/program/main.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import os
+import signal
 import sys
+from functools import partial
 
 import uvloop
 
@@ -16,6 +18,9 @@
 
 
 def main() -> int:
+    # Guards against the end by a SIGHUP that comes before the loop hears signals: the backend, once it does,
+    # reads its configuration again whether one came or not.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         posting = read(os.environ)
     except BadConfiguration as wrong:
@@ -23,7 +28,7 @@
         return 2
     log = Log(posting.name)
     try:
-        uvloop.run(_serve(lambda loop: Backend(loop, posting, log)))
+        uvloop.run(_serve(lambda loop: Backend(loop, posting, log, partial(read, os.environ))))
     except OSError as wrong:
         print(f"crowwing: {posting.listen[0]}:{posting.listen[1]}: {wrong.strerror}", file=sys.stderr)
         return 1
--- a/crowwing/program/reporter.py
+++ b/crowwing/program/reporter.py
@@ -23,32 +23,49 @@
         name: str,
         book: Book,
     ) -> None:
-        self.name, self.book = name, book
-        self.host = f"{address[0]}:{address[1]}"
+        self.loop, self.name, self.book = loop, name, book
         self.exchanges = Exchanges(loop, address, pool, ReplyReader, 2 * EVERY, 2)
-        self.good = False
-        self.changed = asyncio.Event()
+        self.good = self.told = False
+        self.changed = asyncio.Event()  # what is to be said, or to whom
 
     def tell(self, good: bool) -> None:
         self.good = good
         self.changed.set()
 
+    def move(self, address: tuple[str, int]) -> None:
+        if address != self.exchanges.address:
+            self.exchanges.move(address)
+            if self.told:
+                self.changed.set()
+
     async def run(self) -> None:
         await self.changed.wait()
-        failing = False
+        self.told = True
+        last, lost = self.loop.time(), False  # when one counted, and whether that was said to be long ago
         while True:
             self.changed.clear()
-            said = self.good
-            try:
-                data = control.report(self.name, said, self.host)
-                counted = control.counted(await self.exchanges.ask(data, EVERY))
-            except (NeverSent, Broken):
-                counted = False
-            if counted == failing:
-                failing = not counted
-                self.book.event("control_lost" if failing else "control_back")
+            counted = await self._report()
+            if counted:
+                last = self.loop.time()
+            if lost != (self.loop.time() - last > control.LAPSE):
+                lost = not lost
+                self.book.event("control_lost" if lost else "control_back")
             try:
                 async with asyncio.timeout(EVERY if counted else AGAIN):
                     await self.changed.wait()
             except TimeoutError:
                 pass
+
+    async def _report(self) -> bool:
+        """Whether one counted for sure. Given up where there is something new to say."""
+        data = control.report(self.name, self.good, self.exchanges.host)
+        asking = self.loop.create_task(self.exchanges.ask(data, EVERY))
+        changing = self.loop.create_task(self.changed.wait())
+        try:
+            await asyncio.wait((asking, changing), return_when=asyncio.FIRST_COMPLETED)
+            return asking.done() and control.counted(asking.result())
+        except (NeverSent, Broken):
+            return False
+        finally:
+            asking.cancel()
+            changing.cancel()
--- a/crowwing/routing/call.py
+++ b/crowwing/routing/call.py
@@ -25,7 +25,6 @@
         hear: Callable[[Slip, int, Outcome, bytes], None],
     ) -> None:
         self.loop, self.book, self.hear = loop, book, hear
-        self.host = f"{address[0]}:{address[1]}"
         self.exchanges = Exchanges(loop, address, pool, ReplyReader, IDLE, most)
 
     def begin(self, slip: Slip, span: float) -> None:
@@ -43,7 +42,7 @@
     async def _call(self, slip: Slip, span: int) -> None:
         began, body = self.loop.time(), b""
         try:
-            data = below.call(slip.id, span, self.host, slip.wanted or b"")
+            data = below.call(slip.id, span, self.exchanges.host, slip.wanted or b"")
             reply = await self.exchanges.ask(data, span / 1e6)
             outcome, body = below.outcome(reply), reply.body
         except NeverSent:
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -23,7 +23,7 @@
 from crowwing.routing.route import Route
 from crowwing.routing.send import Send
 from crowwing.routing.slip import Caller, Slip
-from crowwing.routing.take_in import TakeIn
+from crowwing.routing.take_in import NoTicket, TakeIn
 from crowwing.routing.wake import Wake
 from crowwing.transport.pool import BufferPool
 
@@ -104,9 +104,13 @@
             caller.forfeited()  # it crossed a close and came again: it ran, and must not twice
         elif known is None:
             self.book.count("had")
-            slip = self.slips[arrival.id] = Slip(arrival.id, arrival.type, arrival.body, caller)
+            slip = self.slips[arrival.id] = Slip(arrival, caller)
             self._hear(self._admit, slip, arrival, kind, team)
             return slip
+        elif not known.same(arrival):
+            # Guards against one that makes itself party to the ticket of another. Harms nobody: a sidecar
+            # that sends a try again after a crossed close sends the same.
+            raise NoTicket("the id of another open ticket")
         elif known.answered:
             caller.forfeited()  # its run is still on
         else:
@@ -119,6 +123,11 @@
         """The caller's connection was reset: no answer can reach it."""
         self._hear(self._gone, slip, caller)
 
+    def move(self, farm: tuple[str, int], below: tuple[str, int]) -> None:
+        """The farm agent and what lies below have new addresses; runs and calls go on."""
+        self.send.link.move(farm)
+        self.call.exchanges.move(below)
+
     def leave(self, stop: int) -> None:
         """The notice to leave; `stop` is when the process is ended."""
         if self.manager is not None:
@@ -248,7 +257,8 @@
                 self.book.event("agent_refusal", command=notice.command, id=notice.id)
                 slip = self.slips.get(notice.id)
                 if notice.command == "launch" and slip is not None and slip.launched:
-                    return self._per_ticket(self._ended, now, agent.Ended(0, slip.id, "ERROR", 0, b""))
+                    # It never ran, whatever was wrong with it: that says nothing of errors here.
+                    return self._per_ticket(self._ended, now, agent.Ended(0, slip.id, "MOOT", 0, b""))
         return None
 
     def _per_ticket(self, what: Callable, now: int, notice: agent.Ended | agent.Wants) -> list | None:
--- a/crowwing/routing/slip.py
+++ b/crowwing/routing/slip.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from crowwing.logic import Ticket
+from crowwing.protocol.arrival import Arrival
 
 
 class Caller(Protocol):
@@ -21,6 +22,7 @@
 
     __slots__ = (
         "id",
+        "print",
         "type",
         "body",
         "callers",
@@ -34,8 +36,9 @@
         "call",
     )
 
-    def __init__(self, ident: str, kind: str, body: bytes, caller: Caller) -> None:
-        self.id, self.type, self.body = ident, kind, body
+    def __init__(self, arrival: Arrival, caller: Caller) -> None:
+        self.id, self.type, self.body = arrival.id, arrival.type, arrival.body
+        self.print = hash(arrival._replace(arrived=0, due=0))  # tells its like without its body
         self.callers = [caller]  # more than one where the same try came again over another connection
         self.handle: Ticket | None = None
         self.answered = False
@@ -43,3 +46,7 @@
         self.runs = self.frozen = self.asks = 0  # launches so far, the last told to stop, and calls wanted
         self.wanted: bytes | None = None  # the body of the call the run waits for
         self.call: asyncio.Task | None = None
+
+    def same(self, arrival: Arrival) -> bool:
+        """Whether the same try has come again."""
+        return self.print == hash(arrival._replace(arrived=0, due=0))
--- a/crowwing/transport/exchange.py
+++ b/crowwing/transport/exchange.py
@@ -43,9 +43,19 @@
         self.spare: dict[socket.socket, asyncio.TimerHandle] = {}  # emptied by use, age and the far side
         self.open = 0
 
+    @property
+    def host(self) -> str:
+        return f"{self.address[0]}:{self.address[1]}"
+
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on to another address; what is out ends where it is."""
+        if address != self.address:
+            self.address = address
+            self.close()
+
     async def ask(self, data: bytes, limit: float) -> Any:  # noqa: ANN401
         """The reply, within `limit` seconds. Cancelling gives it up, as running out of time does."""
-        sock, reusable = self._take(), False
+        sock, reusable, address = self._take(), False, self.address
         try:
             async with asyncio.timeout(limit):
                 if sock is None:
@@ -63,7 +73,7 @@
             raise Broken(str(wrong) or type(wrong).__name__) from None
         finally:
             if sock is not None:
-                self._put(sock) if reusable else self._close(sock)
+                self._put(sock) if reusable and address == self.address else self._close(sock)
         return reply
 
     async def _exchange(self, sock: socket.socket, data: bytes, buffer: bytearray) -> tuple[Any, bool]:
--- a/crowwing/transport/link.py
+++ b/crowwing/transport/link.py
@@ -29,7 +29,7 @@
         self.pending = asyncio.Event()
         self.sock: socket.socket | None = None
         self.up = self.sound = False  # it is there; what it brought could be read
-        self.breaks = 0
+        self.hurry = asyncio.Event()  # the next try to connect need not wait
 
     async def run(self) -> None:
         delay = RETRY_FIRST
@@ -40,7 +40,9 @@
                 self.sock = sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
                 sock.setblocking(False)
                 async with asyncio.timeout(CONNECT):
-                    await self.loop.sock_connect(sock, self.address)
+                    await self.loop.sock_connect(sock, address := self.address)
+                if address != self.address:
+                    raise OSError("moved while it was opened")
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 self.up, self.sound = True, False
                 self.opened()
@@ -61,11 +63,13 @@
                 self.outbox.clear()
                 if self.up:
                     self.up = False
-                    self.breaks += 1
                     if self.sound:  # one that brings nothing but what cannot be read is not tried in haste
                         delay = RETRY_FIRST
                     self.closed(why)
-            await asyncio.sleep(delay)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(delay):
+                    await self.hurry.wait()
+            self.hurry.clear()
             delay = min(RETRY_MOST, 2 * delay)
 
     async def _read(self, sock: socket.socket) -> None:
@@ -78,6 +82,13 @@
         finally:
             self.pool.give_back(buffer)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Another address from now on."""
+        if address != self.address:
+            self.address = address
+            self.hurry.set()
+            self.drop()
+
     def drop(self) -> None:
         """Gives this link up; another is opened."""
         if self.up:
