Close strangers within 1.5 s, make room early, and turn nonsense down cheaply

Cause: accepting stopped at the descriptor limit and freed one idle connection every 0.1 s, and what had brought nothing whole could stay for the longest outer limit (listener._make_room, _sweep). Tickets then lay unread, their age read as a jam, and backends left the list in turns. Ruled out: the loop's lag (7 ms at most) and the farm agent (samples_late 3).

A new connection has 1.5 s to bring something whole, as has a half-read ticket. Places are kept free: near the limit the longest idle go, those that never brought anything a second before others. What is turned down gets its 4xx at once, costs no log line, and is read again only after 2 to 20 ms; of what comes behind a fatal one 256 KB are dropped. No body without a length; figures without signs, words or underscores. Calls have a fifth of the descriptors, the rest is for who comes; 16 spare buffers are kept.

--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -4,6 +4,7 @@
 import gc
 import signal
 import traceback
+from collections import Counter
 from collections.abc import Callable, Coroutine
 
 from crowwing.program.configuration import BadConfiguration, Posting
@@ -35,7 +36,6 @@
         shortest = min(kind.expected_time for kind in facts.types) / 1e6
         self.front = Front(loop, self.book, posting.names.deep_checks, shortest / 2)
         self.listener = Listener(loop, self.pool, budget.incoming, self.front.window)
-        self.listener.patience = max(kind.outer_limit for kind in facts.types) / 1e6
         self.listener.idle = facts.idle_most / 1e6 or None
         self.reporter = Reporter(loop, posting.control, self.pool, posting.name, self.book)
         self.desk = self.front.desk = Desk(
@@ -167,4 +167,6 @@
                 "unread_ms": round(manager.unread / 1000, 1),
             }  # fmt: skip
         self.lag = 0.0
+        if self.front.turned_down:
+            running["turned_down"], self.front.turned_down = dict(self.front.turned_down), Counter()
         self.log.write("figures", **running, counts=dict(counts))
--- a/crowwing/program/front.py
+++ b/crowwing/program/front.py
@@ -1,7 +1,7 @@
 """The sidecars' HTTP in front of the desk: one window a connection."""
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 
 from crowwing.protocol import sidecar
 from crowwing.protocol.arrival import Arrival
@@ -11,6 +11,9 @@
 from crowwing.routing.take_in import NoTicket
 from crowwing.transport.connection import Connection
 
+# Seconds before one that was turned down is read again: more each time, and at most.
+PAUSE, PAUSE_MOST = 0.002, 0.02
+
 
 class Front:
     """What every answer carries, and the answer to health checks."""
@@ -21,6 +24,7 @@
         self.free_value: float | None = None
         self.good = False  # until the module says so
         self.draining = False
+        self.turned_down: Counter[str] = Counter()  # by reason; emptied by each line of figures
         self.checks: set[asyncio.Task] = set()  # deep checks out; each ends within the bound
 
     def window(self, connection: Connection) -> "Window":
@@ -46,7 +50,7 @@
             self._received(view)
         except Exception:  # a defect costs this connection, not the others
             self.front.book.defect("window", self.slip.id if self.slip else None)
-            self.reader.dead = self.last = True
+            self.reader.dead = self.connection.deaf = self.last = True
             self.waiting.clear()
             if self.slip is None and self.connection.busy:
                 self.forfeited()
@@ -54,9 +58,13 @@
 
     def _received(self, view: memoryview) -> None:
         found = self.reader.feed(view)
+        if self.reader.dead:
+            self.connection.deaf = True
         if found and (self.connection.busy or len(found) > 1):
             keep = found[:0] if self.connection.busy else found[:1]
-            self.reader.dead = True  # a second one before the answer: the stream is not one of ours
+            self.reader.dead = self.connection.deaf = (
+                True  # a second one before the answer: the stream is not one of ours
+            )
             found = [*keep, sidecar.Bad(400, "a second request before the answer", fatal=True)]
         self.waiting += found
         self.connection.began = (
@@ -93,6 +101,7 @@
     def _arrive(self, arrival: Arrival) -> None:
         try:
             self.slip = self.front.desk.arrive(arrival, self)
+            self.connection.proven = True
         except NoTicket as wrong:
             self._turn_down(sidecar.Bad(400, str(wrong)))
 
@@ -111,12 +120,16 @@
         self._send(sidecar.forfeited(self.front.free_value, self._closes()))
 
     def _checked(self, good: bool) -> None:
+        self.connection.proven = True
         self.front.book.count("checks_good" if good else "checks_bad")
         self._send(sidecar.checked(good, self.front.free_value, self._closes()))
 
     def _turn_down(self, bad: sidecar.Bad) -> None:
-        self.front.book.event("bad_request", status=bad.status, why=bad.why)
+        self.front.book.count("bad_requests")
+        self.front.turned_down[f"{bad.status} {bad.why}"] += 1
         self.last |= bad.fatal
+        # Guards against the same again at full speed. Delays no answer, only the reading of what comes after.
+        self.connection.pause = min(PAUSE_MOST, self.connection.pause + PAUSE)
         self._send(sidecar.turned_down(bad.status, self.front.free_value, self._closes()))
 
     def _closes(self) -> bool:
--- a/crowwing/protocol/sidecar.py
+++ b/crowwing/protocol/sidecar.py
@@ -1,5 +1,6 @@
 """Sidecar HTTP: what comes in as tickets and health checks, and the answers that go back."""
 
+import re
 from collections.abc import Iterator
 from typing import NamedTuple
 from urllib.parse import parse_qs
@@ -11,6 +12,7 @@
 BODY_MOST = 2048
 HEAD_MOST = 8192
 RESULT_MOST = 4096
+_NUMBER = re.compile(r"\d{1,20}(\.\d{1,20})?(e-?\d{1,2})?", re.ASCII)  # no sign, no word such as inf
 _HEX = frozenset("0123456789abcdefABCDEF")
 _REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
@@ -84,7 +86,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
         if name in self.headers and name.startswith(b"x-"):
-            raise _Wrong(400, f"{name.decode('latin-1')} given twice")
+            raise _Wrong(400, "a header given twice")
+        if name == b"transfer-encoding":  # no sidecar sends one, and it can hide a second request in a body
+            raise _Wrong(400, "a body that no length frames")
         self.headers[name] = value
 
     def on_headers_complete(self) -> None:
@@ -153,10 +157,10 @@
         return int(text)
 
     def _number(self, name: bytes) -> float:
-        try:
-            return float(self._text(name))
-        except ValueError:
-            raise _Wrong(400, f"{name.decode()} is no number") from None
+        text = self._text(name)
+        if not _NUMBER.fullmatch(text):
+            raise _Wrong(400, f"{name.decode()} is no number in its range")
+        return float(text)
 
 
 def _answer(status: int, headers: Iterator[str], body: bytes) -> bytes:
--- a/crowwing/transport/budget.py
+++ b/crowwing/transport/budget.py
@@ -6,10 +6,10 @@
 
 
 class DescriptorBudget:
-    """Sidecars open up to half of the limit; health checks come on top, and calls below have the rest."""
+    """Sidecars open up to half of the limit; checks and strangers come on top, and calls have a fifth."""
 
     def __init__(self, told: int) -> None:
         soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self.limit = min(told, soft) if soft > 0 else told
-        self.incoming = max(1, self.limit // 2 + self.limit // 16 + 4)
-        self.below = max(1, self.limit - self.incoming - KEPT_FOR_ITSELF)
+        self.below = max(1, self.limit // 5)
+        self.incoming = max(1, self.limit - self.below - KEPT_FOR_ITSELF)
--- a/crowwing/transport/connection.py
+++ b/crowwing/transport/connection.py
@@ -9,6 +9,7 @@
 
 from crowwing.transport.pool import BufferPool
 
+DROPPED_MOST = 1 << 18  # bytes read and dropped of what has no answer any more
 LINGER = 0.1  # seconds between our end and the descriptor's: what crosses it is sent anew within 50 ms
 STUCK_SEND = 5.0  # seconds after which an answer that the far side does not read is given up
 
@@ -22,18 +23,21 @@
 
 
 class Connection:
-    """`busy` keeps it open; `since`: when it last carried something; `began`: what is half read."""
+    """`busy` keeps it open; `since`: when it last carried something; `began`: what is half read.
+
+    `proven`: it has brought something whole; `deaf`: what comes is dropped; `pause`: before the next read.
+    """
 
     __slots__ = (
-        "loop", "sock", "pool", "user", "busy", "since", "began",
+        "loop", "sock", "pool", "user", "busy", "since", "began", "proven", "deaf", "pause",
         "outbox", "sender", "task", "closing", "done",
     )  # fmt: skip
 
     def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, pool: BufferPool) -> None:
         self.loop, self.sock, self.pool = loop, sock, pool
-        self.busy = self.closing = False
+        self.busy = self.closing = self.proven = self.deaf = False
         self.since = loop.time()
-        self.began = 0.0
+        self.began = self.pause = 0.0
         self.outbox: deque[bytes] = deque()  # emptied by the sender
         self.sender: asyncio.Task | None = None
         self.done: asyncio.Event | None = None  # set once nothing is owed, when someone waits for that
@@ -63,11 +67,17 @@
 
     async def _read(self, buffer: bytearray) -> bool:
         """Until either side ends it; whether it broke."""
+        dropped = 0
         try:
             with memoryview(buffer) as view:
-                while size := await self.loop.sock_recv_into(self.sock, buffer):
+                while dropped < DROPPED_MOST and (size := await self.loop.sock_recv_into(self.sock, buffer)):
+                    if self.deaf:
+                        dropped += size
+                        continue
                     self.since = self.loop.time()
                     self.user.received(view[:size])
+                    if self.pause:
+                        await asyncio.sleep(self.pause)
             return False
         except OSError:
             return True
@@ -79,7 +89,7 @@
         self._settle()
         await self.done.wait()
         self.sock.shutdown(socket.SHUT_WR)
-        if ours:
+        if ours and (self.proven or self.deaf):  # a silent one is owed no more than the close
             await asyncio.sleep(LINGER)
 
     def _settle(self) -> None:
--- a/crowwing/transport/listener.py
+++ b/crowwing/transport/listener.py
@@ -9,6 +9,11 @@
 from crowwing.transport.pool import BufferPool
 
 SWEEP = 0.25  # seconds between looks at idle connections
+PATIENCE = 1.5  # seconds in which a new connection brings something whole, and one that began ends it
+HEAD_START = 1.0  # seconds by which one that has brought something may be idle for longer
+    1.0  # seconds by which one that has brought something may be idle for longer than one that has not
+)
+AT_ONCE = 8  # connections accepted, at most, before others of the loop have their turn
 RETRY = 0.02  # seconds before another try to accept
 BACKLOG = 512
 SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
@@ -21,9 +26,10 @@
         self, loop: asyncio.AbstractEventLoop, pool: BufferPool, most: int, user: Callable[[Connection], User]
     ) -> None:
         self.loop, self.pool, self.most, self.user = loop, pool, most, user
+        self.spare = max(1, most // 16)  # places kept free, so that accepting need not wait
         self.connections: set[Connection] = set()
         self.idle: float | None = None  # seconds that a connection may carry nothing; None: for ever
-        self.patience: float | None = None  # seconds that a half-read ticket may take
+        self.patience = PATIENCE
         self.room = asyncio.Event()
         self.sock: socket.socket | None = None
         self.accepting: asyncio.Task | None = None
@@ -53,37 +59,50 @@
                 await self.room.wait()
             try:
                 sock, _ = await self.loop.sock_accept(self.sock)
+                self._take(sock)
+                for _ in range(min(AT_ONCE, self.most - len(self.connections))):
+                    self._take(self.sock.accept()[0])
+            except BlockingIOError:
+                pass  # no more are there
             except OSError as wrong:
                 if wrong.errno in SHORT_OF:
                     self.waits += 1
                     self._make_room()
                 await asyncio.sleep(RETRY)  # any other ended with the one that came
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = Connection(self.loop, sock, self.pool)
-            self.connections.add(connection)
-            connection.start(self.user(connection), self._over)
+            if len(self.connections) > self.most - self.spare:
+                self._make_room()
+
+    def _take(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(self.loop, sock, self.pool)
+        self.connections.add(connection)
+        connection.start(self.user(connection), self._over)
 
     def _over(self, connection: Connection) -> None:
         self.connections.discard(connection)
         self.room.set()
 
     def _make_room(self) -> None:
-        """At the limit the connection that has been idle longest goes first."""
+        """Near the limit the longest idle go, those that brought nothing whole before others.
+
+        Guards against connections by the hundred that say nothing, or that asked once and stay: others would
+        wait for theirs. Could do harm where callers need that many: they open theirs again.
+        """
         idle = [c for c in self.connections if not c.busy and not c.closing]
-        if idle and not any(c.closing for c in self.connections):
-            min(idle, key=lambda c: c.since).close()
+        idle.sort(key=lambda c: c.since + HEAD_START * c.proven)
+        closing = sum(c.closing for c in self.connections)
+        for connection in idle[: max(0, len(self.connections) - closing - self.most + 2 * self.spare)]:
+            connection.close()
 
     def _sweep(self) -> None:
         now = self.loop.time()
         for connection in self.connections:
             if not connection.busy and not connection.closing:
-                late = connection.began and self.patience and now - connection.began >= self.patience
-                if late or (self.idle is not None and now - connection.since >= self.idle):
+                began = connection.began or (now if connection.proven else connection.since)
+                spent = self.idle is not None and now - connection.since >= self.idle
+                if spent or now - began >= self.patience:
                     connection.close()
-        if len(self.connections) >= self.most:
-            self._make_room()
         self.loop.call_later(SWEEP, self._sweep)
 
     def close(self) -> None:
--- a/crowwing/transport/pool.py
+++ b/crowwing/transport/pool.py
@@ -1,13 +1,14 @@
 """Read buffers of one size, used again."""
 
+SPARE_MOST = 16
 BUFFER_SIZE = 8192  # holds a whole request of the largest kind, its headers included
 
 
 class BufferPool:
-    """Lends buffers; never keeps more spare ones than were lent at once."""
+    """Lends buffers, and keeps a few spare ones: what a burst took is let go."""
 
     def __init__(self) -> None:
-        self.spare: list[bytearray] = []  # emptied by lending
+        self.spare: list[bytearray] = []  # emptied by lending, and never long
         self.lent = 0
 
     def borrow(self) -> bytearray:
@@ -16,4 +17,5 @@
 
     def give_back(self, buffer: bytearray) -> None:
         self.lent -= 1
-        self.spare.append(buffer)
+        if len(self.spare) < SPARE_MOST:
+            self.spare.append(buffer)
