--- a/crowwing/transport/listener.py
+++ b/crowwing/transport/listener.py
@@ -11,8 +11,6 @@
 SWEEP = 0.25  # seconds between looks at idle connections
 PATIENCE = 1.5  # seconds in which a new connection brings something whole, and one that began ends it
 HEAD_START = 1.0  # seconds by which one that has brought something may be idle for longer
-    1.0  # seconds by which one that has brought something may be idle for longer than one that has not
-)
 AT_ONCE = 8  # connections accepted, at most, before others of the loop have their turn
 RETRY = 0.02  # seconds before another try to accept
 BACKLOG = 512
