--- a/crowwing/transport/exchange.py
+++ b/crowwing/transport/exchange.py
@@ -27,7 +27,7 @@
 
 
 class Exchanges:
-    """Connections to one address; one that stays idle is closed within `idle` seconds, after half of it at least."""
+    """Connections to one address; one that stays idle is closed after `idle` seconds at most, half at least."""
 
     def __init__(
         self,
