Make room for connections in larger steps, and let more wait to be accepted

Cause: near the limit every accepted connection sorted the whole table (484 sorts in 3,000 connections), and at most 512 could wait, beyond which a caller tries again only after a second (listener._make_room, BACKLOG).

--- a/crowwing/transport/exchange.py
+++ b/crowwing/transport/exchange.py
@@ -27,7 +27,7 @@
 
 
 class Exchanges:
-    """Connections to one address; one that stays idle is closed after `idle` seconds at most, half at least."""
+    """Connections to one address; an idle one is closed after `idle` seconds at most, half of it at least."""
 
     def __init__(
         self,
--- a/crowwing/transport/listener.py
+++ b/crowwing/transport/listener.py
@@ -13,7 +13,7 @@
 HEAD_START = 1.0  # seconds by which one that has brought something may be idle for longer
 AT_ONCE = 8  # connections accepted, at most, before others of the loop have their turn
 RETRY = 0.02  # seconds before another try to accept
-BACKLOG = 512
+BACKLOG = 4096  # beyond it callers would try again only after a second
 SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 
 
@@ -24,7 +24,7 @@
         self, loop: asyncio.AbstractEventLoop, pool: BufferPool, most: int, user: Callable[[Connection], User]
     ) -> None:
         self.loop, self.pool, self.most, self.user = loop, pool, most, user
-        self.spare = max(1, most // 16)  # places kept free, so that accepting need not wait
+        self.spare = max(1, most // 8)  # places made free at once, so that accepting need not wait
         self.connections: set[Connection] = set()
         self.idle: float | None = None  # seconds that a connection may carry nothing; None: for ever
         self.patience = PATIENCE
@@ -87,11 +87,11 @@
         Guards against connections by the hundred that say nothing, or that asked once and stay: others would
         wait for theirs. Could do harm where callers need that many: they open theirs again.
         """
-        idle = [c for c in self.connections if not c.busy and not c.closing]
-        idle.sort(key=lambda c: c.since + HEAD_START * c.proven)
-        closing = sum(c.closing for c in self.connections)
-        for connection in idle[: max(0, len(self.connections) - closing - self.most + 2 * self.spare)]:
-            connection.close()
+        if len(self.connections) - sum(c.closing for c in self.connections) > self.most - self.spare:
+            idle = [c for c in self.connections if not c.busy and not c.closing]
+            idle.sort(key=lambda c: c.since + HEAD_START * c.proven)
+            for connection in idle[: self.spare]:
+                connection.close()
 
     def _sweep(self) -> None:
         now = self.loop.time()
