--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -437,8 +437,7 @@
         f = self.facts
         ready = [t for t in self.asking if not t.answered and now >= t.not_before]
         for t in sorted(ready, key=lambda t: -t.rank):
-            used = self.counts[CALLING] + len(self.lingering)
-            spare = self.spare_calls(now)
+            used, spare = self.counts[CALLING] + len(self.lingering), self.spare_calls(now)
             rest = self.median[t.kind] // 2
             bound = (t.aim if now + rest < t.aim else t.due) - rest - now
             if bound <= 0 and t.type.credit_without == 0:
@@ -490,7 +489,8 @@
         self.keep(t, now, 0, out)
         self.shed += 0.05
         local = bool(elsewhere) or self.sick(now) or self.notice > 0
-        part = 1.0 if local else min(1.0, AWAY_FROM + AWAY_CUT * self.cut)
+        line = self.busy < 0.9 and self.lined_up(t)  # no reason to stay away: other types have room
+        part = 1.0 if local else 0.0 if line else min(1.0, AWAY_FROM + AWAY_CUT * self.cut)
         if elsewhere is None:  # the fewer are dismissed here, the likelier others have room
             local |= self.random() > self.shed / SPREAD
         out.append((Step.DISMISS if local else Step.DISMISS_ALL, t, round(self.facts.stay_away_most * part)))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -146,6 +146,22 @@
     assert bound(0, 30 * MS) == 600 * MS  # where all are slow it follows
 
 
+def test_a_line_before_calls_keeps_no_caller_away_while_cores_have_room() -> None:
+    for gauges, away in ((IDLE, False), (FULL, True)):
+        world = World(1, shares=(), memory_kb=1e6)
+        world.manager.call_room = 0
+        for _ in range(4):
+            op_id = world.arrive(1, 0.9)
+            world.turn(gauges)
+            world.needs_call(op_id)
+        world.advance(100)
+        world.turn(gauges)
+        ticket = world.tickets[world.arrive(1, 0.9)]
+        results = world.manager.turn(world.now)
+        figure = next(figure for _, dismissed, figure in results if dismissed is ticket)
+        assert (figure > 0) == away
+
+
 def test_tickets_of_impatient_callers_are_not_taken_for_old() -> None:
     world = World(1, shares=())
     world.arrive(0, 0.5, left=4500 * MS)
