--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -19,8 +19,7 @@
 STRETCH = 1.3  # the run latency, against an uncrowded one, that the limit is steered to
 KP, KI, KD = 0.5, 0.6, 0.05  # the limit's PID, in cores
 CLIMB = 12  # times the idle cores that the limit gains a second while work waits
-SURVIVE = 0.75  # the part of the deadly crowd, memory or calls that is ever used
-HOLD = 0.3  # held tickets a core that callers are let to bring
+SURVIVE, HOLD = 0.75, 0.3  # part of the deadly crowd, memory or calls used; held tickets a core let come
 JAM_OVER, JAM_UNDER = 0.6, 0.3  # unread time, in the time tickets come with: leave the list, come back
 STALL = 6  # usual times between two moves of runs, without one, from which work is taken for hung
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
@@ -28,7 +27,7 @@
 CALL_CROWDED = 2.5  # a call's latency against its usual one from which what lies below is crowded
 SPREAD = 0.5  # part of arrivals dismissed of late, from which no other backend is named
 RETURNING = 0.5  # part of tickets whose caller was here lately, under which idle connections are closed early
-CALL_TRIES, CALL_PATIENCE = 3, 20  # tries of a call, and its bound in recent median latencies
+CALL_TRIES, CALL_PATIENCE, CALL_LEAST = 3, 20, 8  # tries of a call; its bound in recent medians: most, least
 
 NEW, HELD, RUNNING, ASKING, CALLING, PAUSED, SHARING, OVER = range(8)
 
@@ -294,8 +293,7 @@
         self.errors += 0.1 * ((0.0 if good else 1.0) - self.errors)
         if not good:
             return
-        k = t.kind
-        runs, own, span = self.runs[k], took - t.below, self.span[k]
+        k, runs, own, span = t.kind, self.runs[t.kind], took - t.below, self.span[t.kind]
         runs.append(took)
         if len(runs) >= ENOUGH:
             ranked = sorted(runs)
@@ -447,7 +445,9 @@
                     break
                 span = min(max(bound, WAKE_EVERY), t.due - now)
                 if f.calls_share:
-                    late = CALL_PATIENCE * sorted(self.calls)[len(self.calls) // 2]  # few lost move it not
+                    usual = sorted(self.calls)[len(self.calls) // 2]  # a few lost ones don't move it
+                    part = bound / 2 if t.type.repeat is Repeat.REDOABLE else bound  # for another try
+                    late = min(CALL_PATIENCE * usual, max(CALL_LEAST * usual, part))
                     span = round(min(span, spare, max(WAKE_EVERY, late)))
                 t.tries += 1
                 t.asked, t.call_until = now, now + span
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -130,13 +130,13 @@
 
 
 def test_calls_that_are_never_answered_do_not_lengthen_the_bound_of_others() -> None:
-    def bound(lost: int, took: int) -> int:
+    def bound(lost: int, took: int, kind: int = 1) -> int:
         """With every so many calls lost, and the others so long."""
         world = World(1, shares=(), memory_kb=1e6)
         for n in range(60):
             gone = lost and n % lost == 0
             world.manager.learn_call(600 * MS if gone else took, Outcome.UNSURE if gone else Outcome.GOOD)
-        op_id = world.arrive(1, 0.9)
+        op_id = world.arrive(kind, 0.9)
         world.turn(IDLE)
         world.needs_call(op_id)
         world.turn(IDLE)
@@ -144,6 +144,9 @@
 
     assert bound(0, 3 * MS) == bound(5, 3 * MS) == 60 * MS
     assert bound(0, 30 * MS) == 600 * MS  # where all are slow it follows
+    assert (
+        bound(0, 90 * MS, 0) == 1000 * MS < bound(0, 90 * MS)
+    )  # one that may be made again leaves time for it
 
 
 def test_a_line_before_calls_keeps_no_caller_away_while_cores_have_room() -> None:
