Take a whole reply whatever surrounds it, and refuse made-up times

Cause: a 1xx before a reply from below, or a copy or noise behind a good one, made the call count as broken (reply.on_message_complete), and a spoilt reply as unsure, though it has run and nothing lingers. A ticket with a time far from now went into the module's view of unread age and of patience (take_in.place).

A 1xx is skipped, a whole reply counts and only its connection goes, what is no reply is a failed call. Times more than four outer limits from now, and longer patience, are a 400.

--- a/crowwing/protocol/reply.py
+++ b/crowwing/protocol/reply.py
@@ -31,7 +31,9 @@
         try:
             self.parser.feed_data(view)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as wrong:
-            raise ValueError(f"no reply: {wrong}") from None
+            if self.reply is None:
+                raise ValueError(f"no reply: {wrong}") from None
+            self.reusable = False  # it was whole before the noise began
         return self.reply
 
     def end(self) -> Reply | None:
@@ -42,6 +44,12 @@
 
     # httptools calls these
 
+    def on_message_begin(self) -> None:
+        self.reusable = False  # a second one behind a whole reply
+        if self.reply is None:
+            self.turned_away = self.framed = self.whole_head = False
+            self.body.clear()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
         if name == b"turned-away":
@@ -50,13 +58,13 @@
             self.framed = True
 
     def on_headers_complete(self) -> None:
-        self.whole_head = True
+        self.whole_head = self.parser.get_status_code() >= 200
 
     def on_body(self, part: bytes) -> None:
         self.body += part
 
     def on_message_complete(self) -> None:
         if self.reply is not None or self.parser.get_status_code() < 200:
-            raise ValueError("more than the one reply")
+            return  # a copy behind the reply, or a word before it
         self.reusable = self.framed and self.parser.should_keep_alive()
         self.reply = Reply(self.parser.get_status_code(), self.turned_away, bytes(self.body))
--- a/crowwing/routing/call.py
+++ b/crowwing/routing/call.py
@@ -8,7 +8,7 @@
 from crowwing.protocol.reply import ReplyReader
 from crowwing.routing.book import Book
 from crowwing.routing.slip import Slip
-from crowwing.transport.exchange import Broken, Exchanges, NeverSent
+from crowwing.transport.exchange import Broken, Exchanges, NeverSent, Spoilt
 from crowwing.transport.pool import BufferPool
 
 IDLE = 0.8 * below.IDLE_CLOSED  # seconds: ours are dropped before the back end drops them
@@ -47,6 +47,8 @@
             outcome, body = below.outcome(reply), reply.body
         except NeverSent:
             outcome = Outcome.NEVER_RAN
+        except Spoilt:
+            outcome = Outcome.FAILED  # it has run and is over; nothing of it lingers
         except Broken:
             outcome = Outcome.UNSURE
         slip.call = None
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -62,7 +62,7 @@
         self.ran: dict[str, int] = {}  # irreversible tickets that ran -> their outer limit, which empties it
         self.clock = 0
         self.due = False  # a turn is on its way
-        self.take_in, self.relay = TakeIn(names), Relay(book)
+        self.take_in, self.relay = TakeIn(names, facts), Relay(book)
         patience = min(kind.expected_time for kind in facts.types) / 1e6
         self.send = Send(loop, farm, pool, book, self._notice, patience)
         self.call = Call(loop, below, pool, calls_most, book, self._reply)
@@ -96,7 +96,7 @@
 
     def arrive(self, arrival: Arrival, caller: Caller) -> Slip | None:
         """Raises NoTicket for what is none; None where it was answered on the spot."""
-        kind, team = self.take_in.place(arrival)
+        kind, team = self.take_in.place(arrival, self.now())
         known = self.slips.get(arrival.id)
         if self.manager is None:
             caller.dismissed(0, False)  # nothing can run before the farm agent is up
--- a/crowwing/routing/take_in.py
+++ b/crowwing/routing/take_in.py
@@ -1,26 +1,34 @@
 """Take in: what came becomes a ticket of a known traffic type and customer, or is turned down by name."""
 
-from crowwing.contract import Names
+from crowwing.contract import Names, Premises
 from crowwing.protocol.arrival import Arrival
 
+FAR = 4  # outer limits of its traffic type that a ticket's times may lie from now
+
 
 class NoTicket(ValueError):
     """What came names something that is not served here."""
 
 
 class TakeIn:
-    def __init__(self, names: Names) -> None:
+    def __init__(self, names: Names, facts: Premises) -> None:
+        self.limits = [kind.outer_limit for kind in facts.types]
         self.types = {name: n for n, name in enumerate(names.types)}
         self.customers = {name: n for n, name in enumerate(names.customers)}
         self.tells_patience = names.tells_patience
 
-    def place(self, arrival: Arrival) -> tuple[int, int]:
+    def place(self, arrival: Arrival, now: int) -> tuple[int, int]:
         """The places of its traffic type and its customer."""
         kind = self.types.get(arrival.type)
         if kind is None:
             raise NoTicket("unknown traffic type")
         if self.tells_patience and not arrival.due:
             raise NoTicket("it does not say how long its caller waits")
+        # Guards against made-up times, which the module would take for a reading jam or for endless patience.
+        # Could do harm after a pause of the machine of several outer limits: nobody waits for those any more.
+        far = FAR * self.limits[kind]
+        if abs(now - arrival.arrived) > far or arrival.due - arrival.arrived > far:
+            raise NoTicket("times far from now")
         if not self.customers:
             return kind, 0
         team = self.customers.get(arrival.customer)
--- a/crowwing/transport/exchange.py
+++ b/crowwing/transport/exchange.py
@@ -26,6 +26,10 @@
     """The exchange broke off; the far side may have seen it."""
 
 
+class Spoilt(Broken):
+    """What came back is no reply: the far side has seen it, and is done with it."""
+
+
 class Exchanges:
     """Connections to one address; an idle one is closed after `idle` seconds at most, half of it at least."""
 
@@ -70,8 +74,10 @@
             if sock is None:
                 raise NeverSent("no connection in time") from None
             raise Broken("no reply in time") from None
-        except (OSError, ValueError) as wrong:
+        except OSError as wrong:
             raise Broken(str(wrong) or type(wrong).__name__) from None
+        except ValueError as wrong:
+            raise Spoilt(str(wrong)) from None
         finally:
             if sock is not None:
                 self._put(sock) if reusable and address == self.address else self._close(sock)
@@ -85,7 +91,7 @@
                 size = await self.loop.sock_recv_into(sock, buffer)
                 reply = reader.feed(view[:size]) if size else reader.end()
                 if reply is None and not size:
-                    raise ValueError("ended before a whole reply")
+                    raise ConnectionError("ended before a whole reply")
         return reply, reader.reusable and size > 0
 
     async def _connect(self) -> socket.socket:
