--- a/crowwing/cli/emulate.py
+++ b/crowwing/cli/emulate.py
@@ -118,7 +118,7 @@
             failed(f"an address is taken: {wrong}")
         except stage.NotPlayed as wrong:
             failed(wrong)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, KeyboardInterrupt):
             failed("ended before its time; every process it started has ended")
     result = outcome.of(plan, truth, played.too_busy(), str(folder))
     (folder / "result.json").write_bytes(orjson.dumps(result, option=orjson.OPT_INDENT_2))
