See retry storms from prints, spent patience and what follows our own dismissals

Need: unmarked repeats look like traffic; a backend has to see a storm from what reaches it alone, and tell it from honest growth, a neighbour's death and equal tickets.

Change: crowwing/storm (fixed-memory windows of prints, and a pure sight with three kinds of evidence and hysteresis), a lookout in routing that feeds it, a storm section in the operator file (off by default), storm and storm_over events and figures; take() has again, by which the module ranks a likely repeat as a ticket beyond its customer's share, 3 lines.

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -143,11 +143,13 @@
 
     # fmt: off
     def take(self, now: int, op_id: Id, kind: int, team: int, rank: float, kb: float, arrived: int, due: int,
-             by: int, repeats: Id, key: Id, write: bool) -> Ticket:
+             by: int, repeats: Id, key: Id, write: bool, again: bool = False) -> Ticket:
         # fmt: on
-        """A ticket has been read; `due` is 0 where its caller's patience is not told."""
+        """A ticket has been read; `due` is 0 where its caller's patience is not told. `again`: what is likely
+        a repeat in a storm, though nothing marks it; its rank counts as one beyond its customer's share."""
         t = Ticket(self, op_id, kind, kb)
-        t.team, t.rank, t.arrived, t.repeats, t.key, t.write = team, rank, arrived, repeats, key, write
+        t.rank = rank * (self.facts.over_share_credit if again else 1.0)
+        t.team, t.arrived, t.repeats, t.key, t.write = team, arrived, repeats, key, write
         t.due = max(now, due or arrived + t.type.outer_limit)
         t.aim = min(t.due, arrived + t.type.expected_time)
         self.span[kind] += round(0.05 * (t.aim - arrived - self.span[kind]))
--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -6,6 +6,7 @@
 import traceback
 from collections import Counter
 from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING
 
 from crowwing.program.configuration import BadConfiguration, Posting
 from crowwing.program.front import Front
@@ -17,6 +18,10 @@
 from crowwing.transport.listener import Listener
 from crowwing.transport.pool import BufferPool
 
+if TYPE_CHECKING:
+    from crowwing.routing.lookout import Lookout
+    from crowwing.settings.operator import Operator, Storm
+
 FIGURES = 5.0  # seconds between lines of figures
 READ_AGAIN = 0.25  # seconds to the next reading of a configuration that could not be read
 LAST_CALL, LAST_WORDS = 0.12, 0.03  # seconds before the end: takes no more connections; has gone
@@ -31,10 +36,11 @@
         posting: Posting,
         log: Log,
         read: Callable[[], Posting],
-        figures_every: float = FIGURES,
+        operator: "Operator | None" = None,
     ) -> None:
         self.loop, self.posting, self.log, self.read = loop, posting, log, read
-        self.figures_every = figures_every
+        records = operator.records if operator else None
+        self.figures_every = records.figures_every_ms / 1000 if records else FIGURES
         self.unread: tuple[str, asyncio.TimerHandle] | None = None  # why, and the next try
         facts = posting.facts
         self.book, self.pool = Book(log.write), BufferPool()
@@ -48,10 +54,19 @@
             loop, facts, posting.names, posting.seed, posting.agent, posting.below, budget.below, self.pool,
             self.book, self,
         )  # fmt: skip
+        if operator is not None and operator.storm is not None:
+            self.desk.lookout = self._lookout(operator.storm)
         self.over = asyncio.Event()
         self.lag = 0.0
         self.duties: list[asyncio.Task] = []
 
+    def _lookout(self, storm: "Storm") -> "Lookout":
+        from crowwing.routing.lookout import Lookout  # its libraries only where it is switched on
+
+        types, span = len(self.posting.facts.types), round(storm.window_s * 1e6)
+        lowers = storm.lowers_repeats
+        return Lookout(self.desk.now, self.book, types, storm.prints, span, storm.prints_most, lowers)
+
     # What the module sets
 
     def ready(self, good: bool) -> None:
@@ -175,6 +190,12 @@
                 "call_ms": round(manager.call_late / 1000, 1),
                 "call_usual_ms": round(manager.call_usual / 1000, 1),
             }  # fmt: skip
+        if self.desk.lookout is not None:
+            view = self.desk.lookout.look()
+            running |= {
+                "repeats": round(view.repeats, 3), "tries": round(view.tries, 2), "storm": view.storm,
+                "sure": round(view.sure, 2),
+            }  # fmt: skip
         self.lag = 0.0
         if self.front.turned_down:
             running["turned_down"], self.front.turned_down = dict(self.front.turned_down), Counter()
--- a/crowwing/program/main.py
+++ b/crowwing/program/main.py
@@ -7,26 +7,30 @@
 from collections.abc import Mapping
 from functools import partial
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import uvloop
 
-from crowwing.program.backend import FIGURES, Backend
+from crowwing.program.backend import Backend
 from crowwing.program.configuration import BadConfiguration, read
 from crowwing.program.log import Log
 
+if TYPE_CHECKING:
+    from crowwing.settings.operator import Operator
 
-def _figures_every(environment: Mapping[str, str]) -> float:
-    """Seconds, as the operator file says; without one nothing of it is loaded."""
+
+def _operator(environment: Mapping[str, str]) -> "Operator | None":
+    """The operator file; without one nothing of it is loaded."""
     path = environment.get("CROWWING_OPERATOR")
     if not path:
-        return FIGURES
-    from crowwing.settings.operator import BadOperator, read
+        return None
+    from crowwing.settings.operator import BadOperator
+    from crowwing.settings.operator import read as read_operator
 
     try:
-        told = read(Path(path))
+        return read_operator(Path(path))
     except BadOperator as wrong:
         raise BadConfiguration(str(wrong).splitlines()[0]) from None
-    return told.records.figures_every_ms / 1000 if told.records else FIGURES
 
 
 async def _serve(backend_of: object) -> None:
@@ -39,14 +43,14 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         posting = read(os.environ)
-        figures_every = _figures_every(os.environ)
+        operator = _operator(os.environ)
     except BadConfiguration as wrong:
         print(f"crowwing: {wrong}", file=sys.stderr)
         return 2
     log = Log(posting.name)
     try:
         again = partial(read, os.environ)
-        uvloop.run(_serve(lambda loop: Backend(loop, posting, log, again, figures_every)))
+        uvloop.run(_serve(lambda loop: Backend(loop, posting, log, again, operator)))
     except OSError as wrong:
         print(f"crowwing: {posting.listen[0]}:{posting.listen[1]}: {wrong.strerror}", file=sys.stderr)
         return 1
--- a/crowwing/records/events.py
+++ b/crowwing/records/events.py
@@ -21,5 +21,7 @@
     "stray_defect": "a fault in the program, at none",
     "leaving": "the notice to drain came",
     "stopped": "it has drained",
+    "storm": "a retry storm is seen",
+    "storm_over": "it is seen no more",
     "figures": "figures of the module and the wires",
 }
--- a/crowwing/routing/admit.py
+++ b/crowwing/routing/admit.py
@@ -5,9 +5,23 @@
 from crowwing.routing.slip import Slip
 
 
-def admit(manager: LoadManager, now: int, slip: Slip, arrival: Arrival, kind: int, team: int) -> None:
+def admit(
+    manager: LoadManager, now: int, slip: Slip, arrival: Arrival, kind: int, team: int, again: bool
+) -> None:
     # A stamp ahead of our clock counts as now: the machine's clock may have stepped between the two readings.
     arrived = min(now, arrival.arrived)
     slip.handle = manager.take(
-        now, slip.id, kind, team, arrival.rank, arrival.kb, arrived, arrival.due, arrival.sidecar, 0, 0, False
+        now,
+        slip.id,
+        kind,
+        team,
+        arrival.rank,
+        arrival.kb,
+        arrived,
+        arrival.due,
+        arrival.sidecar,
+        0,
+        0,
+        False,
+        again,
     )
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -9,7 +9,7 @@
 import random
 import time
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from crowwing.contract import Names, Outcome, Premises, Repeat, Step
 from crowwing.logic import NEW, LoadManager
@@ -27,6 +27,9 @@
 from crowwing.routing.wake import Wake
 from crowwing.transport.pool import BufferPool
 
+if TYPE_CHECKING:
+    from crowwing.routing.lookout import Lookout
+
 AGAIN = 0.02  # seconds to the next turn after one that failed
 ENDS = {"OK": Outcome.GOOD, "ERROR": Outcome.FAILED, "STOPPED": Outcome.STOPPED, "MOOT": Outcome.NEVER_RAN}
 
@@ -60,9 +63,10 @@
         self.slips: dict[str, Slip] = {}  # open tickets by id; emptied as the module closes them
         self.news: list[tuple[Callable, Slip | None, tuple]] = []  # emptied by each turn
         self.ran: dict[str, int] = {}  # irreversible tickets that ran -> their outer limit, which empties it
+        self.lookout: Lookout | None = None  # where the operator wants storms seen
         self.clock = 0
         self.due = False  # a turn is on its way
-        self.take_in, self.relay = TakeIn(names, facts), Relay(book)
+        self.take_in, self.relay = TakeIn(names, facts), Relay(book, self._answered)
         patience = min(kind.expected_time for kind in facts.types) / 1e6
         self.send = Send(loop, farm, pool, book, self._notice, patience)
         self.call = Call(loop, below, pool, calls_most, book, self._reply)
@@ -145,6 +149,11 @@
     def _reply(self, slip: Slip, took: int, outcome: Outcome, body: bytes) -> None:
         self._hear(self._called, slip, took, outcome, body)
 
+    def _answered(self, slip: Slip, good: bool) -> None:
+        """A final answer went out."""
+        if self.lookout is not None:
+            self.lookout.ended(slip.likeness, good)
+
     # The turn
 
     def _hear(self, what: Callable, slip: Slip | None, *given: object) -> None:
@@ -222,7 +231,10 @@
         """No news, but a turn."""
 
     def _admit(self, now: int, slip: Slip, arrival: Arrival, kind: int, team: int) -> None:
-        admit(self.manager, now, slip, arrival, kind, team)
+        again = False
+        if self.lookout is not None:
+            slip.likeness, again = self.lookout.arrived(arrival, kind)
+        admit(self.manager, now, slip, arrival, kind, team, again)
 
     def _gone(self, now: int, slip: Slip, caller: Caller) -> list | None:
         if caller in slip.callers:
--- /dev/null
+++ b/crowwing/routing/lookout.py
@@ -0,0 +1,54 @@
+"""Lookout: shows the sight of storms each arrival and each final answer.
+
+And says what of it the module is told.
+
+Only where the operator file has a `storm` section; without one nothing here is loaded.
+"""
+
+from collections.abc import Callable, Sequence
+
+from crowwing.protocol.arrival import Arrival
+from crowwing.routing.book import Book
+from crowwing.storm import fingerprint
+from crowwing.storm.sight import Sight, View
+
+EVERY = 100_000  # microseconds between looks at the rates, at the most by the module's wakes
+LIKELY = 0.5  # from which an arrival counts as a repeat
+
+
+class Lookout:
+    def __init__(
+        self, now: Callable[[], int], book: Book, types: int, fields: Sequence[str], span: int, most: int,
+        lowers: bool,
+    ) -> None:  # fmt: skip
+        """`span` in microseconds and `most` prints: of the sight's windows; `lowers`: the module is told."""
+        self.now, self.book, self.fields, self.lowers = now, book, fields, lowers
+        self.sight = Sight(now(), types, span, most)
+        self.last = now()
+
+    def arrived(self, arrival: Arrival, kind: int) -> tuple[int, bool]:
+        """The print, and whether the module is to take it for a repeat: only in a storm, and if told to."""
+        now, print_ = self.now(), fingerprint.of(arrival, self.fields)
+        left = arrival.due - arrival.arrived if arrival.due else 0
+        likely = self.sight.arrived(now, kind, print_, left) >= LIKELY
+        if likely:
+            self.book.count("likely_repeats")
+        view = self.look()
+        return print_, likely and view.storm and self.lowers
+
+    def ended(self, print_: int, good: bool) -> None:
+        self.sight.ended(self.now(), print_, good)
+
+    def look(self) -> View:
+        """What is seen now; a storm's begin and end are events."""
+        now, before = self.now(), self.sight.view
+        if now - self.last < EVERY:
+            return before
+        self.last = now
+        view = self.sight.step(now)
+        if view.storm != before.storm:
+            what = "storm" if view.storm else "storm_over"
+            self.book.event(
+                what, tries=round(view.tries, 2), repeats=round(view.repeats, 3), sure=round(view.sure, 2)
+            )
+        return view
--- a/crowwing/routing/relay.py
+++ b/crowwing/routing/relay.py
@@ -8,8 +8,8 @@
 
 
 class Relay:
-    def __init__(self, book: Book) -> None:
-        self.book = book
+    def __init__(self, book: Book, answered: Callable[[Slip, bool], None]) -> None:
+        self.book, self.answered = book, answered
 
     def settle(self, slip: Slip, result: bytes) -> None:
         self._tell(slip, "settled", lambda caller: caller.settled(result))
@@ -29,6 +29,7 @@
             return
         slip.answered, slip.body = True, b""
         self.book.count(answer)
+        self.answered(slip, answer == "settled")
         callers, slip.callers = slip.callers, []
         for caller in callers:
             try:
--- a/crowwing/routing/slip.py
+++ b/crowwing/routing/slip.py
@@ -38,6 +38,7 @@
         "asks",
         "wanted",
         "call",
+        "likeness",
     )
 
     def __init__(self, arrival: Arrival, caller: Caller) -> None:
@@ -50,6 +51,7 @@
         self.runs = self.frozen = self.asks = 0  # launches so far, the last told to stop, and calls wanted
         self.wanted: bytes | None = None  # the body of the call the run waits for
         self.call: asyncio.Task | None = None
+        self.likeness = 0  # what a repeat of it would share, where storms are watched for
 
     def same(self, arrival: Arrival) -> bool:
         """Whether the same try has come again."""
--- a/crowwing/settings/operator.py
+++ b/crowwing/settings/operator.py
@@ -27,11 +27,30 @@
     ] = 5000
 
 
+class Storm(Section):
+    """The sight of retry storms (docs/storm.md)."""
+
+    prints: Annotated[
+        tuple[Literal["type", "customer", "body", "kb", "rank"], ...],
+        Meta(min_length=1, description="What of a ticket stays the same in a repeat."),
+    ] = ("type", "customer", "body", "kb", "rank")
+    window_s: Annotated[
+        float, Meta(ge=1, le=120, description="How long a ticket that was turned away is remembered.")
+    ] = 10.0
+    prints_most: Annotated[
+        int, Meta(ge=100, le=1_000_000, description="Prints in each of two windows; 5 to 9 bytes a print.")
+    ] = 4000
+    lowers_repeats: Annotated[
+        bool, Meta(description="In a storm, likely repeats rank as tickets beyond their customer's share.")
+    ] = False
+
+
 class Operator(Section):
     """Everything that an operator can switch on."""
 
     version: Annotated[Literal[1], Meta(description="Of this form of the file.")] = 1
     records: Records | None = None
+    storm: Storm | None = None
 
 
 def schema() -> bytes:
--- /dev/null
+++ b/crowwing/storm/__init__.py
@@ -0,0 +1,1 @@
+"""Retry storms as one backend can see them, from what reaches it alone."""
--- a/tests/test_emulate.py
+++ b/tests/test_emulate.py
@@ -181,7 +181,14 @@
     sources = [*(ROOT / "crowwing" / "program").glob("*.py"), *(ROOT / "crowwing" / "routing").glob("*.py")]
     text = "\n".join(path.read_text() for path in sources)
     named = set(re.findall(r'(?:\.event|\.write)\(\s*"(\w+)"', text))
-    named |= {"ready", "unready", "control_lost", "control_back"}  # said by a choice in one call
+    named |= {
+        "ready",
+        "unready",
+        "control_lost",
+        "control_back",
+        "storm",
+        "storm_over",
+    }  # said by a choice in one call
     page = (ROOT / "docs" / "oncall.md").read_text().partition("| event |")[2].partition("\n\n")[0]
     rows = {name for row in page.splitlines()[2:] for name in re.findall(r"`(\w+)`", row.split("|")[1])}
     assert named == set(EVENTS) == rows
