--- a/crowwing/storm/sight.py
+++ b/crowwing/storm/sight.py
@@ -161,9 +161,9 @@
     def _move_base(self, span: float, noise: float) -> None:
         """The level of first tries. While few end badly it follows arrivals, at once after a jump.
 
-        At the onset of bad endings it is taken from the last half second itself: the smoothed rate is still on
-        its way, and what it has yet to rise would pass for repeats. From then on it stays, since repeats can be
-        no more than the bad endings before: that bounds it from below, and arrivals from above.
+        At the onset of bad endings it is taken from the last half second itself: the smoothed rate is still
+        on its way, and what it has yet to rise would pass for repeats. From then on it stays, since repeats
+        can be no more than the bad endings before: that bounds it from below, and arrivals from above.
         """
         steps = list(self.recent)[-3:]
         bad, came = sum(step[2] for step in steps), sum(step[1] for step in steps)
