--- a/crowwing/emulator/rules.py
+++ b/crowwing/emulator/rules.py
@@ -43,7 +43,7 @@
         return [
             Breach(1, one.over, one.backend, one.id, "an answer or a launch that is not the ticket's own")
         ]
-    last = one.due + SLACK
+    last = max(one.due, one.written) + SLACK  # a long reading line may bring it when its time has passed
     if one.ending in ("settled", "dismissed", "forfeited"):
         late = one.over > last
         return [Breach(1, one.over, one.backend, one.id, "answered after its outer limit")] if late else []
--- a/crowwing/storm/sight.py
+++ b/crowwing/storm/sight.py
@@ -35,7 +35,9 @@
 STORM_TRIES, OVER_TRIES = 1.35, 1.15  # tries a ticket from which a storm is on, under which it is over
 STORM_BAD, OVER_BAD = 0.1, 0.05  # bad endings an arrival, likewise
 ON_AFTER, OFF_AFTER = 1_000_000, 2_000_000  # microseconds for which that has to hold
-FLOOR_PART = 0.01  # of calm arrivals that have less patience than the floor
+FADE, NEAR, SPENT = 0.99999, 0.996, 0.99  # of the most patience: a ticket; what is there; what is worn
+SHARP = 0.1  # part of arrivals at the most from which patience is a matter of the type
+WORN_CALM = 0.01  # part of arrivals that look worn while all is calm, before it is learned
 
 
 class View(NamedTuple):
@@ -49,28 +51,21 @@
 
 @dataclass(slots=True)
 class Patience:
-    """What arrivals of one type bring of their caller's patience while all is calm, as parts of its most."""
+    """What arrivals of one type bring of their caller's patience.
+
+    First tries come with the most there is. Where a good part of arrivals stands right at that most, patience
+    is a matter of the type, and what has less has spent some; where honest patience is spread, none is worn.
+    """
 
     most: float = 0.0
-    middle: float = 1.0
-    floor: float = 1.0
+    at_most: float = 0.0  # part of arrivals that stand there
     seen: int = 0
 
-    def learn(self, left: float) -> None:
-        """The middle and a low quantile, each moved by steps that balance where it belongs."""
-        self.most = max(self.most * 0.9999, left)
-        part = left / self.most
-        step = 0.02 if self.seen < 200 else 0.002
-        self.seen += 1
-        self.middle += step * (0.5 - (part < self.middle))
-        self.floor += 4 * step * (FLOOR_PART - (part < self.floor))
-        self.floor = min(self.floor, self.middle)
-
     def worn(self, left: float) -> bool:
-        """As far under the floor as the floor is under the middle: wide honest spreads flag nobody."""
-        if self.seen < 100:
-            return False
-        return left / self.most < self.floor - max(0.004, self.middle - self.floor)
+        self.seen += 1
+        self.most = max(self.most * FADE, left)
+        self.at_most += ((left >= NEAR * self.most) - self.at_most) / min(200, self.seen)
+        return self.seen > 50 and self.at_most > SHARP and left < SPENT * self.most
 
 
 class Sight:
@@ -84,6 +79,7 @@
         self.now = self.stepped = now
         self.equal = 1e-6  # chance that an arrival equals one given print in the settled window
         self.matched = self.worn = 0.0  # part of arrivals of late
+        self.worn_calm = WORN_CALM
         self.came = self.bad = self.good = 0  # since the last step
         self.rate = self.bad_rate = self.lagged = self.good_rate = self.base = 0.0  # a second
         self.age = 0.0  # seconds of steps so far
@@ -107,18 +103,16 @@
         there = max(1.0, min(self.good_rate * self.span / 1e6, self.settled.mask * 3.0))
         self.equal += (popular / there - self.equal) / MATCH_OVER
         self.matched += (again - self.matched) / MATCH_OVER
-        worn, patience = False, self.patience[kind]
-        if left:
-            worn = patience.worn(left)
-            if self.bad_rate < CALM * self.rate or not patience.seen:
-                patience.learn(left)
+        worn = left > 0 and self.patience[kind].worn(left)
+        if self.bad_rate < CALM * self.rate:
+            self.worn_calm += (worn - self.worn_calm) / MATCH_OVER
         self.worn += (worn - self.worn) / MATCH_OVER
         likely = 0.0
         if again and not popular:
             turned = min(self.bad_rate * self.span / 1e6, self.turned.mask * 3.0)
             likely = 1 - min(1.0, self.equal * turned / max(self.matched, 1 / MATCH_OVER))
         if worn:
-            likely = max(likely, 1 - min(1.0, FLOOR_PART / max(self.worn, 1 / MATCH_OVER)))
+            likely = max(likely, 1 - min(1.0, self.worn_calm / max(self.worn, 1 / MATCH_OVER)))
         return likely
 
     def ended(self, now: int, print_: int, good: bool) -> None:
@@ -150,7 +144,7 @@
         self._move_base(span, noise)
         excess = min(max(0.0, self.rate - self.base), self.lagged)
         sure = excess / (excess + 2 * noise)
-        direct = min(0.9, self.matched + self.worn)
+        direct = min(0.9, self.matched + max(0.0, self.worn - self.worn_calm))
         unseen = excess / max(1.0, self.rate)
         repeats = max(direct, unseen)
         tries = 1 / (1 - min(0.95, repeats))
