Pace the returns of dismissed callers on a wheel; read the operator file in a process of its own

Need: callers that are told the same time to stay away come back in step; a backend with an operator file kept msgspec's 6.3 MB.

Change: storm/returns.py hands each caller one place on a wheel over the longest advice, by room, with seeded jitter, never past its ticket's due time; paces_returns and retry_after (RFC 9110) in the storm section, all off by default. The file is checked by a child process at start.

--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import random
 import signal
 import traceback
 from collections import Counter
@@ -62,10 +63,16 @@
 
     def _lookout(self, storm: "Storm") -> "Lookout":
         from crowwing.routing.lookout import Lookout  # its libraries only where it is switched on
-
-        types, span = len(self.posting.facts.types), round(storm.window_s * 1e6)
-        lowers = storm.lowers_repeats
-        return Lookout(self.desk.now, self.book, types, storm.prints, span, storm.prints_most, lowers)
+        from crowwing.storm.returns import Returns
+
+        facts, span = self.posting.facts, round(storm.window_s * 1e6)
+        now, types, most = self.desk.now, len(facts.types), storm.prints_most
+        lookout = Lookout(now, self.book, types, storm.prints, span, most, storm.lowers_repeats)
+        if storm.paces_returns:
+            chance = random.Random(f"{self.posting.seed}/returns")
+            lookout.returns = Returns(now(), facts.stay_away_most, chance)
+        self.front.retry_after = storm.retry_after
+        return lookout
 
     # What the module sets
 
--- a/crowwing/program/front.py
+++ b/crowwing/program/front.py
@@ -22,6 +22,7 @@
         self.loop, self.book, self.deep_checks, self.bound = loop, book, deep_checks, bound
         self.desk: Desk
         self.free_value: float | None = None
+        self.retry_after = False  # advice also goes out in this standard field
         self.good = False  # until the module says so
         self.draining = False
         self.turned_down: Counter[str] = Counter()  # by reason; emptied by each line of figures
@@ -114,7 +115,8 @@
         self._send(sidecar.settled(result, self.front.free_value, self._closes()))
 
     def dismissed(self, away: int, nowhere_else: bool) -> None:
-        self._send(sidecar.dismissed(away, nowhere_else, self.front.free_value, self._closes()))
+        standard = self.front.retry_after
+        self._send(sidecar.dismissed(away, nowhere_else, self.front.free_value, self._closes(), standard))
 
     def forfeited(self) -> None:
         self._send(sidecar.forfeited(self.front.free_value, self._closes()))
--- a/crowwing/program/main.py
+++ b/crowwing/program/main.py
@@ -1,13 +1,14 @@
 """Starts one backend; one plain line and a non-zero exit where it cannot."""
 
 import asyncio
+import json
 import os
 import signal
+import subprocess
 import sys
 from collections.abc import Mapping
 from functools import partial
-from pathlib import Path
-from typing import TYPE_CHECKING
+from types import SimpleNamespace
 
 import uvloop
 
@@ -15,22 +16,18 @@
 from crowwing.program.configuration import BadConfiguration, read
 from crowwing.program.log import Log
 
-if TYPE_CHECKING:
-    from crowwing.settings.operator import Operator
 
-
-def _operator(environment: Mapping[str, str]) -> "Operator | None":
-    """The operator file; without one nothing of it is loaded."""
+def _operator(environment: Mapping[str, str]) -> SimpleNamespace | None:
+    """The operator file, checked by a process of its own: what checks it would stay in this one's memory."""
     path = environment.get("CROWWING_OPERATOR")
     if not path:
         return None
-    from crowwing.settings.operator import BadOperator
-    from crowwing.settings.operator import read as read_operator
-
-    try:
-        return read_operator(Path(path))
-    except BadOperator as wrong:
-        raise BadConfiguration(str(wrong).splitlines()[0]) from None
+    words = [sys.executable, "-m", "crowwing.settings.plain", path]
+    checked = subprocess.run(words, capture_output=True, text=True)
+    if checked.returncode:
+        lines = checked.stderr.splitlines() or ["could not be checked"]
+        raise BadConfiguration(lines[0])
+    return json.loads(checked.stdout, object_hook=lambda told: SimpleNamespace(**told))
 
 
 async def _serve(backend_of: object) -> None:
--- a/crowwing/protocol/sidecar.py
+++ b/crowwing/protocol/sidecar.py
@@ -174,12 +174,16 @@
     return _answer(200, _common(free_value, closes), result)
 
 
-def dismissed(away: int, nowhere_else: bool, free_value: float | None, closes: bool) -> bytes:
-    """`away` in microseconds: how long to stay away."""
+def dismissed(
+    away: int, nowhere_else: bool, free_value: float | None, closes: bool, retry_after: bool = False
+) -> bytes:
+    """`away` in microseconds: how long to stay away; `retry_after`: also in RFC 9110's field, seconds up."""
 
     def headers() -> Iterator[str]:
         if away > 0:
             yield f"X-Throttle-Ms: {max(1, away // 1000)}\r\n"
+            if retry_after:
+                yield f"Retry-After: {-(-away // 1_000_000)}\r\n"
         if nowhere_else:
             yield "X-Give-Up: 1\r\n"
         yield from _common(free_value, closes)
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -78,8 +78,8 @@
             Step.CALL: self.call.begin,
             Step.KEEP: lambda slip, span: None,  # no wire here shows repeats, so nothing is looked up
             Step.FORGET: lambda slip, span: None,
-            Step.DISMISS: self.relay.dismiss,
-            Step.DISMISS_ALL: self.relay.dismiss_all,
+            Step.DISMISS: lambda slip, away: self.relay.dismiss(slip, self._away(slip, away)),
+            Step.DISMISS_ALL: lambda slip, away: self.relay.dismiss_all(slip, self._away(slip, away)),
             Step.FORFEIT: self.relay.forfeit,
         }
         outward_steps: dict[Step, Callable] = {
@@ -149,6 +149,13 @@
     def _reply(self, slip: Slip, took: int, outcome: Outcome, body: bytes) -> None:
         self._hear(self._called, slip, took, outcome, body)
 
+    def _away(self, slip: Slip, away: float) -> float:
+        """What a dismissal tells its caller, which a storm may pace."""
+        if self.lookout is None:
+            return away
+        brings = self.manager.weights.get(slip.by, 1.0)
+        return self.lookout.away(slip.by, brings, round(away), slip.handle.due)
+
     def _answered(self, slip: Slip, good: bool) -> None:
         """A final answer went out."""
         if self.lookout is not None:
@@ -233,6 +240,7 @@
     def _admit(self, now: int, slip: Slip, arrival: Arrival, kind: int, team: int) -> None:
         again = False
         if self.lookout is not None:
+            slip.by = arrival.sidecar
             slip.likeness, again = self.lookout.arrived(arrival, kind)
         admit(self.manager, now, slip, arrival, kind, team, again)
 
--- a/crowwing/routing/lookout.py
+++ b/crowwing/routing/lookout.py
@@ -10,6 +10,7 @@
 from crowwing.protocol.arrival import Arrival
 from crowwing.routing.book import Book
 from crowwing.storm import fingerprint
+from crowwing.storm.returns import Returns
 from crowwing.storm.sight import Sight, View
 
 EVERY = 100_000  # microseconds between looks at the rates, at the most by the module's wakes
@@ -24,6 +25,7 @@
         """`span` in microseconds and `most` prints: of the sight's windows; `lowers`: the module is told."""
         self.now, self.book, self.fields, self.lowers = now, book, fields, lowers
         self.sight = Sight(now(), types, span, most)
+        self.returns: Returns | None = None  # where returns are paced
         self.last = now()
 
     def arrived(self, arrival: Arrival, kind: int) -> tuple[int, bool]:
@@ -39,6 +41,17 @@
     def ended(self, print_: int, good: bool) -> None:
         self.sight.ended(self.now(), print_, good)
 
+    def away(self, by: int, brings: float, least: int, due: int) -> int:
+        """For how long a caller that is dismissed is to stay away, where the module asks for `least`.
+
+        In a storm it gets a place of its own to come back, no later than its ticket's due time. What is
+        settled now is taken for the room that there is for all who return.
+        """
+        if self.returns is None or not least or not self.sight.view.storm:
+            return least
+        now = self.now()
+        return self.returns.advise(now, by, brings, least, due - now, self.sight.good_rate)
+
     def look(self) -> View:
         """What is seen now; a storm's begin and end are events."""
         now, before = self.now(), self.sight.view
--- a/crowwing/routing/slip.py
+++ b/crowwing/routing/slip.py
@@ -39,6 +39,7 @@
         "wanted",
         "call",
         "likeness",
+        "by",
     )
 
     def __init__(self, arrival: Arrival, caller: Caller) -> None:
@@ -51,7 +52,9 @@
         self.runs = self.frozen = self.asks = 0  # launches so far, the last told to stop, and calls wanted
         self.wanted: bytes | None = None  # the body of the call the run waits for
         self.call: asyncio.Task | None = None
-        self.likeness = 0  # what a repeat of it would share, where storms are watched for
+        self.likeness = self.by = (
+            0  # what a repeat would share, and who sent it, where storms are watched for
+        )
 
     def same(self, arrival: Arrival) -> bool:
         """Whether the same try has come again."""
--- a/crowwing/settings/operator.py
+++ b/crowwing/settings/operator.py
@@ -43,6 +43,12 @@
     lowers_repeats: Annotated[
         bool, Meta(description="In a storm, likely repeats rank as tickets beyond their customer's share.")
     ] = False
+    paces_returns: Annotated[
+        bool, Meta(description="In a storm, callers sent away get places to come back spread over time.")
+    ] = False
+    retry_after: Annotated[
+        bool, Meta(description="Advice to stay away also goes out as Retry-After, in whole seconds.")
+    ] = False
 
 
 class Operator(Section):
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -366,7 +366,10 @@
 class Town:
     """A backend with its farm agent, back end and control plane around it."""
 
-    def __init__(self, settings: dict = SETTINGS, sockets: int = 1024, stop: int = 3000) -> None:
+    def __init__(
+        self, settings: dict = SETTINGS, sockets: int = 1024, stop: int = 3000, operator: object = None
+    ) -> None:
+        self.operator = operator
         self.settings, self.sockets, self.stop = settings, sockets, stop * MS
         self.farm = FarmAgent()
         self.below = HttpStandIn(lambda head, body: reply(200, b"reply to " + body))
@@ -380,7 +383,9 @@
         nowhere = ("127.0.0.1", 0)
         self.posting = Posting("n1", *[nowhere] * 4, 7, self.stop, self.sockets, facts, names)
         await self.reopen()
-        self.backend = Backend(loop, self.posting, SimpleNamespace(write=self._write), lambda: self.posting)
+        self.backend = Backend(
+            loop, self.posting, SimpleNamespace(write=self._write), lambda: self.posting, self.operator
+        )
         self.life = loop.create_task(self.backend.run())
         await self.until(lambda: self.backend.desk.send.fenced or not self.farm.greet)
         await self.until(lambda: self.backend.listener.sock is not None)
