--- /dev/null
+++ b/benchmarks/storm.py
@@ -0,0 +1,138 @@
+"""Kills a fifth of ten emulated backends at several loads.
+
+Habits and settings; writes a table and a chart.
+
+    python -m benchmarks.storm --out docs/measurements/storm [--seeds 5] [--at-once 3] [--program
+off=../old]
+
+Each run is `crowwing emulate` in a process of its own. A run that was void (the emulator was late) is
+played once more, then left out and said.
+"""
+
+import argparse
+import json
+import statistics
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from itertools import product
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("svg")
+from matplotlib import pyplot  # noqa: E402
+
+KILL_AT, KILL_FOR, SECONDS = 12, 8, 50
+PLAN = {
+    "seconds": SECONDS, "backends": 10, "below": {"slots": 20},
+    "faults": [{"kind": "kill", "at_s": KILL_AT, "for_s": KILL_FOR, "part": 0.2}],
+}  # fmt: skip
+ON = {"storm": {"lowers_repeats": True, "paces_returns": True}}
+
+
+def play(folder: Path, load: float, habit: str, heed: float, on: bool, seed: int) -> dict | None:
+    """The result of one run; None where it was void twice."""
+    name = f"{load}-{habit}-{heed}-{'on' if on else 'off'}-{seed}"
+    plan, operator = folder / f"{name}.plan.json", folder / "on.json"
+    sidecars = {"count": 6, "tries_most": 6, "habit": habit, "heed": heed}
+    plan.write_text(json.dumps(PLAN | {"seed": seed, "traffic": {"load": load}, "sidecars": sidecars}))
+    operator.write_text(json.dumps(ON))
+    words = [sys.executable, "-m", "crowwing", "emulate", str(plan), "--out", str(folder / name), "--json"]
+    words += ["--operator", str(operator)] if on else []
+    for _ in range(2):
+        ended = subprocess.run(words, capture_output=True, text=True)
+        try:
+            result = json.loads(ended.stdout)
+        except ValueError:
+            print(f"{name}: {ended.stderr.strip()}", file=sys.stderr)
+            continue
+        if result["late_part"] is None:
+            return result
+    return None
+
+
+def spread(values: list[float], form: str) -> str:
+    """Mean and range."""
+    if not values:
+        return "-"
+    return f"{statistics.mean(values):{form}} ({min(values):{form}} to {max(values):{form}})"
+
+
+def row(results: list[dict | None]) -> list[str]:
+    good = [result for result in results if result]
+    phases = [{phase["name"]: phase for phase in result["phases"]} for result in good]
+    back = [result["recovery_s"] for result in good]
+    known = [value for value in back if value is not None]
+    return [
+        *(spread([p[name]["in_time"] for p in phases], ".3f") for name in ("before", "during", "after")),
+        spread([min(p["during"]["worst"], p["after"]["worst"]) for p in phases], ".3f"),
+        spread([phase["during"]["tries"] for phase in phases], ".2f"),
+        spread(known, ".0f") + (f", {len(back) - len(known)} not" if len(known) < len(back) else ""),
+        str(sum(len(result["breaches"]) for result in good)),
+        str(len(results) - len(good)),
+    ]  # fmt: skip
+
+
+def chart(path: Path, series: dict[str, list[dict | None]]) -> None:
+    """Credit in time by second, mean over seeds with their range."""
+    figure, axes = pyplot.subplots(figsize=(9, 4))
+    for name, results in series.items():
+        seconds = [result["seconds"] for result in results if result]
+        if not seconds:
+            continue
+        columns = list(zip(*seconds, strict=True))
+        at = range(len(columns))
+        axes.plot(at, [statistics.mean(column) for column in columns], label=name)
+        axes.fill_between(at, [min(c) for c in columns], [max(c) for c in columns], alpha=0.15)
+    axes.axvspan(KILL_AT, KILL_AT + KILL_FOR, color="grey", alpha=0.2)
+    axes.set(xlabel="second", ylabel="share of credit in time (emulated)", ylim=(0, 1.05))
+    axes.legend(fontsize=7, ncols=2)
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def main() -> None:
+    told = argparse.ArgumentParser()
+    told.add_argument("--out", type=Path, default=Path("docs/measurements/storm"))
+    told.add_argument("--seeds", type=int, default=5)
+    told.add_argument("--at-once", type=int, default=3)
+    told.add_argument("--loads", type=float, nargs="+", default=[0.8, 1.0, 1.2])
+    told.add_argument("--habits", nargs="+", default=["uncapped", "next", "capped"])
+    told.add_argument("--heed", type=float, default=0.8)
+    options = told.parse_args()
+    days = list(product(options.loads, options.habits, (False, True)))
+    print("# Retry storms, emulated\n")
+    print(
+        f"Made by `python -m benchmarks.storm` with {options.seeds} seeds: ten backends, two of them killed"
+    )
+    print(f"at {KILL_AT} s and back cold at {KILL_AT + KILL_FOR} s; six sidecars of up to six tries,")
+    print(f"{options.heed:.0%} heed advice; clients repeat once. Means, and the range over seeds.")
+    print("Worst: the least ten seconds.\n")
+    heads = "load, habit, damping, before, during, after, worst, tries during, back after s, broken, void"
+    print(f"| {heads.replace(', ', ' | ')} |")
+    print("| --- " * len(heads.split(", ")) + "|")
+    with tempfile.TemporaryDirectory() as kept, ThreadPoolExecutor(options.at_once) as pool:
+        runs = {
+            day: [
+                pool.submit(play, Path(kept), day[0], day[1], options.heed, day[2], seed)
+                for seed in range(1, options.seeds + 1)
+            ]
+            for day in days
+        }
+        found = {day: [run.result() for run in tries] for day, tries in runs.items()}
+    for (load, habit, on), results in found.items():
+        print(f"| {load} | {habit} | {'on' if on else 'off'} | {' | '.join(row(results))} |")
+    for habit in options.habits:
+        series = {
+            f"load {load}, damping {'on' if on else 'off'}": found[load, habit, on]
+            for load in options.loads
+            for on in (False, True)
+        }
+        chart(options.out.with_name(f"{options.out.name}-{habit}.svg"), series)
+        print(f"\n![{habit}]({options.out.name}-{habit}.svg)")
+
+
+if __name__ == "__main__":
+    main()
