--- a/crowwing/emulator/rules.py
+++ b/crowwing/emulator/rules.py
@@ -8,6 +8,14 @@
 SLACK = 80_000 + 50_000  # microseconds: the platform's slack for an answer, and that of sockets
 
 
+ANSWERS = (
+    "settled",
+    "dismissed",
+    "forfeited",
+    "turned_down",
+)  # the last: a 4xx, which callers take as failed
+
+
 class Breach(NamedTuple):
     rule: int  # 1 to 4, as DESIGN numbers them
     at: int
@@ -35,6 +43,11 @@
     return sorted(found, key=lambda breach: breach.at)
 
 
+def owed(one: Try) -> int:
+    """Until when its answer is owed; a long reading line may bring it when its time has passed."""
+    return max(one.due, one.written)
+
+
 def _answers(one: Try, life: Life) -> list[Breach]:
     """Rule 1: one whole, final answer in time for what was written, unless its backend was killed."""
     if not one.written:
@@ -43,8 +56,8 @@
         return [
             Breach(1, one.over, one.backend, one.id, "an answer or a launch that is not the ticket's own")
         ]
-    last = max(one.due, one.written) + SLACK  # a long reading line may bring it when its time has passed
-    if one.ending in ("settled", "dismissed", "forfeited"):
+    last = owed(one) + SLACK
+    if one.ending in ANSWERS:
         late = one.over > last
         return [Breach(1, one.over, one.backend, one.id, "answered after its outer limit")] if late else []
     taken = life.how in ("killed", "fell") and (not one.over or life.ended <= one.over + SLACK)
--- a/crowwing/emulator/stage.py
+++ b/crowwing/emulator/stage.py
@@ -18,11 +18,13 @@
 from crowwing.emulator.node import Node, Work
 from crowwing.emulator.plan import Plan
 from crowwing.emulator.roster import Roster
+from crowwing.emulator.rules import owed
 from crowwing.emulator.truth import Life, Ticket, Truth, Try
 from crowwing.emulator.wires import Pool
 
 READY = 15.0  # seconds in which every backend has to answer a health check
 TICK = 0.02  # seconds between looks at processes, roster and our own lateness
+GRACE = 500_000  # microseconds past its time for which the answer to a ticket is waited for at the end
 LATE = 0.025  # seconds over the tick from which our own loop counts as late
 LATE_PART = 0.02  # part of late ticks from which the figures of a run are void
 
@@ -388,7 +390,7 @@
 
     async def _settle(self, duties: list[asyncio.Task]) -> None:
         """Until every client has its answer and every try was answered or is past its outer limit."""
-        while self.open or any(work.one.due + 500_000 > clock.now() for work in self.written):
+        while self.open or any(owed(work.one) + GRACE > clock.now() for work in self.written):
             await asyncio.sleep(0.02)
             for duty in duties:
                 if duty.done() and duty.exception() is not None:
--- a/tests/test_emulator_models.py
+++ b/tests/test_emulator_models.py
@@ -254,6 +254,7 @@
         (1, {"over": 4 * S}),
         (0, {"written": 5 * S, "over": 5 * S + 100 * MS}),
         (1, {"written": 5 * S, "over": 6 * S}),
+        (0, {"ending": "turned_down", "runs": []}),
         (1, {"ending": "lost"}),
         (1, {"ending": "open", "over": 0}),
         (1, {"right": False}),
