Keep every ticket's answer through a defect of the sight, which then goes dark

Measured: three tests, one a way to fail, each failing without the change (a ticket lost or forfeited).

--- a/crowwing/cli/emulate.py
+++ b/crowwing/cli/emulate.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import orjson
 import typer
 import uvloop
@@ -16,7 +17,8 @@
 
 from crowwing.cli.say import failed, wrong_use
 from crowwing.emulator import outcome, stage
-from crowwing.emulator.plan import HABITS, BadPlan, Plan, read
+from crowwing.emulator.plan import HABITS, BadPlan, Plan, check, read
+from crowwing.settings import operator as operator_file
 
 EXAMPLE = "Example: crowwing emulate deploy/demo.json --seed 3 --habit capped"
 
@@ -54,12 +56,9 @@
     if program is not None and not (program / "crowwing" / "__main__.py").exists():
         wrong_use(f"--program {program}: no checkout of crowwing")
     if operator is not None:
-        from crowwing.settings.operator import BadOperator
-        from crowwing.settings.operator import read as read_operator
-
         try:
-            read_operator(operator)
-        except BadOperator as wrong:
+            operator_file.read(operator)
+        except operator_file.BadOperator as wrong:
             wrong_use(str(wrong).splitlines()[0])
     result = _play(told, folder, net, program, operator, as_json)
     if as_json:
@@ -79,10 +78,6 @@
     habit: str | None,
 ) -> Plan:
     """The plan with what the command line says otherwise, checked again as a file would be."""
-    import msgspec
-
-    from crowwing.emulator.plan import check
-
     told = msgspec.to_builtins(plan)
     for name, value in {"seed": seed, "seconds": seconds, "backends": backends}.items():
         if value is not None:
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -151,15 +151,26 @@
 
     def _away(self, slip: Slip, away: float) -> float:
         """What a dismissal tells its caller, which a storm may pace."""
-        if self.lookout is None:
-            return away
-        brings = self.manager.weights.get(slip.by, 1.0)
-        return self.lookout.away(slip.by, brings, round(away), slip.handle.due)
+        if self.lookout is not None:
+            try:
+                brings = self.manager.weights.get(slip.by, 1.0)
+                return self.lookout.away(slip.by, brings, round(away), slip.handle.due)
+            except Exception:
+                self._blind("returns", slip)
+        return away
 
     def _answered(self, slip: Slip, good: bool) -> None:
         """A final answer went out."""
         if self.lookout is not None:
-            self.lookout.ended(slip.likeness, good)
+            try:
+                self.lookout.ended(slip.likeness, good)
+            except Exception:
+                self._blind("lookout", slip)
+
+    def _blind(self, where: str, slip: Slip) -> None:
+        """Guards tickets against a defect of the sight: it is given up, and they go on without."""
+        self.book.defect(where, slip.id)
+        self.lookout = None
 
     # The turn
 
@@ -241,7 +252,10 @@
         again = False
         if self.lookout is not None:
             slip.by = arrival.sidecar
-            slip.likeness, again = self.lookout.arrived(arrival, kind)
+            try:
+                slip.likeness, again = self.lookout.arrived(arrival, kind)
+            except Exception:
+                self._blind("lookout", slip)
         admit(self.manager, now, slip, arrival, kind, team, again)
 
     def _gone(self, now: int, slip: Slip, caller: Caller) -> list | None:
--- a/crowwing/routing/relay.py
+++ b/crowwing/routing/relay.py
@@ -29,7 +29,6 @@
             return
         slip.answered, slip.body = True, b""
         self.book.count(answer)
-        self.answered(slip, answer == "settled")
         callers, slip.callers = slip.callers, []
         for caller in callers:
             try:
@@ -38,3 +37,4 @@
                 self.book.defect(answer, slip.id)
                 with suppress(Exception):
                     caller.forfeited()
+        self.answered(slip, answer == "settled")  # only now: nothing comes before the callers' answer
--- a/tests/test_storm_returns.py
+++ b/tests/test_storm_returns.py
@@ -120,3 +120,21 @@
         assert town.counts["likely_repeats"] == 2
 
     play_in(Town(operator=Operator(storm=Storm(lowers_repeats=lowers))), scene)
+
+
+@pytest.mark.parametrize("part", ["arrived", "ended", "away"])
+def test_a_defect_of_the_sight_costs_the_sight_and_no_ticket(part: str) -> None:
+    async def scene(town: Town) -> None:
+        def fails(*_: object) -> None:
+            raise ArithmeticError("made to fail")
+
+        setattr(town.backend.desk.lookout, part, fails)
+        if part == "away":
+            town.backend.desk.manager.stalled = lambda now: True
+        for n in range(3):
+            status, _, _ = await (await Sidecar(town).open()).ask(Sidecar.ticket(f"{n:016x}"))
+            assert status == (503 if part == "away" else 200)
+        assert town.counts["defects"] == 1 and town.backend.desk.lookout is None
+        await town.until(lambda: not town.backend.desk.slips)
+
+    play_in(Town(operator=Operator(storm=Storm(paces_returns=True))), scene)
