--- a/crowwing/emulator/credit.py
+++ b/crowwing/emulator/credit.py
@@ -4,12 +4,12 @@
 or not counts from it.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from crowwing.emulator import faults
 from crowwing.emulator.plan import Plan
-from crowwing.emulator.truth import Ticket, Truth
+from crowwing.emulator.truth import Truth
 
 RECOVERED, MEAN_OVER = 0.95, 5  # part of the level before; seconds that a level is the mean of
 
@@ -117,8 +117,3 @@
     if not levels or (low and low[-1] == len(levels) - 1):
         return None
     return max(0.0, last - spans[1]) + (low[-1] + 1 if low else 0)
-
-
-def latencies(truth: Truth, which: Callable[[Ticket], bool]) -> list[int]:
-    """Of settled tickets, in microseconds."""
-    return [t.over - t.born for t in truth.tickets if t.ending == "settled" and which(t)]
--- a/crowwing/emulator/dependency.py
+++ b/crowwing/emulator/dependency.py
@@ -11,7 +11,7 @@
         self.hand = Mean(now, round(facts.fall_s * 1e6))
         self.lingering: dict[str, int] = {}  # calls given up -> when they leave
         self.dead_until = 0
-        self.deaths, self.most = 0, 0.0
+        self.deaths = 0
 
     def dead(self, now: int) -> bool:
         return now < self.dead_until
@@ -48,7 +48,6 @@
         self.slots.pass_to(now)
         self.hand.set(now, len(self.slots))
         part = self.hand.mean(now) / self.facts.slots
-        self.most = max(self.most, part)
         if part > self.facts.fall_multiple and not self.dead(now):
             self._fall(now)
         return found
--- a/crowwing/emulator/farm.py
+++ b/crowwing/emulator/farm.py
@@ -12,7 +12,6 @@
 from crowwing.emulator.truth import Try
 
 KEPT = 4000
-COMMANDS = ("subscribe", "launch", "freeze", "deliver", "sample", "exercise")
 
 
 class Work(Protocol):
--- a/crowwing/emulator/machine.py
+++ b/crowwing/emulator/machine.py
@@ -44,7 +44,7 @@
         self.runs: dict[str, Run] = {}  # emptied by ends and stops
         self.booked: dict[str, float] = {}  # held tickets, by what they book; emptied by answers and runs
         self.crowd = Mean(now, round(facts.fall_s * 1e6))
-        self.held_kb = self.most_kb = self.most_crowd = 0.0
+        self.held_kb = 0.0
         self.fallen: str | None = None
         self.reading = 0
 
@@ -71,7 +71,6 @@
         self.held_kb -= self.booked.pop(ident, 0.0)
 
     def _weigh(self) -> None:
-        self.most_kb = max(self.most_kb, self.held_kb)
         if self.held_kb > self.facts.memory_kb:
             self.fallen = self.fallen or "memory"
 
@@ -136,7 +135,6 @@
         self.cores.pass_to(now)
         if self.fallen is None and self.crowd.mean(now) > self.crowd_most(now):
             self.fallen = "crowd"
-        self.most_crowd = max(self.most_crowd, self.crowd.mean(now) / self.facts.cores)
         if self.fallen is not None:
             found.append(Happened("fell", self.fallen))
         return found
--- a/crowwing/emulator/node.py
+++ b/crowwing/emulator/node.py
@@ -14,7 +14,6 @@
 from crowwing.emulator.roster import Roster
 from crowwing.emulator.truth import Life, Truth, Try
 
-REFUSES_AFTER = 0.5  # seconds from a death to the listeners' return at the earliest
 BACK_AFTER = 2.0  # seconds to the next life of one that fell over or crashed
 
 
@@ -51,7 +50,8 @@
     def read(self, node: "Node", work: Work) -> None:
         """The machine has read it: it goes to the backend now."""
 
-    def life_over(self, node: "Node", life: Life) -> None: ...
+    def unreached(self, node: "Node", work: Work) -> None:
+        """It never came to the backend."""
 
 
 class Node:
@@ -155,7 +155,6 @@
             self.back_at = life.ended + round(BACK_AFTER * 1e6)
         for ident in unread:
             self.town.unreached(self, self.works[ident])
-        self.town.life_over(self, life)
 
     # The machine
 
--- a/crowwing/emulator/stage.py
+++ b/crowwing/emulator/stage.py
@@ -300,9 +300,6 @@
             self._finish(attempt, ending)
         return None
 
-    def life_over(self, node: Node, life: Life) -> None:
-        """What was on the process is seen by its connections, which break."""
-
     # Below
 
     def below_changed(self) -> None:
--- a/crowwing/routing/lookout.py
+++ b/crowwing/routing/lookout.py
@@ -1,6 +1,4 @@
-"""Lookout: shows the sight of storms each arrival and each final answer.
-
-And says what of it the module is told.
+"""Lookout: shows the sight of storms what comes and goes, and tells the module what follows from it.
 
 Only where the operator file has a `storm` section; without one nothing here is loaded.
 """
--- a/crowwing/routing/slip.py
+++ b/crowwing/routing/slip.py
@@ -52,9 +52,7 @@
         self.runs = self.frozen = self.asks = 0  # launches so far, the last told to stop, and calls wanted
         self.wanted: bytes | None = None  # the body of the call the run waits for
         self.call: asyncio.Task | None = None
-        self.likeness = self.by = (
-            0  # what a repeat would share, and who sent it, where storms are watched for
-        )
+        self.likeness = self.by = 0  # what a repeat would share, and who sent it: for the lookout
 
     def same(self, arrival: Arrival) -> bool:
         """Whether the same try has come again."""
--- a/crowwing/settings/plain.py
+++ b/crowwing/settings/plain.py
@@ -1,7 +1,4 @@
-"""`python -m crowwing.settings.plain FILE`: an operator file checked.
-
-With its defaults, as one line of JSON.
-"""
+"""`python -m crowwing.settings.plain FILE`: an operator file, checked and whole, as one line of JSON."""
 
 import sys
 from pathlib import Path
--- a/crowwing/storm/windows.py
+++ b/crowwing/storm/windows.py
@@ -75,8 +75,9 @@
 class CuckooWindow:
     """A cuckoo filter whose slots carry the part of the span they were written in.
 
-    A slot is 32 bits: 24 of the print, 8 of its time. One that is too old counts as free, so nothing has to
-    sweep. Where both buckets of a print are full, the oldest of them makes room: it is forgotten early.
+    A slot is 32 bits: 24 of the print, 8 of its time. One that is too old counts as free. Since 8 bits of
+    time come round again, a part of the table is swept with each part of the span that passes. Where both
+    buckets of a print are full, the oldest of them makes room: it is forgotten early.
     """
 
     SLOTS, PARTS = 4, 64
@@ -88,6 +89,24 @@
             buckets *= 2
         self.mask = buckets - 1
         self.slots = array("I", bytes(4 * self.SLOTS * buckets))  # 0: free
+        self.at = self.swept = 0  # the part of the span that now is in, and up to where the table is swept
+
+    def _turn(self, now: int) -> int:
+        """The time of now, as slots carry it. Within one span the whole table is swept of what is too old.
+
+        Guards against slots that, left alone, would count as young again each time 8 bits have come round.
+        """
+        part = now // self.part
+        passed, size = part - self.at, len(self.slots)
+        if passed > self.PARTS:
+            self.slots = array("I", bytes(4 * size))
+        elif passed > 0:
+            for n in range(self.swept, self.swept + passed * -(-size // self.PARTS)):
+                if self._age(part % 256, self.slots[n % size]) > self.PARTS:
+                    self.slots[n % size] = 0
+            self.swept = (self.swept + passed * -(-size // self.PARTS)) % size
+        self.at = max(self.at, part)
+        return self.at % 256
 
     def _places(self, print_: int) -> tuple[int, int, int]:
         tag = print_ >> 40 or 1
@@ -99,7 +118,7 @@
         return (epoch - (slot & 0xFF)) % 256 if slot else 256
 
     def add(self, now: int, print_: int) -> None:
-        epoch, slots = now // self.part % 256, self.slots
+        epoch, slots = self._turn(now), self.slots
         tag, first, second = self._places(print_)
         oldest, at = -1, 0
         for bucket in (first, second):
@@ -113,7 +132,7 @@
         slots[at] = tag << 8 | epoch
 
     def take(self, now: int, print_: int) -> bool:
-        epoch, slots = now // self.part % 256, self.slots
+        epoch, slots = self._turn(now), self.slots
         tag, first, second = self._places(print_)
         for bucket in (first, second):
             for n in range(bucket * self.SLOTS, bucket * self.SLOTS + self.SLOTS):
--- a/tests/test_storm_sight.py
+++ b/tests/test_storm_sight.py
@@ -203,3 +203,16 @@
     shifted = arrival._replace(type="loo", customer="kacme")
     assert fingerprint.of(arrival) != fingerprint.of(shifted)
     assert fingerprint.of(arrival, ("type",)) == fingerprint.of(arrival._replace(body=b""), ("type",))
+
+
+@pytest.mark.parametrize("busy", [False, True])
+def test_a_cuckoo_does_not_remember_again_when_its_ages_come_round(busy: bool) -> None:
+    chance = random.Random(4)
+    window = CuckooWindow(10 * S, 1000)
+    prints = [chance.getrandbits(64) for _ in range(200)]
+    for one in prints:
+        window.add(0, one)
+    for now in range(0, 42 * S, S // 4):
+        if busy:
+            window.add(now, chance.getrandbits(64))
+    assert not any(window.take(42 * S, one) for one in prints)
