Let call time come back evenly, so that a fleet's backends do not spend it in step

Wrong lines: `steer` (the deque `in_hand`) and `spare_calls` in crowwing/logic.py.

Change: a bucket that holds a quarter of the share's span and refills at half of the share; no call with less to spare than two median calls. Test: calls go out at an even pace while what lies below is slow (the code before breaks the rule on calls in it).

--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -28,6 +28,7 @@
 SPREAD = 0.5  # part of arrivals dismissed of late, from which no other backend is named
 RETURNING = 0.5  # part of tickets whose caller was here lately, under which idle connections are closed early
 CALL_TRIES, CALL_PATIENCE, CALL_LEAST = 3, 20, 8  # tries of a call; its bound in recent medians: most, least
+CALL_BURST, CALL_BURST_MOST, CALL_PACE = 0.25, 0.6, 0.3  # parts of the share: at once (most), and for good
 
 NEW, HELD, RUNNING, ASKING, CALLING, PAUSED, SHARING, OVER = range(8)
 
@@ -130,7 +131,9 @@
         self.span = self.timeout[:]  # the time that tickets come with
         self.median, self.usual = [0] * len(facts.types), [0.0] * len(facts.types)  # usual: uncrowded ones
         self.most_calls = self.call_room = max(facts.cores / 2, SURVIVE * facts.calls_share)
-        self.in_hand: deque[tuple[int, float]] = deque()  # call time by step, for as long as the share's mean
+        total = facts.calls_share * facts.calls_over  # call time that the rule leaves us in its span
+        self.burst = max(CALL_BURST * total, min(2.0 * facts.lingers, CALL_BURST_MOST * total))
+        self.call_pace = max(CALL_PACE * total, SURVIVE * total - self.burst) / max(1, facts.calls_over)
         self.budget, self.budget_at = [float(quota) for quota in facts.shares], now  # a second of each share
         self.ready, self.idle, self.told, self.returning = True, facts.idle_most, -1.0, 1.0
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
@@ -259,11 +262,8 @@
     def steer(self, now: int) -> None:
         """One step of the loops: P90s and timeouts, the limit, the cut, the free value."""
         f, dt = self.facts, (now - self.last_step) / 1e6
-        if below := self.counts[CALLING] + len(self.lingering):
-            self.in_hand.append((now, dt * 1e6 * below))
-            self.spent += self.in_hand[-1][1]
-        while self.in_hand and self.in_hand[0][0] < now - f.calls_over:
-            self.spent -= self.in_hand.popleft()[1]
+        below = self.counts[CALLING] + len(self.lingering)
+        self.spent = max(0.0, self.spent + dt * 1e6 * (below - self.call_pace))
         self.last_step = now
         if now - self.faded >= WAKE_QUIET:
             left, self.faded = max(0.0, 1 - (now - self.faded) / 1e6), now
@@ -438,16 +438,17 @@
         ready = [t for t in self.asking if not t.answered and now >= t.not_before]
         for t in sorted(ready, key=lambda t: -t.rank):
             used, spare = self.counts[CALLING] + len(self.lingering), self.spare_calls(now)
+            usual = sorted(self.calls)[len(self.calls) // 2]  # a few lost ones don't move it
+            worth = min(2 * usual, (self.burst - f.lingers) / 2)  # with less to spare it would be given up
             rest = self.median[t.kind] // 2
             bound = (t.aim if now + rest < t.aim else t.due) - rest - now
             if bound <= 0 and t.type.credit_without == 0:
                 self.forfeit(t, now, out)
-            elif not f.calls_share or (used < int(self.call_room) and spare > self.call_usual):
+            elif not f.calls_share or (used < int(self.call_room) and spare > worth):
                 if self.crowded(now):
                     break
                 span = min(max(bound, WAKE_EVERY), t.due - now)
                 if f.calls_share:
-                    usual = sorted(self.calls)[len(self.calls) // 2]  # a few lost ones don't move it
                     part = bound / 2 if t.type.repeat is Repeat.REDOABLE else bound  # for another try
                     late = min(CALL_PATIENCE * usual, max(CALL_LEAST * usual, part))
                     span = round(min(span, spare, max(WAKE_EVERY, late)))
@@ -459,10 +460,11 @@
                 self.go_on(t, now, out)
 
     def spare_calls(self, now: int) -> float:
-        """Call time still to spend: the mean stays in the share if each call out lasts to its bound."""
+        """Call time to spend now: it comes back at an even pace, and the mean stays in the share if each call
+        out lasts to its bound. Guards against a fleet that spends its time at once and then waits in step."""
         ahead = sum(t.call_until + self.facts.lingers - now for t in self.open.values() if t.state == CALLING)
         ahead += sum(until - now for until in self.lingering) + self.facts.lingers
-        return SURVIVE * self.facts.calls_share * self.facts.calls_over - self.spent - ahead
+        return self.burst - self.spent - ahead
 
     def go_on(self, t: Ticket, now: int, out: list[Result]) -> None:
         if not self.crowded(now):
