--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,50 @@
+"""Pure members in simulated time: how soon all hold a killed member dead, false deaths, messages.
+
+    .venv/bin/python benchmarks/membership.py [--sizes 10 100 1000] [--seeds 5]
+
+Simulated, not emulated: period 1 s, the defaults of `Timing`, 0.5 to 2 ms between members.
+"""
+
+import argparse
+import statistics
+
+from crowwing.fleet.swim import DEAD, Timing
+from crowwing.fleet.world import World
+
+S = 1_000_000
+
+
+def one(size: int, seed: int, loss: float) -> tuple[float, int, float]:
+    """Seconds until every live member holds the killed one dead; false deaths; messages a second a member."""
+    world = World(size, seed, Timing())
+    world.loss = loss
+    world.run_until(20 * S)
+    sent, at = world.sent, world.now
+    world.kill("m1")
+    while not world.held_dead("m1") and world.now < at + 300 * S:
+        world.run_until(world.now + 100_000)
+    false = sum(1 for _, _, who, state in world.changes if state == DEAD and who != "m1")
+    return (world.now - at) / S, false, (world.sent - sent) / ((world.now - at) / S) / size
+
+
+def main() -> None:
+    told = argparse.ArgumentParser()
+    told.add_argument("--sizes", type=int, nargs="+", default=[10, 100, 1000])
+    told.add_argument("--seeds", type=int, default=5)
+    told = told.parse_args()
+    print(
+        "| members | loss | all hold it dead, s (median, min to max) | false deaths | messages/s a member |"
+    )
+    print("| --- | --- | --- | --- | --- |")
+    for size in told.sizes:
+        for loss in (0.0, 0.1):
+            runs = [one(size, seed, loss) for seed in range(1, told.seeds + 1)]
+            seen = [run[0] for run in runs]
+            print(
+                f"| {size} | {loss:.0%} | {statistics.median(seen):.1f} ({min(seen):.1f} to {max(seen):.1f}) "
+                f"| {sum(run[1] for run in runs)} | {statistics.mean(run[2] for run in runs):.2f} |"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/crowwing/emulator/fleetrig.py
@@ -0,0 +1,149 @@
+"""Several real backends with fleet membership on, every link between two of them through the fault relay.
+
+Each process is started as `run` starts one, with its own configuration and operator file, and is ended by its
+id: killed (SIGKILL), paused (SIGSTOP, SIGCONT), started again. Their own log lines are the history;
+`history()` reads the `member` lines of all lives, and `view()` asks a running member for what it holds. What
+a failing run needs to be played again (seed, script, members' files) stays in its folder; `replay` plays it.
+"""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import orjson
+
+from crowwing.emulator.processes import ROOT, _end_with_parent
+from crowwing.emulator.relay import Relay, script
+
+HOST = "127.0.0.1"
+EXAMPLE = ROOT / "deploy" / "example.json"
+
+
+def free_port(kind: int) -> int:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+class FleetRig:
+    def __init__(self, folder: Path, size: int, seed: int, faults: list[dict], **fleet: object) -> None:
+        self.folder, self.seed = folder, seed
+        folder.mkdir(parents=True, exist_ok=True)
+        self.names = [f"m{n}" for n in range(size)]
+        self.fleet_at = {name: (HOST, free_port(socket.SOCK_DGRAM)) for name in self.names}
+        self.told = {"size": size, "seed": seed, "faults": faults, "fleet": fleet}
+        (folder / "rig.json").write_bytes(orjson.dumps(self.told, option=orjson.OPT_INDENT_2))
+        self.relay = Relay(self.fleet_at, script(faults, self.names), seed, HOST)
+        self.fleet = fleet
+        self.children: dict[str, subprocess.Popen] = {}
+
+    def start(self) -> None:
+        self.relay.start()
+        for name in self.names:
+            self.launch(name)
+
+    def _files(self, name: str) -> tuple[Path, Path]:
+        posting = orjson.loads(EXAMPLE.read_bytes()) | {
+            "name": name, "listen": f"{HOST}:{free_port(socket.SOCK_STREAM)}",
+            "agent": f"{HOST}:{free_port(socket.SOCK_STREAM)}",
+            "seed": f"{self.seed:08x}{self.names.index(name):08x}",
+        }  # fmt: skip
+        peers = [
+            {"name": other, "address": f"{HOST}:{self.relay.ports[(name, other)]}"}
+            for other in self.names
+            if other != name
+        ]
+        listen = "{}:{}".format(*self.fleet_at[name])
+        operator = {"version": 1, "fleet": {"listen": listen, "peers": peers} | self.fleet}
+        paths = self.folder / f"{name}.json", self.folder / f"{name}.operator.json"
+        paths[0].write_bytes(orjson.dumps(posting))
+        paths[1].write_bytes(orjson.dumps(operator))
+        return paths
+
+    def launch(self, name: str, **operator: object) -> None:
+        """Starts the member, or starts it again; its lines go on in the same log."""
+        posting, operator_file = self._files(name)
+        if operator:
+            told = orjson.loads(operator_file.read_bytes())
+            told["fleet"] |= operator
+            operator_file.write_bytes(orjson.dumps(told))
+        environment = os.environ | {
+            "PROXY_CONFIG": str(posting), "CROWWING_OPERATOR": str(operator_file), "PYTHONPATH": str(ROOT),
+        }  # fmt: skip
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.children[name] = subprocess.Popen(
+                [sys.executable, "-O", "-m", "crowwing"], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                env=environment, cwd=ROOT, preexec_fn=_end_with_parent,
+            )  # fmt: skip
+
+    def kill(self, name: str) -> None:
+        child = self.children[name]
+        child.send_signal(signal.SIGKILL)
+        child.wait()
+
+    def pause(self, name: str) -> None:
+        self.children[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        self.children[name].send_signal(signal.SIGCONT)
+
+    def end(self) -> None:
+        """Every process started, by its id; then the relay."""
+        for child in self.children.values():
+            if child.poll() is None:
+                child.send_signal(signal.SIGCONT)
+                child.kill()
+                child.wait()
+        self.relay.stop()
+
+    def __enter__(self) -> "FleetRig":
+        self.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.end()
+
+    # What was seen
+
+    def history(self) -> list[dict]:
+        """Every `member` and `fleet_open` line of every life, in the order of their times."""
+        lines = []
+        for name in self.names:
+            path = self.folder / f"{name}.log"
+            for raw in path.read_bytes().splitlines() if path.exists() else ():
+                try:
+                    line = orjson.loads(raw)
+                except orjson.JSONDecodeError:
+                    continue  # a line cut by a kill
+                if isinstance(line, dict) and line.get("event") in ("member", "fleet_open", "started"):
+                    lines.append(line)
+        return sorted(lines, key=lambda line: line["at"])
+
+    def view(self, name: str, wait_s: float = 1.0) -> dict | None:
+        """What a running member holds now; None if it does not answer within `wait_s`."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as asker:
+            asker.settimeout(wait_s)
+            asker.sendto(b'{"k":"members"}', self.fleet_at[name])
+            try:
+                return orjson.loads(asker.recv(65536))
+            except TimeoutError:
+                return None
+
+    def alive_in(self, name: str) -> set[str] | None:
+        view = self.view(name)
+        if view is None:
+            return None
+        return {view["me"]} | {m["name"] for m in view["members"] if m["state"] != "dead"}
+
+    def until(self, check: object, most_s: float, every_s: float = 0.1) -> float | None:
+        """Seconds until `check()` holds, or None if it did not within `most_s`."""
+        began = time.monotonic()
+        while time.monotonic() - began < most_s:
+            if check():
+                return time.monotonic() - began
+            time.sleep(every_s)
+        return None
--- /dev/null
+++ b/crowwing/emulator/relay.py
@@ -0,0 +1,154 @@
+"""Every link between two members goes through here: a UDP socket for each ordered pair, and a seeded script
+of faults.
+
+A script is a list of faults, each `{"kind", "at_s", "for_s", "from", "to", ...}`: `cut` drops all (one way
+where only `from` -> `to` is named; give both ways for a whole partition), `loss` drops a share `size`,
+`delay` holds `size` ms plus up to `jitter_ms`, `duplicate` sends a share `size` twice, `reorder` holds a
+share `size` for `jitter_ms` so that later ones pass it. `from` and `to` are lists of member names; empty or
+absent is everyone. The fate of a datagram is decided by `Fate` (pure; time in seconds since the start and
+chance handed in).
+"""
+
+import asyncio
+import random
+import threading
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+KINDS = {"cut", "loss", "delay", "duplicate", "reorder"}
+
+
+class BadScript(ValueError):
+    """One line, with the place in the script."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    kind: str
+    at_s: float
+    for_s: float
+    sources: frozenset[str]
+    targets: frozenset[str]
+    size: float
+    jitter_ms: float
+
+    def hits(self, now_s: float, source: str, target: str) -> bool:
+        return (
+            self.at_s <= now_s < self.at_s + self.for_s
+            and (not self.sources or source in self.sources)
+            and (not self.targets or target in self.targets)
+        )
+
+
+def script(told: Sequence[dict], names: Sequence[str]) -> list[Fault]:
+    """The faults of a script, checked against the members' names."""
+    faults = []
+    for number, fault in enumerate(told):
+        place = f"$[{number}]"
+        if fault.get("kind") not in KINDS:
+            raise BadScript(f"{place}.kind: is none of {', '.join(sorted(KINDS))}")
+        for side in ("from", "to"):
+            if unknown := set(fault.get(side, ())) - set(names):
+                raise BadScript(f"{place}.{side}: {', '.join(sorted(unknown))} is no member")
+        faults.append(
+            Fault(
+                fault["kind"], float(fault.get("at_s", 0)), float(fault.get("for_s", 1e9)),
+                frozenset(fault.get("from", ())), frozenset(fault.get("to", ())),
+                float(fault.get("size", 1.0)), float(fault.get("jitter_ms", 0)),
+            )
+        )  # fmt: skip
+    return faults
+
+
+class Fate:
+    """What becomes of one datagram: delays in seconds, one for each copy that goes; empty if dropped."""
+
+    def __init__(self, faults: list[Fault], chance: random.Random) -> None:
+        self.faults, self.chance = faults, chance
+
+    def __call__(self, now_s: float, source: str, target: str) -> list[float]:
+        delay, copies = 0.0, 1
+        for fault in self.faults:
+            if not fault.hits(now_s, source, target):
+                continue
+            if fault.kind == "cut":
+                return []
+            if fault.kind == "loss" and self.chance.random() < fault.size:
+                return []
+            if fault.kind == "delay":
+                delay += fault.size / 1000 + self.chance.random() * fault.jitter_ms / 1000
+            if fault.kind == "duplicate" and self.chance.random() < fault.size:
+                copies = 2
+            if fault.kind == "reorder" and self.chance.random() < fault.size:
+                delay += fault.jitter_ms / 1000
+        return [delay + n * 0.0005 for n in range(copies)]
+
+
+class _Pair(asyncio.DatagramProtocol):
+    def __init__(self, relay: "Relay", source: str, target: str) -> None:
+        self.relay, self.source, self.target = relay, source, target
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, _: tuple[str, int]) -> None:
+        self.relay.carry(self, data)
+
+    def error_received(self, exc: Exception) -> None:
+        self.relay.counts["refused"] += 1
+
+
+class Relay:
+    """Runs on a thread of its own with its own loop; `ports[(a, b)]` is where `a` sends to reach `b`."""
+
+    def __init__(
+        self, members: dict[str, tuple[str, int]], faults: list[Fault], seed: int, host: str
+    ) -> None:
+        self.members, self.host = members, host
+        self.fate = Fate(faults, random.Random(f"{seed}/relay"))
+        self.ports: dict[tuple[str, str], int] = {}
+        self.counts: Counter[str] = Counter()
+        self.loop = asyncio.new_event_loop()
+        self.began = 0.0
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True, name="relay")
+        self.pairs: list[_Pair] = []
+
+    def start(self) -> None:
+        """Every pair's socket is open when this returns; OSError where one cannot be had."""
+        self.thread.start()
+        asyncio.run_coroutine_threadsafe(self._open(), self.loop).result(10)
+
+    async def _open(self) -> None:
+        self.began = self.loop.time()
+        for source in self.members:
+            for target in self.members:
+                if source == target:
+                    continue
+                pair = _Pair(self, source, target)
+                transport, _ = await self.loop.create_datagram_endpoint(
+                    lambda p=pair: p, local_addr=(self.host, 0)
+                )
+                self.ports[(source, target)] = transport.get_extra_info("sockname")[1]
+                self.pairs.append(pair)
+
+    def carry(self, pair: _Pair, data: bytes) -> None:
+        delays = self.fate(self.loop.time() - self.began, pair.source, pair.target)
+        self.counts["sent" if delays else "dropped"] += 1
+        where = self.members[pair.target]
+        for delay in delays:
+            if delay <= 0:
+                pair.transport.sendto(data, where)
+            else:
+                self.loop.call_later(delay, pair.transport.sendto, data, where)
+
+    def stop(self) -> None:
+        def close() -> None:
+            for pair in self.pairs:
+                if pair.transport is not None:
+                    pair.transport.close()
+            self.loop.stop()
+
+        self.loop.call_soon_threadsafe(close)
+        self.thread.join(5)
--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -58,6 +58,11 @@
         )  # fmt: skip
         if operator is not None and operator.storm is not None:
             self.desk.lookout = self._lookout(operator.storm)
+        self.fleet = None
+        if operator is not None and getattr(operator, "fleet", None):  # UNSET and None alike are off
+            from crowwing.fleet.link import Link  # only where a fleet is switched on
+
+            self.fleet = Link(loop, operator.fleet, posting.name, posting.seed, self.book.event)
         self.over = asyncio.Event()
         self.lag = 0.0
         self.duties: list[asyncio.Task] = []
@@ -93,6 +98,8 @@
     async def run(self) -> None:
         """Until it has drained. OSError if the address cannot be had."""
         self.listener.open(*self.posting.listen)
+        if self.fleet is not None:
+            await self.fleet.open()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.leave)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -108,6 +115,8 @@
         for duty in self.duties:
             duty.cancel()
         await asyncio.gather(*self.duties, return_exceptions=True)
+        if self.fleet is not None:
+            self.fleet.close()
         self.figures()
         self.log.write("stopped")
 
--- a/crowwing/program/main.py
+++ b/crowwing/program/main.py
@@ -32,6 +32,19 @@
         raise BadConfiguration(f"{first} (and {len(more)} more)" if more else first) from None
 
 
+def _fleet(operator: "SimpleNamespace | None", me: str) -> None:
+    """Peers naming this backend, an address that is no IPv4, timings that disagree: one line, before
+    anything."""
+    if operator is None or not getattr(operator, "fleet", None):  # UNSET and None alike are off
+        return
+    from crowwing.fleet.link import BadFleet, peers  # only where a fleet is switched on
+
+    try:
+        peers(operator.fleet, me)
+    except BadFleet as wrong:
+        raise BadConfiguration(f"{os.environ['CROWWING_OPERATOR']}: {wrong}") from None
+
+
 async def _serve(backend_of: object) -> None:
     await backend_of(asyncio.get_running_loop()).run()
 
@@ -43,6 +56,7 @@
     try:
         posting = read(os.environ)
         operator = _operator(os.environ)
+        _fleet(operator, posting.name)
     except BadConfiguration as wrong:
         print(f"crowwing: {wrong}", file=sys.stderr)
         return 2
@@ -51,6 +65,7 @@
         again = partial(read, os.environ)
         uvloop.run(_serve(lambda loop: Backend(loop, posting, log, again, operator)))
     except OSError as wrong:
-        print(f"crowwing: {posting.listen[0]}:{posting.listen[1]}: {wrong.strerror}", file=sys.stderr)
+        where = wrong.filename or f"{posting.listen[0]}:{posting.listen[1]}"
+        print(f"crowwing: {where}: {wrong.strerror}", file=sys.stderr)
         return 1
     return 0
--- a/crowwing/settings/operator.py
+++ b/crowwing/settings/operator.py
@@ -49,12 +49,45 @@
     ] = False
 
 
+class Peer(Section):
+    """Another member of the fleet."""
+
+    name: Annotated[str, Meta(min_length=1, description="Its name, as the platform gives it (PROXY_NAME).")]
+    address: Annotated[str, Meta(min_length=1, description="Its fleet socket, `a.b.c.d:port`, IPv4.")]
+
+
+class Fleet(Section):
+    """Membership among backends that may talk (docs/replication.md); off where the platform forbids peers."""
+
+    listen: Annotated[str, Meta(min_length=1, description="This backend's UDP socket, `a.b.c.d:port`, IPv4.")]
+    peers: Annotated[tuple[Peer, ...], Meta(min_length=1, description="Every other member, by name.")]
+    period_ms: Annotated[int, Meta(ge=20, le=60_000, description="One probe a period (SWIM).")] = 1000
+    probe_timeout_ms: Annotated[
+        int,
+        Meta(ge=5, le=30_000, description="Wait for an ack before asking others to probe; under period_ms."),
+    ] = 300
+    indirect: Annotated[int, Meta(ge=0, le=10, description="Members asked to probe for us (SWIM's k).")] = 3
+    suspect_periods: Annotated[
+        float, Meta(ge=1, le=100, description="Shortest suspicion, in periods times log10 of the fleet.")
+    ] = 4.0
+    suspect_most_times: Annotated[
+        float, Meta(ge=1, le=20, description="Longest suspicion, as a multiple of the shortest (Lifeguard).")
+    ] = 3.0
+    revive_every: Annotated[
+        int, Meta(ge=1, le=1000, description="Periods between probes of a member held dead.")
+    ] = 8
+    clock_offset_ms: Annotated[
+        int, Meta(ge=-3_600_000, le=3_600_000, description="Added to this member's clock; for trials only.")
+    ] = 0
+
+
 class Operator(Section):
     """Everything that an operator can switch on."""
 
     version: Annotated[Literal[1], Meta(description="Of this form of the file.")] = 1
     records: Records | UnsetType = UNSET
     storm: Storm | UnsetType = UNSET
+    fleet: Fleet | UnsetType = UNSET
 
 
 def schema() -> bytes:
--- a/crowwing/settings/plain.py
+++ b/crowwing/settings/plain.py
@@ -23,7 +23,18 @@
     "object": dict,
 }
 # The words of the schema that are followed; those that say nothing of what is allowed.
-FOLLOWED = {"type", "enum", "minimum", "maximum", "minItems", "items", "properties", "required", "$ref"}
+FOLLOWED = {
+    "type",
+    "enum",
+    "minimum",
+    "maximum",
+    "minItems",
+    "minLength",
+    "items",
+    "properties",
+    "required",
+    "$ref",
+}
 SILENT = {"title", "description", "default", "additionalProperties", "$defs"}
 
 
@@ -57,6 +68,8 @@
         yield f"{path}: is over {part['maximum']}"
     if "minItems" in part and len(told) < part["minItems"]:
         yield f"{path}: has under {part['minItems']} items"
+    if "minLength" in part and len(told) < part["minLength"]:
+        yield f"{path}: is shorter than {part['minLength']}"
     if "items" in part:
         for number, item in enumerate(told):
             yield from mistakes(item, part["items"], root, f"{path}[{number}]")
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,122 @@
+"""Real backends with membership on, faults injected between them by the relay: deaths, pauses, partitions,
+loss.
+"""
+
+import os
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import orjson
+import pytest
+
+from crowwing.emulator.fleetrig import FleetRig, free_port
+from crowwing.emulator.processes import ROOT
+
+FAST = {"period_ms": 200, "probe_timeout_ms": 60}
+
+
+def agree(rig: FleetRig, expected: set[str]) -> bool:
+    return all(rig.alive_in(name) == expected for name in expected)
+
+
+def test_a_killed_member_is_held_dead_by_all_and_comes_back_when_started_again(tmp_path: Path) -> None:
+    with FleetRig(tmp_path, 5, seed=1, faults=[], **FAST) as rig:
+        everyone = set(rig.names)
+        assert rig.until(lambda: agree(rig, everyone), 15) is not None
+        rig.kill("m2")
+        assert rig.until(lambda: agree(rig, everyone - {"m2"}), 20) is not None
+        rig.launch("m2")
+        assert rig.until(lambda: agree(rig, everyone), 20) is not None
+    back = [line for line in rig.history() if line["event"] == "member" and line["name"] == "m2"]
+    assert back[-1]["state"] == "alive" and back[-1]["incarnation"] >= 1
+
+
+def test_a_paused_member_is_suspected_then_refutes_on_its_return(tmp_path: Path) -> None:
+    with FleetRig(tmp_path, 4, seed=2, faults=[], **FAST) as rig:
+        everyone = set(rig.names)
+        assert rig.until(lambda: agree(rig, everyone), 15) is not None
+        rig.pause("m1")
+        assert rig.until(lambda: all(rig.alive_in(n) == everyone - {"m1"} for n in everyone - {"m1"}), 20)
+        rig.resume("m1")
+        assert rig.until(lambda: agree(rig, everyone), 20) is not None
+        assert rig.view("m1")["incarnation"] >= 1
+
+
+def test_both_sides_of_a_partition_leave_each_other_and_agree_again_once_it_heals(tmp_path: Path) -> None:
+    left, right = ["m0", "m1"], ["m2", "m3", "m4"]
+    cut = [
+        {"kind": "cut", "at_s": 3, "for_s": 6, "from": left, "to": right},
+        {"kind": "cut", "at_s": 3, "for_s": 6, "from": right, "to": left},
+    ]
+    with FleetRig(tmp_path, 5, seed=3, faults=cut, **FAST) as rig:
+        everyone = set(rig.names)
+        assert rig.until(lambda: agree(rig, everyone), 3) is not None
+        assert rig.until(lambda: agree(rig, set(left)) and agree(rig, set(right)), 9) is not None
+        assert rig.until(lambda: agree(rig, everyone), 20) is not None
+
+
+def test_loss_delay_copies_and_reordering_kill_nobody(tmp_path: Path) -> None:
+    rough = [
+        {"kind": "loss", "size": 0.1},
+        {"kind": "delay", "size": 5, "jitter_ms": 10},
+        {"kind": "duplicate", "size": 0.05},
+        {"kind": "reorder", "size": 0.1, "jitter_ms": 20},
+    ]
+    with FleetRig(tmp_path, 5, seed=4, faults=rough, **FAST) as rig:
+        everyone = set(rig.names)
+        assert rig.until(lambda: agree(rig, everyone), 15) is not None
+        assert rig.until(lambda: False, 6) is None  # six seconds, some thirty periods
+        assert agree(rig, everyone)
+    assert not [line for line in rig.history() if line["event"] == "member" and line["state"] == "dead"]
+    assert rig.relay.counts["dropped"] > 0
+
+
+def start(tmp_path: Path, fleet: dict, name: str = "n1") -> subprocess.CompletedProcess:
+    operator = tmp_path / "operator.json"
+    operator.write_bytes(orjson.dumps({"version": 1, "fleet": fleet}))
+    environment = os.environ | {
+        "PROXY_CONFIG": str(ROOT / "deploy" / "example.json"), "CROWWING_OPERATOR": str(operator),
+        "PROXY_LISTEN": f"127.0.0.1:{free_port(socket.SOCK_STREAM)}", "PYTHONPATH": str(ROOT),
+    }  # fmt: skip
+    command = [sys.executable, "-O", "-m", "crowwing"]
+    return subprocess.run(command, env=environment, capture_output=True, timeout=20, cwd=ROOT, check=False)
+
+
+@pytest.mark.parametrize(
+    ("fleet", "said"),
+    [
+        (
+            {"listen": "127.0.0.1:7946", "peers": [{"name": "n1", "address": "127.0.0.1:7947"}]},
+            "peers[0].name",
+        ),
+        ({"listen": "::1:7946", "peers": [{"name": "n2", "address": "127.0.0.1:7947"}]}, "$.fleet.listen"),
+        ({"listen": "127.0.0.1:7946", "peers": [{"name": "n2", "address": "peer:7947"}]}, "peers[0].address"),
+        (
+            {
+                "listen": "127.0.0.1:7946",
+                "peers": [{"name": "n2", "address": "127.0.0.1:1"}],
+                "period_ms": 100,
+            },
+            "probe_timeout_ms",
+        ),
+        ({"listen": "127.0.0.1:7946", "peers": []}, "$.fleet.peers"),
+    ],
+)
+def test_a_wrong_fleet_is_one_line_and_exit_2(tmp_path: Path, fleet: dict, said: str) -> None:
+    ended = start(tmp_path, fleet)
+    lines = ended.stderr.decode().splitlines()
+    assert ended.returncode == 2 and len(lines) == 1 and said in lines[0], lines
+    assert not ended.stdout
+
+
+def test_a_fleet_socket_that_is_taken_is_one_line_and_exit_1(tmp_path: Path) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(("127.0.0.1", 0))
+        port = taken.getsockname()[1]
+        ended = start(
+            tmp_path, {"listen": f"127.0.0.1:{port}", "peers": [{"name": "n2", "address": "127.0.0.1:9"}]}
+        )
+    lines = ended.stderr.decode().splitlines()
+    assert ended.returncode == 1 and len(lines) == 1 and f"{port} (fleet)" in lines[0], lines
--- /dev/null
+++ b/tests/test_fleet_swim.py
@@ -0,0 +1,100 @@
+"""The membership decider among pure members on a simulated network: deaths seen, none made up, partitions
+healed.
+"""
+
+import random
+
+import pytest
+
+from crowwing.fleet.swim import ALIVE, DEAD, SUSPECT, Membership, Timing
+from crowwing.fleet.world import World
+
+S = 1_000_000
+FAST = Timing(period=200_000, probe_timeout=60_000)
+
+
+def test_a_dead_member_is_held_dead_by_all_within_the_longest_suspicion() -> None:
+    world = World(10, seed=3, timing=FAST)
+    world.run_until(5 * S)
+    assert world.agreed()
+    world.kill("m4")
+    killed = world.now
+    while not world.held_dead("m4") and world.now < killed + 30 * S:
+        world.run_until(world.now + 50_000)
+    longest = 4 * 1.04 * 3 * FAST.period  # suspect_periods x log10(10) x suspect_most_times x period
+    assert world.now - killed <= longest + 3 * FAST.period
+    assert world.agreed()
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_tenth_of_messages_lost_kills_nobody(seed: int) -> None:
+    world = World(8, seed=seed, timing=FAST)
+    world.loss = 0.1
+    world.run_until(60 * S)
+    assert not [change for change in world.changes if change[3] == DEAD]
+    assert world.agreed()
+
+
+def test_both_sides_of_a_partition_hold_each_other_dead_and_agree_again_after_it() -> None:
+    world = World(6, seed=5, timing=FAST)
+    left = {"m0", "m1", "m2"}
+    world.run_until(3 * S)
+    world.cut = lambda a, b: (a in left) != (b in left)
+    world.run_until(20 * S)
+    for name in left:
+        assert all(world.members[name].members[o].state == DEAD for o in world.names if o not in left)
+    world.cut = lambda _, __: False
+    healed = world.now
+    while not world.agreed() and world.now < healed + 30 * S:
+        world.run_until(world.now + 50_000)
+    assert world.agreed()
+    assert world.now - healed <= 2 * FAST.revive_every * FAST.period
+
+
+def test_a_suspected_member_refutes_with_a_higher_incarnation() -> None:
+    chance = random.Random(1)
+    member = Membership("a", ["b", "c"], 0, chance, FAST)
+    member.heard(10, {"k": 0, "from": "b", "inc": 0, "seq": 1, "news": [["a", SUSPECT, 0, "b"]]})
+    assert member.incarnation == 1
+    to, ack = member.outbox[-1]
+    assert to == "b" and ack["k"] == 1 and ["a", ALIVE, 1, "a"] in ack["news"]
+    assert member.health == 1
+
+
+def test_news_at_a_lower_incarnation_changes_nothing_and_a_higher_one_wins() -> None:
+    member = Membership("a", ["b", "c"], 0, random.Random(1), FAST)
+    member.heard(10, {"k": 1, "from": "c", "inc": 0, "seq": 9, "news": [["b", ALIVE, 3, "b"]]})
+    member.heard(20, {"k": 1, "from": "c", "inc": 0, "seq": 9, "news": [["b", DEAD, 2, "c"]]})
+    assert member.members["b"].state == ALIVE and member.members["b"].incarnation == 3
+    member.heard(30, {"k": 1, "from": "c", "inc": 0, "seq": 9, "news": [["b", SUSPECT, 3, "c"]]})
+    assert member.members["b"].state == SUSPECT
+    member.heard(40, {"k": 1, "from": "c", "inc": 0, "seq": 9, "news": [["b", ALIVE, 3, "b"]]})
+    assert member.members["b"].state == SUSPECT, "only a higher incarnation clears a suspicion"
+
+
+def test_each_independent_suspicion_shortens_the_wait_to_the_shortest() -> None:
+    member = Membership("a", [f"m{n}" for n in range(9)], 0, random.Random(1), FAST)
+    member.heard(0, {"k": 1, "from": "m1", "inc": 0, "seq": 1, "news": [["m0", SUSPECT, 0, "m1"]]})
+    alone = member._suspicion(member.members["m0"])
+    for origin in ("m2", "m3", "m4"):
+        member.heard(0, {"k": 1, "from": origin, "inc": 0, "seq": 1, "news": [["m0", SUSPECT, 0, origin]]})
+    confirmed = member._suspicion(member.members["m0"])
+    assert confirmed * FAST.suspect_most_times == pytest.approx(alone, rel=0.01)
+
+
+def test_a_stranger_or_a_broken_message_is_refused_and_changes_nothing() -> None:
+    member = Membership("a", ["b"], 0, random.Random(1), FAST)
+    with pytest.raises(ValueError):
+        member.heard(0, {"k": 0, "from": "z", "inc": 0, "seq": 1})
+    with pytest.raises(ValueError):
+        member.heard(0, {"k": 7, "from": "b", "inc": 0, "seq": 1})
+    assert member.members["b"].state == ALIVE and not member.changes
+
+
+def test_its_tables_stay_within_one_entry_a_member_and_the_probes_in_flight() -> None:
+    world = World(30, seed=2, timing=FAST)
+    world.loss = 0.3
+    world.run_until(30 * S)
+    for member in world.members.values():
+        assert len(member.rumours) <= 30 and len(member.relayed) <= 30 * FAST.indirect
+        assert 0 <= member.health <= FAST.health_most
