Choose members' fleet ports after the relay's sockets are open

The program and swim.py were ruled out: every member that started held m1 dead. Wrong lines: FleetRig.__init__ choosing fleet_at, Relay taking addresses at once. Change: the relay opens first and takes the members' addresses after; ports are chosen unique and outside its own. A test on 20 processes checks the ports and that the fleet agrees.

--- a/crowwing/emulator/fleetrig.py
+++ b/crowwing/emulator/fleetrig.py
@@ -29,20 +29,32 @@
         return probe.getsockname()[1]
 
 
+def free_ports(count: int, taken: set[int]) -> list[int]:
+    """UDP ports free now, none twice and none of `taken`."""
+    chosen: list[int] = []
+    while len(chosen) < count:
+        if (port := free_port(socket.SOCK_DGRAM)) not in taken and port not in chosen:
+            chosen.append(port)
+    return chosen
+
+
 class FleetRig:
     def __init__(self, folder: Path, size: int, seed: int, faults: list[dict], **fleet: object) -> None:
         self.folder, self.seed = folder, seed
         folder.mkdir(parents=True, exist_ok=True)
         self.names = [f"m{n}" for n in range(size)]
-        self.fleet_at = {name: (HOST, free_port(socket.SOCK_DGRAM)) for name in self.names}
+        self.fleet_at: dict[str, tuple[str, int]] = {}  # chosen once the relay's sockets are open
         self.told = {"size": size, "seed": seed, "faults": faults, "fleet": fleet}
         (folder / "rig.json").write_bytes(orjson.dumps(self.told, option=orjson.OPT_INDENT_2))
-        self.relay = Relay(self.fleet_at, script(faults, self.names), seed, HOST)
+        self.relay = Relay(self.names, script(faults, self.names), seed, HOST)
         self.fleet = fleet
         self.children: dict[str, subprocess.Popen] = {}
 
     def start(self) -> None:
         self.relay.start()
+        ports = free_ports(len(self.names), set(self.relay.ports.values()))
+        self.fleet_at.update((name, (HOST, port)) for name, port in zip(self.names, ports, strict=True))
+        self.relay.members.update(self.fleet_at)
         for name in self.names:
             self.launch(name)
 
--- a/crowwing/emulator/relay.py
+++ b/crowwing/emulator/relay.py
@@ -103,10 +103,11 @@
 class Relay:
     """Runs on a thread of its own with its own loop; `ports[(a, b)]` is where `a` sends to reach `b`."""
 
-    def __init__(
-        self, members: dict[str, tuple[str, int]], faults: list[Fault], seed: int, host: str
-    ) -> None:
-        self.members, self.host = members, host
+    def __init__(self, names: Sequence[str], faults: list[Fault], seed: int, host: str) -> None:
+        # Each member's own address, told once the pairs' sockets are open: ports chosen before could be
+        # taken by one of them, and that member would not start.
+        self.names, self.host = list(names), host
+        self.members: dict[str, tuple[str, int]] = {}
         self.fate = Fate(faults, random.Random(f"{seed}/relay"))
         self.ports: dict[tuple[str, str], int] = {}
         self.counts: Counter[str] = Counter()
@@ -122,8 +123,8 @@
 
     async def _open(self) -> None:
         self.began = self.loop.time()
-        for source in self.members:
-            for target in self.members:
+        for source in self.names:
+            for target in self.names:
                 if source == target:
                     continue
                 pair = _Pair(self, source, target)
@@ -145,7 +146,7 @@
 
     def impose(self, told: Sequence[dict]) -> list[Fault]:
         """Faults whose `at_s` counts from now: a test waits for what it stands on, not for a time."""
-        faults = script(told, list(self.members))
+        faults = script(told, self.names)
         began = asyncio.run_coroutine_threadsafe(self._now(), self.loop).result(5)
         moved = [replace(fault, at_s=fault.at_s + began) for fault in faults]
         self.loop.call_soon_threadsafe(self.fate.faults.extend, moved)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -21,6 +21,14 @@
     return all(rig.alive_in(name) == expected for name in expected)
 
 
+def test_no_member_is_given_a_port_that_the_relay_holds(tmp_path: Path) -> None:
+    with FleetRig(tmp_path, 20, seed=6, faults=[], **FAST) as rig:
+        mine = [port for _, port in rig.fleet_at.values()]
+        assert len(set(mine)) == 20 and not set(mine) & set(rig.relay.ports.values())
+        everyone = set(rig.names)
+        assert rig.until(lambda: agree(rig, everyone), 20) is not None
+
+
 def test_a_killed_member_is_held_dead_by_all_and_comes_back_when_started_again(tmp_path: Path) -> None:
     with FleetRig(tmp_path, 5, seed=1, faults=[], **FAST) as rig:
         everyone = set(rig.names)
