--- a/crowwing/emulator/fleetrig.py
+++ b/crowwing/emulator/fleetrig.py
@@ -2,8 +2,8 @@
 
 Each process is started as `run` starts one, with its own configuration and operator file, and is ended by its
 id: killed (SIGKILL), paused (SIGSTOP, SIGCONT), started again. Their own log lines are the history;
-`history()` reads the `member` lines of all lives, and `view()` asks a running member for what it holds. What
-a failing run needs to be played again (seed, script, members' files) stays in its folder; `replay` plays it.
+`history()` reads the fleet's lines of all lives, `view()` and `state()` ask a running member for what it
+holds. What a failing run needs to be played again (seed, script, members' files) stays in its folder.
 """
 
 import os
@@ -21,6 +21,16 @@
 
 HOST = "127.0.0.1"
 EXAMPLE = ROOT / "deploy" / "example.json"
+HISTORY = {
+    "member",
+    "fleet_open",
+    "started",
+    "caught_up",
+    "catching_up",
+    "fetched",
+    "snapshot_read",
+    "snapshot_unused",
+}
 
 
 def free_port(kind: int) -> int:
@@ -30,14 +40,51 @@
 
 
 def free_ports(count: int, taken: set[int]) -> list[int]:
-    """UDP ports free now, none twice and none of `taken`."""
+    """Ports free now on UDP and TCP, none twice and none of `taken`."""
     chosen: list[int] = []
     while len(chosen) < count:
-        if (port := free_port(socket.SOCK_DGRAM)) not in taken and port not in chosen:
-            chosen.append(port)
+        port = free_port(socket.SOCK_DGRAM)
+        if port in taken or port in chosen:
+            continue
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        chosen.append(port)
     return chosen
 
 
+class Asker:
+    """Asks members on their fleet sockets, one question at a time; an answer to another question is not
+    taken.
+    """
+
+    def __init__(self) -> None:
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((HOST, 0))
+        self.number = 0
+
+    def ask(self, where: tuple[str, int], wait_s: float, **told: object) -> dict | None:
+        self.number += 1
+        self.socket.sendto(orjson.dumps(told | {"n": self.number}), where)
+        until = time.monotonic() + wait_s
+        while (left := until - time.monotonic()) > 0:
+            self.socket.settimeout(left)
+            try:
+                answer = orjson.loads(self.socket.recv(65536))
+            except TimeoutError:
+                return None
+            except OSError:
+                continue  # nobody listens there: said by ICMP, and perhaps soon no longer so
+            if answer.get("n") == self.number:
+                return answer
+        return None
+
+    def close(self) -> None:
+        self.socket.close()
+
+
 class FleetRig:
     def __init__(self, folder: Path, size: int, seed: int, faults: list[dict], **fleet: object) -> None:
         self.folder, self.seed = folder, seed
@@ -49,6 +96,7 @@
         self.relay = Relay(self.names, script(faults, self.names), seed, HOST)
         self.fleet = fleet
         self.children: dict[str, subprocess.Popen] = {}
+        self.asker = Asker()
 
     def start(self) -> None:
         self.relay.start()
@@ -111,6 +159,7 @@
                 child.kill()
                 child.wait()
         self.relay.stop()
+        self.asker.close()
 
     def __enter__(self) -> "FleetRig":
         self.start()
@@ -131,19 +180,28 @@
                     line = orjson.loads(raw)
                 except orjson.JSONDecodeError:
                     continue  # a line cut by a kill
-                if isinstance(line, dict) and line.get("event") in ("member", "fleet_open", "started"):
+                if isinstance(line, dict) and line.get("event") in HISTORY:
                     lines.append(line)
         return sorted(lines, key=lambda line: line["at"])
 
+    def ask(self, name: str, wait_s: float = 1.0, **told: object) -> dict | None:
+        """One question to a running member; None if it does not answer within `wait_s`."""
+        return self.asker.ask(self.fleet_at[name], wait_s, **told)
+
     def view(self, name: str, wait_s: float = 1.0) -> dict | None:
-        """What a running member holds now; None if it does not answer within `wait_s`."""
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as asker:
-            asker.settimeout(wait_s)
-            asker.sendto(b'{"k":"members"}', self.fleet_at[name])
-            try:
-                return orjson.loads(asker.recv(65536))
-            except TimeoutError:
-                return None
+        """What a running member holds of the others now."""
+        return self.ask(name, wait_s, k="members")
+
+    def state(self, name: str, prefix: str = "", wait_s: float = 1.0) -> dict | None:
+        """Everything a running member keeps under `prefix`, page by page."""
+        whole, after = None, ""
+        while (page := self.ask(name, wait_s, k="state", prefix=prefix, after=after)) is not None:
+            page["rows"] = (whole["rows"] if whole else []) + page["rows"]
+            whole = page
+            if not page["more"]:
+                return whole
+            after = page["rows"][-1][0]
+        return None
 
     def alive_in(self, name: str) -> set[str] | None:
         view = self.view(name)
--- a/crowwing/emulator/relay.py
+++ b/crowwing/emulator/relay.py
@@ -1,12 +1,13 @@
-"""Every link between two members goes through here: a UDP socket for each ordered pair, and a seeded script
-of faults.
+"""Every link between two members goes through here: a UDP socket and a TCP port of the same number for each
+ordered pair, and a seeded script of faults.
 
 A script is a list of faults, each `{"kind", "at_s", "for_s", "from", "to", ...}`: `cut` drops all (one way
 where only `from` -> `to` is named; give both ways for a whole partition), `loss` drops a share `size`,
 `delay` holds `size` ms plus up to `jitter_ms`, `duplicate` sends a share `size` twice, `reorder` holds a
 share `size` for `jitter_ms` so that later ones pass it. `from` and `to` are lists of member names; empty or
 absent is everyone. The fate of a datagram is decided by `Fate` (pure; time in seconds since the start and
-chance handed in).
+chance handed in). A stream is what TCP would make of the same link: a cut either way stands it still, a loss
+holds it for a retransmission, copies and reordering are not seen.
 """
 
 import asyncio
@@ -15,7 +16,12 @@
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
+from functools import partial
 
+RETRANSMIT_S = 0.2  # Linux' least time to a retransmission
+LOOK_S = 0.05  # how often a stream that stands still looks whether the cut is over
+PORT_TRIES = 50
+PIECE = 4096  # bytes of a stream that share one fate
 KINDS = {"cut", "loss", "delay", "duplicate", "reorder"}
 
 
@@ -84,6 +90,19 @@
                 delay += fault.jitter_ms / 1000
         return [delay + n * 0.0005 for n in range(copies)]
 
+    def of_stream(self, now_s: float, source: str, target: str) -> float | None:
+        """How long a piece of a stream is held, s; None while nothing of it can pass."""
+        delay = 0.0
+        for fault in self.faults:
+            there = fault.hits(now_s, source, target)
+            if fault.kind == "cut" and (there or fault.hits(now_s, target, source)):
+                return None  # a one-way cut stops the acknowledgements of the other way
+            if there and fault.kind == "delay":
+                delay += fault.size / 1000 + self.chance.random() * fault.jitter_ms / 1000
+            elif there and fault.kind == "loss" and self.chance.random() < fault.size:
+                delay += RETRANSMIT_S
+        return delay
+
 
 class _Pair(asyncio.DatagramProtocol):
     def __init__(self, relay: "Relay", source: str, target: str) -> None:
@@ -115,6 +134,8 @@
         self.began = 0.0
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True, name="relay")
         self.pairs: list[_Pair] = []
+        self.servers: list[asyncio.Server] = []
+        self.tasks: set[asyncio.Task] = set()  # streams; emptied by each one's end
 
     def start(self) -> None:
         """Every pair's socket is open when this returns; OSError where one cannot be had."""
@@ -128,12 +149,53 @@
                 if source == target:
                     continue
                 pair = _Pair(self, source, target)
-                transport, _ = await self.loop.create_datagram_endpoint(
-                    lambda p=pair: p, local_addr=(self.host, 0)
-                )
-                self.ports[(source, target)] = transport.get_extra_info("sockname")[1]
+                self.ports[(source, target)] = await self._both(pair)
                 self.pairs.append(pair)
 
+    async def _both(self, pair: _Pair) -> int:
+        """Opens the pair's UDP socket, and TCP on the same number."""
+        for _ in range(PORT_TRIES):
+            transport, _ = await self.loop.create_datagram_endpoint(lambda: pair, local_addr=(self.host, 0))
+            port = transport.get_extra_info("sockname")[1]
+            try:
+                server = await asyncio.start_server(partial(self._stream, pair), self.host, port)
+            except OSError:
+                transport.close()  # the number is taken on TCP
+                continue
+            self.servers.append(server)
+            return port
+        raise OSError(f"{self.host}: no port is free on UDP and TCP")
+
+    async def _stream(self, pair: _Pair, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.counts["streams"] += 1
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        writers = [writer]
+        try:
+            there, back = await asyncio.open_connection(*self.members[pair.target])
+            writers.append(back)
+            async with asyncio.TaskGroup() as ways:
+                ways.create_task(self._pass_on(reader, back, pair.source, pair.target))
+                ways.create_task(self._pass_on(there, writer, pair.target, pair.source))
+        except (OSError, asyncio.CancelledError, ExceptionGroup):
+            pass  # an end that is gone ends both ways
+        finally:
+            self.tasks.discard(task)
+            for one in writers:
+                one.close()
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str, target: str
+    ) -> None:
+        while piece := await reader.read(PIECE):
+            while (held := self.fate.of_stream(self.loop.time() - self.began, source, target)) is None:
+                await asyncio.sleep(LOOK_S)
+            if held:
+                await asyncio.sleep(held)
+            writer.write(piece)
+            await writer.drain()
+        writer.write_eof()
+
     def carry(self, pair: _Pair, data: bytes) -> None:
         delays = self.fate(self.loop.time() - self.began, pair.source, pair.target)
         self.counts["sent" if delays else "dropped"] += 1
@@ -168,7 +230,13 @@
             for pair in self.pairs:
                 if pair.transport is not None:
                     pair.transport.close()
-            self.loop.stop()
-
+            for server in self.servers:
+                server.close()
+            for task in self.tasks:
+                task.cancel()
+            self.loop.call_later(0.05, self.loop.stop)  # once the cancelled have ended
+
+        if not self.thread.is_alive():
+            return
         self.loop.call_soon_threadsafe(close)
         self.thread.join(5)
--- /dev/null
+++ b/crowwing/fleet/asked.py
@@ -0,0 +1,100 @@
+"""What a member answers to whoever asks on its fleet socket: `crowwing fleet ...` and the rig's clients.
+
+One datagram asks, one answers; `n` comes back as it was. What changes something is kept to the operators'
+spaces; the answer to it comes once a majority of all members holds it, or when `wait_ms` is over, and says
+which (`acked`, `held`). A datagram that is none of these is counted by the link, never a crash.
+"""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import orjson
+
+from crowwing.fleet.copies import NotKept
+from crowwing.fleet.spaces import OPERATORS
+from crowwing.fleet.spread import Update
+
+if TYPE_CHECKING:
+    from crowwing.fleet.link import Link
+
+PAGE_MOST = 6000  # bytes of rows in one answer
+WAIT_MOST = 30_000  # ms
+
+
+class Asked:
+    def __init__(self, link: "Link") -> None:
+        self.link = link
+
+    def answer(self, told: dict, reply: Callable[[dict], None]) -> None:
+        """KeyError, TypeError or ValueError for what is no question of ours."""
+        kind, n = told["k"], told.get("n")
+        if kind == "members":
+            reply(self._members() | {"n": n})
+        elif kind == "state":
+            reply(self._state(str(told.get("prefix", "")), str(told.get("after", ""))) | {"n": n})
+        elif kind in ("put", "add", "take_out"):
+            self._change(kind, told, reply)
+        else:
+            raise ValueError(f"{kind}: no question")
+
+    def _members(self) -> dict:
+        link, m = self.link, self.link.membership
+        return {
+            "me": m.me, "incarnation": m.incarnation, "health": m.health, "at": link.now(),
+            "members": [{"name": n, "state": s, "incarnation": i, "since": t} for n, s, i, t in m.view()],
+            "dropped": dict(link.dropped), "ready": link.catch_up.ready, "whole": link.catch_up.whole,
+            "sent_bytes": link.sent_bytes,
+        }  # fmt: skip
+
+    def _state(self, prefix: str, after: str) -> dict:
+        copies, catch_up = self.link.copies, self.link.catch_up
+        keys = sorted(key for key, _ in copies.under(prefix) if key > after)
+        rows, size = [], 0
+        for key in keys:
+            row = copies.row(key)
+            size += len(orjson.dumps(row)) + 1
+            if rows and size > PAGE_MOST:
+                break
+            rows.append(row)
+        return {
+            "me": copies.me, "rows": rows, "more": len(rows) < len(keys), "entries": len(copies.entries),
+            "held": {name: held for name, held in copies.held.items() if held},
+            "root": f"{copies.root():016x}",
+            "refused": dict(copies.refused), "ready": catch_up.ready,
+            "caught_up": [
+                {"took_ms": round(took / 1000, 1), "whole": whole} for took, whole in catch_up.took
+            ],
+            "time": copies.clock.time(self.link.wall()),
+        }  # fmt: skip
+
+    def _change(self, kind: str, told: dict, reply: Callable[[dict], None]) -> None:
+        link, n, key = self.link, told.get("n"), str(told["key"])
+        if key.partition("/")[0] not in OPERATORS:
+            reply({"n": n, "why": f"{key}: is not for operators to change"})
+            return
+        wait, life = int(told.get("wait_ms", 2000)), int(told.get("life_ms", 3_600_000)) * 1000
+        now = link.wall()
+        try:
+            if kind == "put":
+                rows = [link.copies.put(now, key, told.get("value"), life)]
+            elif kind == "add":
+                rows = [link.copies.add(now, key, life)]
+            else:
+                rows = link.copies.take_out(now, key)
+        except NotKept as wrong:
+            reply({"n": n, "why": str(wrong)})
+            return
+        link.spread.changed(row[0] for row in rows)
+        wanted, held = len(rows), []
+
+        def tell(update: Update) -> None:
+            held.append(len(update.held) + 1)
+            if len(held) == wanted:
+                least = min(held)
+                reply({"n": n, "acked": least >= link.spread.majority, "held": least, "rows": rows})
+
+        if not rows:
+            reply({"n": n, "acked": True, "held": link.spread.majority, "rows": []})
+        for row in rows:
+            link.spread.update(now, row, link.membership.alive(), min(max(0, wait), WAIT_MOST) * 1000, tell)
+        link.turn()
--- /dev/null
+++ b/crowwing/fleet/catchup.py
@@ -0,0 +1,123 @@
+"""Whether this member has caught up with the fleet, and from whom to fetch next. Pure.
+
+An acknowledged update is held by a majority of all members that settings name, at least half of all besides
+any one. Whoever has lost its memory and fetched from half of all, rounded up, has so met for each update at
+least one other that holds it: that is when it has caught up. Before, it says that it is not ready, but never
+for longer than `most`: a fleet whose members cannot reach each other still has to serve. It goes on fetching
+then, and does not pass for whole until it has met enough.
+
+Catching up begins with a start, and with a return: this member was out of reach of a majority and now hears
+from members that never were. Where no member was whole (a cut into three, all restarted at once), nobody is
+behind anybody, and nobody leaves the list: guards against a fleet that heals and is gone for that.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """Times in µs."""
+
+    most: int = 5_000_000  # not ready for longer than this, caught up or not
+    again: int = 500_000  # a fetch that failed is tried again after
+    away: int = 3_000_000  # out of reach of a majority for this long counts as away
+    at_once: int = 2  # fetches that are out together
+
+
+class CatchUp:
+    """One member's; feed it what is reached, fetched and said, and ask `fetch` at every turn."""
+
+    def __init__(self, size: int, now: int, patience: Patience) -> None:
+        self.patience = patience
+        self.others = (size + 1) // 2  # to fetch from
+        self.near = size // 2  # with this member, a majority of all
+        self.began: int | None = now  # of catching up; None: caught up
+        self.waited = False  # long enough for this catching up: ready, though behind
+        self.met: set[str] = set()  # fetched from since then; emptied by the next catching up
+        self.out: dict[str, int] = {}  # fetches that are out -> when they began; emptied by their ends
+        self.not_before: dict[str, int] = {}  # one entry a member
+        self.alone_since: int | None = None  # out of reach of a majority; None: in reach
+        self.back_since: int | None = None  # in reach again after having been away, and no whole member met
+        self.was_away = False
+        self.looked = now
+        self.took: list[
+            tuple[int, bool]
+        ] = []  # of the last few: how long not ready, and whether it then was whole
+
+    @property
+    def ready(self) -> bool:
+        return self.began is None or self.waited
+
+    @property
+    def whole(self) -> bool:
+        """What a returning member may trust: caught up, and not out of reach of a majority."""
+        return self.began is None and self.alone_since is None and not self.was_away
+
+    def reaches(self, now: int, alive: int) -> None:
+        """`alive`: how many others are held alive. To be told at least once in `away`: a longer gap means
+        that this process stood still, and was away without knowing."""
+        if now - self.looked >= self.patience.away:
+            self.was_away = True
+        self.looked = now
+        if alive < self.near:
+            self.alone_since = now if self.alone_since is None else self.alone_since
+            self.back_since = None
+            if now - self.alone_since >= self.patience.away:
+                self.was_away = True
+            return
+        self.alone_since = None
+        if self.was_away and self.began is None:
+            self.back_since = now if self.back_since is None else self.back_since
+            if now - self.back_since >= self.patience.most:
+                self.was_away = False  # nobody was whole; the comparing of digests brings all together
+
+    def heard_whole(self, now: int) -> None:
+        """A member that is whole spoke to us."""
+        if self.was_away and self.alone_since is None and self.began is None:
+            self._begin(now)
+
+    def _begin(self, now: int) -> None:
+        self.began, self.waited = now, False
+        self.met.clear()
+        self.not_before.clear()
+
+    def fetch(self, now: int, alive: Iterable[str]) -> list[str]:
+        """Whom to fetch from now; also ends the waiting that has had its time."""
+        if self.began is None:
+            return []
+        if not self.waited and now - self.began >= self.patience.most:
+            self.waited = True
+            self._note(now, whole=False)
+        free = self.patience.at_once - len(self.out)
+        names = [
+            name
+            for name in alive
+            if name not in self.met and name not in self.out and now >= self.not_before.get(name, now)
+        ]
+        for name in names[: max(0, free)]:
+            self.out[name] = now
+        return names[: max(0, free)]
+
+    def fetched(self, now: int, name: str, good: bool) -> None:
+        """A fetch ended. What was begun before this catching up says nothing of it."""
+        began = self.out.pop(name, None)
+        if not good:
+            self.not_before[name] = now + self.patience.again
+        elif self.began is not None and began is not None and began >= self.began:
+            self.met.add(name)
+            if len(self.met) >= self.others:
+                if not self.waited:
+                    self._note(now, whole=True)
+                self.began, self.waited, self.was_away, self.back_since = None, False, False, None
+
+    def _note(self, now: int, whole: bool) -> None:
+        self.took.append((now - self.began, whole))
+        del self.took[:-8]
+
+    def wake_at(self, now: int) -> int | None:
+        """The next moment at which `fetch` may have something to say."""
+        if self.began is None:
+            return None
+        later = [at for at in self.not_before.values() if at > now]
+        return min([self.began + self.patience.most, *later]) if not self.waited else min(later, default=None)
--- /dev/null
+++ b/crowwing/fleet/spaces.py
@@ -0,0 +1,19 @@
+"""Which state the fleet keeps together, and the rule of each (docs/replication.md has the reasons)."""
+
+from crowwing.fleet.copies import Join, Space
+
+SECOND = 1_000_000
+HOUR = 3600 * SECOND
+
+# A name that stands first in a key: how copies that differ are settled, entries at most, longest life.
+SPACES = {
+    "said": Space(Join.LATEST, 512, 24 * HOUR),  # what operators say to all members
+    "mark": Space(Join.GONE, 512, 24 * HOUR),  # sets that operators put members or zones into
+    "zone": Space(Join.LATEST, 256, 24 * HOUR),  # verdicts on zones
+    "use": Space(Join.MOST, 4096, 60 * SECOND),  # a customer's tickets: by member, life and window
+    "below": Space(Join.LATEST, 512, 60 * SECOND),  # what each member spends of what lies below
+    "lesson": Space(Join.LATEST, 512, 24 * HOUR),  # what each member has learned
+    "label": Space(Join.LATEST, 2048, HOUR),  # labelled tickets, in flight and done
+    "turned": Space(Join.LATEST, 512, 60 * SECOND),  # prints of what each member dismissed of late
+}
+OPERATORS = ("said", "mark", "zone")  # what may be put through the fleet's socket
--- /dev/null
+++ b/crowwing/fleet/spread.py
@@ -0,0 +1,240 @@
+"""How one member's copy meets the others': deltas that ride on membership's messages, a comparing of digests
+now and then, and updates that are told only once a majority holds them. Pure.
+
+Sources: Demers et al., "Epidemic Algorithms for Replicated Database Maintenance" (PODC 1987): rumours while
+they are hot, anti-entropy for what rumours missed.
+
+- What changed here rides on every message of the membership, the least often sent first, a few times log10 of
+  the fleet; then it is cold.
+- Every `sync_every` one member, drawn by chance, is told the sums of our 16 groups of leaves. It answers with
+  its leaf sums of the groups that differ; we send what we hold in leaves that differ and ask for theirs. A
+  round sends `give_most` bytes at most; where most leaves differ and the other holds much, the whole is
+  fetched over a stream instead (`far`): a member too far behind gets a snapshot.
+- An update to be acknowledged is given to every member at once, again each `again` until a majority (this one
+  among them) has said that it holds it, or `wait` is over: then it is kept and spreads, and its caller is
+  told how many hold it.
+
+Time (µs) and chance are handed in; what is to be sent gathers in `outbox` as (member, message).
+"""
+
+import math
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+import orjson
+
+from crowwing.fleet.copies import A_GROUP, GROUPS, LEAVES, Copies, Row, Value
+
+Message = dict
+
+
+class Word(IntEnum):
+    """Kinds of message; under 10 are the membership's."""
+
+    SUMS, SAME, DIFFERS, GIVE, WANTS, GOT = 10, 11, 12, 13, 14, 15
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """Times in µs, sizes in bytes."""
+
+    sync_every: int = 1_000_000
+    again: int = 150_000  # until an update that is to be acknowledged is given again
+    ride_most: int = 900  # of state on one message of the membership
+    gift_most: int = 1200  # of one datagram of state: one frame of Ethernet
+    give_most: int = 24_000  # of one comparing, each way
+    retransmit: float = 3.0  # a change rides this many times log10 of the fleet
+    far_leaves: int = 3 * LEAVES // 4  # this many leaves differ, and
+    far_entries: int = 400  # so many entries there: fetched as a whole
+
+
+@dataclass(slots=True)
+class Update:
+    """One that waits for a majority; `told` once it has it or its time is over."""
+
+    row: Row
+    until: int
+    again: int
+    tell: Callable[["Update"], None]
+    held: set[str] = field(default_factory=set)  # members that say they hold it, this one not counted
+
+
+class Spread:
+    """One member's part; `heard` for each message of its kinds, `turn` at `wake_at` or sooner."""
+
+    def __init__(
+        self, me: str, peers: Sequence[str], copies: Copies, now: int, chance: random.Random, pace: Pace
+    ) -> None:
+        self.me, self.peers, self.copies, self.chance, self.pace = me, list(peers), copies, chance, pace
+        self.majority = (len(self.peers) + 1) // 2 + 1  # of all members that settings name, this one too
+        self.hot: dict[str, int] = {}  # a key that changed -> times sent; emptied as sent often enough
+        self.rides = max(1, math.ceil(pace.retransmit * math.log10(len(self.peers) + 2)))
+        self.updates: dict[int, Update] = {}  # by number; emptied by a majority or their time
+        self.number = 0
+        self.sync_at = now + chance.randrange(pace.sync_every)
+        self.outbox: list[tuple[str, Message]] = []
+        self.far: set[str] = set()  # members to fetch the whole from; emptied by whoever fetches
+        self.sent = 0  # rows
+
+    def wake_at(self) -> int:
+        return min([self.sync_at, *(min(u.again, u.until) for u in self.updates.values())])
+
+    # Saying something
+
+    def put(self, now: int, key: str, value: Value, life: int) -> Row:
+        """Kept here and spread as it comes; NotKept where it cannot be."""
+        row = self.copies.put(now, key, value, life)
+        self.changed([row[0]])
+        return row
+
+    def update(
+        self, now: int, row: Row, alive: Iterable[str], wait: int, tell: Callable[[Update], None]
+    ) -> Update:
+        """Tells once a majority of all members holds the row, or one that outranks it; or `wait` is over."""
+        self.number += 1
+        update = self.updates[self.number] = Update(row, now + wait, now + self.pace.again, tell)
+        self._give_again(self.number, update, alive)
+        self._settle(now)
+        return update
+
+    def is_held(self, update: Update) -> bool:
+        return len(update.held) + 1 >= self.majority
+
+    def _give_again(self, number: int, update: Update, to: Iterable[str]) -> None:
+        for name in to:
+            if name not in update.held:
+                self._send(name, Word.GIVE, rows=[update.row], ack=number)
+
+    def _settle(self, now: int) -> None:
+        for number, update in list(self.updates.items()):
+            if self.is_held(update) or now >= update.until:
+                del self.updates[number]
+                update.tell(update)
+
+    # Deltas
+
+    def changed(self, keys: Iterable[str]) -> None:
+        for key in keys:
+            self.hot[key] = 0
+
+    def ride(self) -> list[Row]:
+        """What goes with a message of the membership now."""
+        rows, size = [], 0
+        for key in sorted(self.hot, key=self.hot.__getitem__):
+            if key not in self.copies.entries:
+                del self.hot[key]  # it ran out
+                continue
+            row = self.copies.row(key)
+            size += len(orjson.dumps(row)) + 1
+            if rows and size > self.pace.ride_most:
+                break
+            rows.append(row)
+            self.hot[key] += 1
+            if self.hot[key] >= self.rides:
+                del self.hot[key]
+        return rows
+
+    def rode(self, now: int, rows: Iterable[Row]) -> None:
+        """What came with a message of the membership: what is news here rides on."""
+        self.changed(self.copies.merge(now, rows))
+
+    # Time
+
+    def turn(self, now: int, alive: Sequence[str]) -> None:
+        self.copies.turn(now)
+        for number, update in self.updates.items():
+            if now >= update.again:
+                update.again = now + self.pace.again
+                self._give_again(number, update, alive)
+        self._settle(now)
+        if now >= self.sync_at:
+            # Within a tenth by chance: members started together do not compare in step.
+            self.sync_at = now + round(self.pace.sync_every * (0.9 + 0.2 * self.chance.random()))
+            if alive:
+                self.compare(self.chance.choice(list(alive)))
+
+    def compare(self, to: str) -> None:
+        self._send(to, Word.SUMS, groups=self.copies.groups(), n=len(self.copies.entries))
+
+    # Messages
+
+    def heard(self, now: int, message: Message) -> None:
+        """ValueError, KeyError or TypeError for one that is not whole; it changes nothing."""
+        sender, word = message["from"], Word(message["k"])
+        if sender not in self.peers:
+            raise ValueError(f"{sender}: no member of this fleet")
+        if word is Word.SUMS:
+            self._sums(sender, [int(one) for one in message["groups"]])
+        elif word is Word.DIFFERS:
+            theirs = {int(leaf): int(one) for leaf, one in message["leaves"]}
+            if any(not 0 <= leaf < LEAVES for leaf in theirs):
+                raise ValueError("no leaf")
+            self._differs(sender, theirs, int(message["n"]))
+        elif word is Word.WANTS:
+            wanted = [int(leaf) for leaf in message["leaves"]]
+            if any(not 0 <= leaf < LEAVES for leaf in wanted):
+                raise ValueError("no leaf")
+            self._give(sender, wanted)
+        elif word is Word.GIVE:
+            rows = message["rows"]
+            self.changed(self.copies.merge(now, rows))
+            if "ack" in message and all(self.copies.holds(row) for row in rows):
+                self._send(sender, Word.GOT, ack=int(message["ack"]))
+        elif word is Word.GOT:
+            update = self.updates.get(int(message["ack"]))
+            if update is not None:
+                update.held.add(sender)
+                self._settle(now)
+
+    def _sums(self, sender: str, groups: list[int]) -> None:
+        if len(groups) != GROUPS:
+            raise ValueError("no sums of ours")
+        mine = self.copies.groups()
+        differ = [n for n in range(GROUPS) if groups[n] != mine[n]]
+        if not differ:
+            self._send(sender, Word.SAME)
+            return
+        leaves = [leaf for n in differ for leaf in range(n * A_GROUP, (n + 1) * A_GROUP)]
+        told = [[leaf, self.copies.leaves[leaf]] for leaf in leaves]
+        self._send(sender, Word.DIFFERS, leaves=told, n=len(self.copies.entries))
+
+    def _differs(self, sender: str, theirs: dict[int, int], n: int) -> None:
+        differ = [leaf for leaf, one in theirs.items() if one != self.copies.leaves[leaf]]
+        if len(differ) >= self.pace.far_leaves and n >= self.pace.far_entries:
+            self.far.add(sender)
+            return
+        self.chance.shuffle(differ)  # of what is too much for one round, another part each time
+        self._give(sender, differ)
+        self._send(sender, Word.WANTS, leaves=differ)
+
+    def _give(self, to: str, leaves: Iterable[int]) -> None:
+        rows, size, whole = [], 0, 0
+        for row in self.copies.rows(leaves):
+            more = len(orjson.dumps(row)) + 1
+            if rows and size + more > self.pace.gift_most:
+                self._send(to, Word.GIVE, rows=rows)
+                rows, size = [], 0
+            if whole + more > self.pace.give_most:
+                break
+            rows.append(row)
+            size, whole = size + more, whole + more
+        if rows:
+            self._send(to, Word.GIVE, rows=rows)
+
+    def _send(self, to: str, word: Word, **fields: object) -> None:
+        self.sent += len(fields.get("rows", ()))  # type: ignore[arg-type]
+        self.outbox.append((to, {"k": int(word), "from": self.me, **fields}))
+
+    # A whole copy over a stream
+
+    def missing(self, leaves: Sequence[int]) -> Iterable[Row]:
+        """What a member that holds these leaf sums lacks of ours; leaves that agree are left out."""
+        if len(leaves) != LEAVES:
+            raise ValueError("no sums of ours")
+        return self.copies.rows([n for n in range(LEAVES) if leaves[n] != self.copies.leaves[n]])
+
+    def took(self, now: int, rows: Iterable[Row]) -> int:
+        """What came over a stream; how much of it was news. It does not ride: the others have it."""
+        return len(self.copies.merge(now, rows))
--- /dev/null
+++ b/crowwing/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Snapshots on disk: what the fleet keeps, across restarts (docs/replication.md)."""
--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -62,7 +62,11 @@
         if operator is not None and getattr(operator, "fleet", None):  # UNSET and None alike are off
             from crowwing.fleet.link import Link  # only where a fleet is switched on
 
-            self.fleet = Link(loop, operator.fleet, posting.name, posting.seed, self.book.event)
+            self.fleet = Link(
+                loop, operator.fleet, posting.name, posting.seed, self.book.event, self.caught_up
+            )
+        self.wants_in: bool | None = None  # the module's word, once it has spoken
+        self.behind = self.fleet is not None  # the fleet's: not caught up
         self.over = asyncio.Event()
         self.lag = 0.0
         self.duties: list[asyncio.Task] = []
@@ -83,6 +87,17 @@
     # What the module sets
 
     def ready(self, good: bool) -> None:
+        self.wants_in = good
+        self._listed()
+
+    def caught_up(self, good: bool) -> None:
+        """The fleet's word: a member that is behind stays off the list until it has caught up."""
+        self.behind = not good
+        if self.wants_in is not None:
+            self._listed()
+
+    def _listed(self) -> None:
+        good = bool(self.wants_in) and not self.behind
         self.front.good = good
         self.reporter.tell(good)
         self.book.event("ready" if good else "unready")
--- a/crowwing/program/main.py
+++ b/crowwing/program/main.py
@@ -33,14 +33,15 @@
 
 
 def _fleet(operator: "SimpleNamespace | None", me: str) -> None:
-    """Peers naming this backend, an address that is no IPv4, timings that disagree: one line, before
-    anything."""
+    """Peers naming this backend, an address that is no IPv4, timings that disagree, a folder that cannot be
+    written: one line, before anything."""
     if operator is None or not getattr(operator, "fleet", None):  # UNSET and None alike are off
         return
-    from crowwing.fleet.link import BadFleet, peers  # only where a fleet is switched on
+    from crowwing.fleet.link import BadFleet, folder, peers  # only where a fleet is switched on
 
     try:
         peers(operator.fleet, me)
+        folder(operator.fleet)
     except BadFleet as wrong:
         raise BadConfiguration(f"{os.environ['CROWWING_OPERATOR']}: {wrong}") from None
 
--- a/crowwing/records/events.py
+++ b/crowwing/records/events.py
@@ -23,5 +23,13 @@
     "stopped": "it has drained",
     "storm": "a retry storm is seen",
     "storm_over": "it is seen no more",
+    "fleet_open": "its fleet socket is open",
+    "member": "another member is held alive, suspect or dead",
+    "caught_up": "it holds what the fleet keeps, or has waited long enough",
+    "catching_up": "it was away, and is behind until it has caught up",
+    "fetched": "a whole copy came from a member",
+    "snapshot_read": "what was kept on disk is read",
+    "snapshot_unused": "the snapshot on disk is not used",
+    "snapshot_unwritten": "the snapshot could not be written",
     "figures": "figures of the module and the wires",
 }
--- a/crowwing/settings/operator.py
+++ b/crowwing/settings/operator.py
@@ -76,6 +76,21 @@
     revive_every: Annotated[
         int, Meta(ge=1, le=1000, description="Periods between probes of a member held dead.")
     ] = 8
+    sync_every_ms: Annotated[
+        int, Meta(ge=50, le=600_000, description="Between two comparings of digests with a member by chance.")
+    ] = 1000
+    catch_up_most_ms: Annotated[
+        int, Meta(ge=100, le=600_000, description="Not ready for longer than this, caught up or not.")
+    ] = 5000
+    clock_drift_most_ms: Annotated[
+        int, Meta(ge=100, le=3_600_000, description="How far ahead a member's clock may be and be believed.")
+    ] = 10_000
+    snapshot_folder: Annotated[
+        str, Meta(description="Where this member's copy is kept across restarts; empty: it is not.")
+    ] = ""
+    snapshot_every_ms: Annotated[
+        int, Meta(ge=100, le=3_600_000, description="Between two writings, where something changed.")
+    ] = 5000
     clock_offset_ms: Annotated[
         int, Meta(ge=-3_600_000, le=3_600_000, description="Added to this member's clock; for trials only.")
     ] = 0
--- /dev/null
+++ b/tests/test_fleet_copies.py
@@ -0,0 +1,157 @@
+"""The state kept together: merging in any order, running out, the rule for copies that differ, digests,
+bounds.
+"""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from crowwing.fleet.copies import VALUE_MOST, Copies, Join, NotKept, Space
+from crowwing.fleet.stamp import Hybrid, TooFarAhead
+
+S = 1_000_000
+SPACES = {
+    "r": Space(Join.LATEST, 64, 100 * S), "c": Space(Join.MOST, 64, 100 * S),
+    "s": Space(Join.GONE, 64, 100 * S),
+    "few": Space(Join.LATEST, 8, 100 * S),
+}  # fmt: skip
+
+
+def copies(me: str = "a") -> Copies:
+    return Copies(me, SPACES, 10 * S)
+
+
+def test_a_stamp_outranks_what_was_heard_whatever_the_clock_shows() -> None:
+    slow, fast = Hybrid("slow", 10 * S), Hybrid("fast", 10 * S)
+    theirs = fast.next(5 * S)
+    slow.heard(1 * S, theirs.at, theirs.count)
+    assert slow.next(1 * S) > theirs
+    with pytest.raises(TooFarAhead):
+        slow.heard(1 * S, 12 * S, 0)
+    assert slow.time(1 * S) == 5 * S, "one far ahead moves nothing"
+
+
+def test_the_later_word_wins_and_the_name_breaks_a_tie() -> None:
+    a, b = copies("a"), copies("b")
+    first, second = a.put(S, "r/x", 1, 9 * S), b.put(S, "r/x", 2, 9 * S)
+    for one in (a, b):
+        one.merge(S, [first, second])
+        assert one.look("r/x") == 2  # the same µs and count: b's name is the greater
+    later = a.put(S, "r/x", 3, 9 * S)
+    b.merge(S, [later])
+    assert b.look("r/x") == 3 and a.root() == b.root()
+
+
+def test_counters_take_the_most_and_an_adding_that_nobody_saw_survives_the_taking_out() -> None:
+    a, b = copies("a"), copies("b")
+    a.merge(S, [b.put(S, "c/b/w1", 7, 9 * S)])
+    a.merge(S, [["c/b/w1", 5, S, 9, "b", 10 * S]])
+    assert a.look("c/b/w1") == 7, "an older count of a greater stamp changes nothing"
+    added = a.add(S, "s/set/m1", 9 * S)
+    b.merge(S, [added])
+    out = b.take_out(2 * S, "s/set/m1")
+    again = a.add(2 * S, "s/set/m1", 9 * S)  # before it heard of the taking out
+    a.merge(2 * S, out)
+    b.merge(2 * S, [again])
+    assert a.has("s/set/m1") and b.has("s/set/m1") and a.root() == b.root()
+    b.take_out(3 * S, "s/set/m1")
+    assert not b.has("s/set/m1")
+
+
+def test_what_replaces_an_entry_never_runs_out_before_it() -> None:
+    a, b = copies("a"), copies("b")
+    old = a.put(S, "r/x", "old", 50 * S)
+    new = a.put(2 * S, "r/x", "new", 1)
+    assert new[5] >= old[5]
+    b.merge(3 * S, [new])
+    b.turn(40 * S)
+    b.merge(40 * S, [old])
+    assert b.look("r/x") == "new"
+
+
+def test_entries_run_out_alike_and_what_ran_out_is_not_taken_back() -> None:
+    a, b = copies("a"), copies("b")
+    row = a.put(S, "r/x", 1, 2 * S)
+    b.merge(S, [row])
+    for one in (a, b):
+        one.turn(4 * S)
+        assert not one.entries and not any(one.leaves) and not any(one.keys)
+    assert b.merge(4 * S, [row]) == [] and b.refused["out"] == 1
+
+
+def test_a_full_space_refuses_what_is_put_here_and_keeps_alike_what_others_put() -> None:
+    a = copies("a")
+    rows = [a.put(S, f"few/{n}", n, (n + 1) * S) for n in range(7)]
+    with pytest.raises(NotKept):
+        a.put(S, "few/more", 0, S)
+    a.put(S, "few/3", "again", S)  # what is there already can be said anew
+    others = [[f"few/o{n}", n, S, n, "b", 20 * S + n] for n in range(7)]
+    one, two = copies("x"), copies("y")
+    one.merge(S, rows + others)
+    for row in reversed(rows + others):
+        two.merge(S, [row])
+    assert len(one.entries) == 8 and one.root() == two.root()
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        ["r/x", 1, "soon", 0, "b", 9 * S], ["nowhere/x", 1, S, 0, "b", 9 * S], ["r/x", 1, S, -1, "b", 9 * S],
+        ["c/x", "many", S, 0, "b", 9 * S], ["s/x", 1, S, 0, "b", 9 * S],
+        ["r/x", "z" * VALUE_MOST, S, 0, "b", 9 * S],
+        ["r/x", 1, S, 0, "b"], 7, ["r/x", 1, True, 0, "b", 9 * S], [1, 1, S, 0, "b", 9 * S],
+        ["r/x", 1, S, 0, "b", 10**18], ["r/x", 1, 99 * S, 0, "b", 100 * S],
+    ],
+)  # fmt: skip
+def test_a_row_that_is_none_is_counted_and_the_others_are_taken(row: object) -> None:
+    a = copies()
+    assert a.merge(S, [row, ["r/good", 1, S, 0, "b", 9 * S]]) == ["r/good"]
+    assert sum(a.refused.values()) == 1
+
+
+ROWS = st.lists(
+    st.builds(
+        lambda key, value, at, count, who, until: [
+            key, value % 2 == 0 if key[0] == "s" else value, at, count, who, until
+        ],
+        st.sampled_from(["r/x", "r/y", "c/x", "c/y", "s/x", "s/y", "few/x"]),
+        st.integers(0, 3), st.integers(S, S + 3), st.integers(0, 2), st.sampled_from("abc"),
+        st.integers(50 * S, 50 * S + 3),
+    ),
+    max_size=14,
+)  # fmt: skip
+
+
+@given(ROWS, st.randoms(use_true_random=False), st.integers(1, 4))
+@settings(max_examples=300, deadline=None)
+def test_any_order_any_grouping_and_any_repetition_give_the_same(
+    rows: list, chance: random.Random, parts: int
+) -> None:
+    straight, shuffled = copies("x"), copies("y")
+    straight.merge(S, rows)
+    mixed = rows + chance.sample(rows, len(rows) // 2)
+    chance.shuffle(mixed)
+    for part in range(parts):  # through copies of copies
+        between = copies(f"z{part}")
+        between.merge(S, mixed[part::parts])
+        shuffled.merge(S, between.every())
+    assert straight.root() == shuffled.root()
+    assert {k: e.value for k, e in straight.entries.items()} == {
+        k: e.value for k, e in shuffled.entries.items()
+    }
+
+
+@given(ROWS, ROWS)
+@settings(max_examples=100, deadline=None)
+def test_equal_roots_mean_equal_entries_and_leaves_name_what_differs(first: list, second: list) -> None:
+    a, b = copies("x"), copies("y")
+    a.merge(S, first)
+    b.merge(S, second)
+    rows_a, rows_b = list(a.every()), list(b.every())
+    assert (a.root() == b.root()) == (rows_a == rows_b)
+    differ = [n for n in range(256) if a.leaves[n] != b.leaves[n]]
+    b.merge(S, a.rows(differ))
+    a.merge(S, b.rows(differ))
+    assert a.root() == b.root()
