--- a/crowwing/cli/__init__.py
+++ b/crowwing/cli/__init__.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from crowwing.cli import emulate, serve, settings
+from crowwing.cli import emulate, fleet, serve, settings
 
 app = typer.Typer(
     name="crowwing", no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
@@ -12,6 +12,7 @@
 )  # fmt: skip
 app.command("serve", epilog=serve.EXAMPLE)(serve.serve)
 app.command("emulate", epilog=emulate.EXAMPLE)(emulate.emulate)
+app.add_typer(fleet.app, name="fleet")
 app.add_typer(settings.app, name="settings")
 
 
--- a/crowwing/emulator/fleetrig.py
+++ b/crowwing/emulator/fleetrig.py
@@ -95,6 +95,7 @@
         (folder / "rig.json").write_bytes(orjson.dumps(self.told, option=orjson.OPT_INDENT_2))
         self.relay = Relay(self.names, script(faults, self.names), seed, HOST)
         self.fleet = fleet
+        self.operator_of: dict[str, dict] = {}  # what one member's fleet section says besides
         self.children: dict[str, subprocess.Popen] = {}
         self.asker = Asker()
 
@@ -118,7 +119,10 @@
             if other != name
         ]
         listen = "{}:{}".format(*self.fleet_at[name])
-        operator = {"version": 1, "fleet": {"listen": listen, "peers": peers} | self.fleet}
+        operator = {
+            "version": 1,
+            "fleet": {"listen": listen, "peers": peers} | self.fleet | self.operator_of.get(name, {}),
+        }
         paths = self.folder / f"{name}.json", self.folder / f"{name}.operator.json"
         paths[0].write_bytes(orjson.dumps(posting))
         paths[1].write_bytes(orjson.dumps(operator))
--- a/crowwing/fleet/asked.py
+++ b/crowwing/fleet/asked.py
@@ -11,6 +11,7 @@
 import orjson
 
 from crowwing.fleet.copies import NotKept
+from crowwing.fleet.labels import Claimed
 from crowwing.fleet.spaces import OPERATORS
 from crowwing.fleet.spread import Update
 
@@ -34,9 +35,32 @@
             reply(self._state(str(told.get("prefix", "")), str(told.get("after", ""))) | {"n": n})
         elif kind in ("put", "add", "take_out"):
             self._change(kind, told, reply)
+        elif kind == "claim":
+            self._claim(told, reply)
+        elif kind in ("over", "never_ran"):
+            labels, label = self.link.member.labels, str(told["label"])
+            if kind == "over":
+                labels.over(self.link.now(), label, told.get("answer"))
+            else:
+                labels.never_ran(self.link.now(), label)
+            reply({"n": n})
+            self.link.turn()
         else:
             raise ValueError(f"{kind}: no question")
 
+    def _claim(self, told: dict, reply: Callable[[dict], None]) -> None:
+        """What a front with labelled traffic types asks before it runs one."""
+        n, window = told.get("n"), int(told.get("window_ms", 60_000)) * 1000
+
+        def tell(what: Claimed, answer: str | None) -> None:
+            reply({"n": n, "claimed": what.value, "answer": answer})
+
+        try:
+            self.link.member.labels.claim(self.link.now(), str(told["label"]), window, tell)
+        except ValueError as wrong:
+            reply({"n": n, "why": str(wrong)})
+        self.link.turn()
+
     def _members(self) -> dict:
         link, m = self.link, self.link.member.membership
         return {
--- a/crowwing/fleet/member.py
+++ b/crowwing/fleet/member.py
@@ -12,10 +12,14 @@
 
 from crowwing.fleet.catchup import CatchUp, Patience
 from crowwing.fleet.copies import Copies, Row, Space
+from crowwing.fleet.labels import Labels
+from crowwing.fleet.loans import Loans
 from crowwing.fleet.spread import Pace, Spread
 from crowwing.fleet.swim import DEAD, Membership, Message, Timing
 
-OF_STATE = 10  # kinds of message from here on are the state's, those under it the membership's
+# Kinds of message from here on are the state's, of loans, of labels; those under all of them the
+# membership's.
+OF_STATE, OF_LOANS, OF_LABELS = 10, 20, 30
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +30,8 @@
     pace: Pace
     patience: Patience
     drift_most: int = 10_000_000  # how far ahead of ours another's clock may be and be believed
+    labels_most: int = 2048  # labels that one member knows as a home
+    claim_wait: int = 400_000
 
 
 class Member:
@@ -38,6 +44,8 @@
         self.copies = Copies(me, spaces, manner.drift_most)
         self.spread = Spread(me, peers, self.copies, now, chance, manner.pace)
         self.catch_up = CatchUp(len(peers) + 1, now, manner.patience)
+        self.loans = Loans(me, peers, now, chance)
+        self.labels = Labels(me, [me, *peers], now, chance, manner.labels_most, manner.claim_wait)
         self.fetching: set[str] = set()  # emptied by `fetched`
         self.outbox: list[tuple[str, Message]] = []
         self.fetches: list[str] = []
@@ -50,7 +58,11 @@
 
     def heard(self, now: int, wall: int, message: Message) -> None:
         """KeyError, TypeError, ValueError or AttributeError for what is no message of ours."""
-        if message["k"] >= OF_STATE:
+        if message["k"] >= OF_LABELS:
+            self.labels.heard(now, message)
+        elif message["k"] >= OF_LOANS:
+            self.loans.heard(now, message)
+        elif message["k"] >= OF_STATE:
             self.spread.heard(now, wall, message)
         else:
             self.membership.heard(now, message)
@@ -64,6 +76,7 @@
         self.membership.turn(now)
         alive = self.membership.alive()
         self.spread.turn(now, wall, alive)
+        self.labels.turn(now)
         self.catch_up.reaches(now, len(alive))
         wanted = [*self.catch_up.fetch(now, alive), *self.spread.far]
         self.spread.far.clear()
@@ -75,9 +88,10 @@
             if self.catch_up.whole:
                 message["whole"] = 1
             self.outbox.append((to, message))
-        self.outbox += self.spread.outbox
         self.membership.outbox.clear()
-        self.spread.outbox.clear()
+        for part in (self.spread, self.loans, self.labels):
+            self.outbox += part.outbox
+            part.outbox.clear()
         for name, state, incarnation in self.membership.changes:
             self.events.append(("member", {"name": name, "state": state, "incarnation": incarnation}))
         self.membership.changes.clear()
@@ -95,8 +109,7 @@
     def wake_at(self, now: int) -> int:
         """The next moment, on `now`'s clock, at which `turn` has something to do."""
         moments = [self.membership.wake_at(), self.spread.wake_at()]
-        if (catching := self.catch_up.wake_at(now)) is not None:
-            moments.append(catching)
+        moments += [at for at in (self.catch_up.wake_at(now), self.labels.wake_at()) if at is not None]
         return min(moments)
 
     def _tell_ready(self) -> None:
--- a/crowwing/fleet/spaces.py
+++ b/crowwing/fleet/spaces.py
@@ -11,9 +11,6 @@
     "mark": Space(Join.GONE, 512, 24 * HOUR),  # sets that operators put members or zones into
     "zone": Space(Join.LATEST, 256, 24 * HOUR),  # verdicts on zones
     "use": Space(Join.MOST, 4096, 60 * SECOND),  # a customer's tickets: by member, life and window
-    "below": Space(Join.LATEST, 512, 60 * SECOND),  # what each member spends of what lies below
     "lesson": Space(Join.LATEST, 512, 24 * HOUR),  # what each member has learned
-    "label": Space(Join.LATEST, 2048, HOUR),  # labelled tickets, in flight and done
-    "turned": Space(Join.LATEST, 512, 60 * SECOND),  # prints of what each member dismissed of late
 }
 OPERATORS = ("said", "mark", "zone")  # what may be put through the fleet's socket
--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -138,6 +138,7 @@
         self.ready, self.idle, self.told, self.returning = True, facts.idle_most, -1.0, 1.0
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
         self.notice = self.stop = self.call_usual = self.ended_calls = 0
+        self.call_part, self.parts = 1.0, [1.0] * len(facts.shares)  # of the fleet's, in even parts
 
     # What comes in
 
@@ -195,6 +196,23 @@
             out.append((Step.IDLE, None, idle))
         return out
 
+    def allot(self, calls: float, shares: list[float]) -> None:
+        """What this backend has of the fleet's pace of calls and of each customer's share, in even parts; the
+        burst stays its own, so that what one lends and another borrows of the pace adds up to the same."""
+        self.call_part, self.parts = calls, shares
+        self.most_calls = max(self.facts.cores / 2, SURVIVE * self.facts.calls_share * calls)
+
+    def taught(self, now: int, kinds: tuple[tuple[int, int], ...], limit: float, call: int) -> None:
+        """What others have learned, as a start; nothing that was measured here is touched."""
+        for k, (timeout, middle) in enumerate(kinds):
+            if len(self.runs[k]) < ENOUGH and timeout > 0:
+                self.timeout[k], self.median[k] = min(timeout, self.span[k]), middle
+        if not any(self.runs):
+            self.limit = min(max(limit, float(self.facts.cores)), self.ceiling(now))
+        if call > 0 and not self.ended_calls:
+            self.call_usual, self.call_late, self.ended_calls = call, float(call), ENOUGH
+            self.calls.extend([call] * ENOUGH)
+
     # The ordinary path
 
     def turn(self, now: int) -> list[Result]:
@@ -263,7 +281,7 @@
         """One step of the loops: P90s and timeouts, the limit, the cut, the free value."""
         f, dt = self.facts, (now - self.last_step) / 1e6
         below = self.counts[CALLING] + len(self.lingering)
-        self.spent = max(0.0, self.spent + dt * 1e6 * (below - self.call_pace))
+        self.spent = max(0.0, self.spent + dt * 1e6 * (below - self.call_pace * self.call_part))
         self.last_step = now
         if now - self.faded >= WAKE_QUIET:
             left, self.faded = max(0.0, 1 - (now - self.faded) / 1e6), now
@@ -370,7 +388,7 @@
         """What a ticket's rank is worth: beyond its customer's share, no more than its credit there."""
         passed, self.budget_at = (now - self.budget_at) / 1e6, now
         for team, quota in enumerate(self.facts.shares):
-            rate = 1.3 * quota / max(1, self.facts.fleet)
+            rate = 1.3 * quota / max(1, self.facts.fleet) * self.parts[team]
             self.budget[team] = min(max(2.0, 2 * rate), self.budget[team] + rate * passed)
         if not self.budget or self.budget[t.team] < 1:
             return self.facts.over_share_credit if self.budget else 1.0
--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -65,6 +65,15 @@
             self.fleet = Link(
                 loop, operator.fleet, posting.name, posting.seed, self.book.event, self.caught_up
             )
+        self.together = None
+        if self.fleet is not None and (
+            operator.fleet.lends_calls or operator.fleet.shares_quota or operator.fleet.teaches
+        ):
+            from crowwing.program.together import Together
+
+            self.together = Together(
+                self.fleet, self.desk, posting.names, operator.fleet, log.life, self.book
+            )
         self.wants_in: bool | None = None  # the module's word, once it has spoken
         self.behind = self.fleet is not None  # the fleet's: not caught up
         self.over = asyncio.Event()
@@ -121,6 +130,8 @@
         self.reload()  # a SIGHUP that came before went unheard
         self.loop.set_exception_handler(self._stray)
         duties = (self.listener.accept, self.desk.send.link.run, self.reporter.run, self._beat)
+        if self.together is not None:
+            duties = (*duties, self.together.run)
         self.duties = [self.loop.create_task(self._keep(duty)) for duty in duties]
         self.log.write(
             "started", listen=":".join(map(str, self.posting.listen)), sockets=self.posting.sockets
@@ -228,6 +239,8 @@
                 "repeats": round(view.repeats, 3), "tries": round(view.tries, 2), "storm": view.storm,
                 "sure": round(view.sure, 2),
             }  # fmt: skip
+        if self.together is not None:
+            running |= self.together.figures()
         self.lag = 0.0
         if self.front.turned_down:
             running["turned_down"], self.front.turned_down = dict(self.front.turned_down), Counter()
--- /dev/null
+++ b/crowwing/program/together.py
@@ -0,0 +1,126 @@
+"""What the fleet keeps together meets the module: the pace of calls lent and borrowed, customers' shares by
+use, what others have learned.
+
+Loaded only where the operator file has a `fleet` section that switches one of them on. Decisions are the pure
+files' under `crowwing/fleet/`; this brings them the module's figures and hands it what they say, four times a
+second and at once when a loan ends.
+"""
+
+import asyncio
+from collections import Counter
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+
+from crowwing.contract import Names
+from crowwing.fleet import lesson, quota
+from crowwing.fleet.copies import NotKept
+from crowwing.fleet.loans import wanted
+from crowwing.logic import CALLING, ENOUGH, LoadManager
+from crowwing.routing.book import Book
+from crowwing.routing.desk import Desk
+
+if TYPE_CHECKING:
+    from crowwing.fleet.link import Link
+
+EVERY = 0.25  # seconds between two looks
+MEMORY = 4  # looks over which the use of calls is averaged
+LESSON_EVERY, LESSON_LIFE = 40, 3_600_000_000  # looks between two lessons told; µs that one stands
+
+
+class Together:
+    def __init__(
+        self, link: "Link", desk: Desk, names: Names, fleet: SimpleNamespace, life: str, book: Book
+    ) -> None:
+        self.link, self.member, self.desk, self.names, self.book = link, link.member, desk, names, book
+        self.lends, self.shares, self.teaches = fleet.lends_calls, fleet.shares_quota, fleet.teaches
+        self.life, self.window = life, fleet.quota_window_ms * 1000
+        self.used = 0.0  # calls out and lingering, of late, in even parts of the pace
+        self.looks, self.taught = 0, False
+        self.parts = [1.0] * len(names.customers)
+        self.counted_to = quota.window_of(link.wall(), self.window)
+        if self.shares:
+            desk.came = Counter()  # by customer's place; emptied by each window
+
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep(EVERY)
+            if self.desk.manager is not None:
+                self.look(self.desk.manager)
+
+    def look(self, manager: LoadManager) -> None:
+        self.looks += 1
+        if self.teaches and not self.taught and self.member.ready:
+            self._learn(manager)
+        if self.teaches and self.looks % LESSON_EVERY == 0:
+            self._teach(manager)
+        if self.shares:
+            self._share()
+        manager.allot(self._borrow(manager) if self.lends else 1.0, self.parts)
+        self.link.turn()
+
+    def _borrow(self, manager: LoadManager) -> float:
+        now, loans = self.link.now(), self.member.loans
+        below = manager.counts[CALLING] + len(manager.lingering)
+        self.used += (below / max(1e-9, manager.call_pace) - self.used) / MEMORY
+        starved = bool(manager.asking) and manager.spent > manager.burst / 2
+        want = wanted(self.used, loans.part(now), starved)
+        loans.turn(now, self.member.membership.alive(), self.used, want)
+        return loans.part(now)
+
+    def _share(self) -> None:
+        wall = self.link.wall()
+        window = quota.window_of(wall, self.window)
+        if window > self.counted_to:
+            came, self.desk.came = self.desk.came, Counter()
+            for team, count in came.items():
+                key = quota.key(self.names.customers[team], self.counted_to, self.member.me, self.life)
+                self._put(wall, key, count, (quota.WINDOWS + 2) * self.window)
+            self.counted_to = window
+        rows = ((key, entry.value) for key, entry in self.member.copies.under("use/"))
+        use = quota.counted(rows, wall, self.window)
+        alive, size = self.member.membership.alive(), len(self.member.membership.members) + 1
+        empty: Counter[str] = Counter()
+        self.parts = [
+            quota.part(use.get(customer, empty), self.member.me, alive, size)
+            for customer in self.names.customers
+        ]
+
+    def _teach(self, manager: LoadManager) -> None:
+        """Only what was measured here."""
+        kinds = tuple(
+            (manager.timeout[k], manager.median[k]) if len(runs) >= ENOUGH else (0, 0)
+            for k, runs in enumerate(manager.runs)
+        )
+        call = manager.call_usual if manager.ended_calls > 2 * ENOUGH else 0
+        if call or any(kinds):
+            learned = lesson.Lesson(kinds, manager.limit, call)
+            self._put(self.link.wall(), f"lesson/{self.member.me}", learned.told(), LESSON_LIFE)
+
+    def _learn(self, manager: LoadManager) -> None:
+        """Once, when this member has caught up."""
+        self.taught = True
+        lessons = (entry.value for _, entry in self.member.copies.under("lesson/"))
+        start = lesson.taken(lessons, len(manager.facts.types))
+        if start is not None:
+            manager.taught(self.desk.now(), start.kinds, start.limit, start.call)
+            self.book.event("taught", call_ms=start.call / 1000, limit=round(start.limit, 2))
+
+    def _put(self, wall: int, key: str, value: object, life: int) -> None:
+        try:
+            self.member.spread.put(wall, key, value, life)
+        except NotKept as wrong:
+            self.book.count("not_kept")
+            if self.book.counts["not_kept"] == 1:  # said once; counted from then on
+                self.book.event("fleet_full", why=str(wrong))
+
+    def figures(self) -> dict:
+        """For the line of figures."""
+        told: dict = {"fleet_entries": len(self.member.copies.entries)}
+        if self.lends:
+            told |= {
+                "call_part": round(self.member.loans.part(self.link.now()), 2),
+                "call_use": round(self.used, 2),
+            }
+        if self.shares:
+            told["quota_parts"] = [round(part, 2) for part in self.parts]
+        return told
--- a/crowwing/records/events.py
+++ b/crowwing/records/events.py
@@ -31,5 +31,7 @@
     "snapshot_read": "what was kept on disk is read",
     "snapshot_unused": "the snapshot on disk is not used",
     "snapshot_unwritten": "the snapshot could not be written",
+    "taught": "it has taken what others learned as its start",
+    "fleet_full": "something could not be kept by the fleet",
     "figures": "figures of the module and the wires",
 }
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -8,6 +8,7 @@
 import dataclasses
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
@@ -64,6 +65,7 @@
         self.news: list[tuple[Callable, Slip | None, tuple]] = []  # emptied by each turn
         self.ran: dict[str, int] = {}  # irreversible tickets that ran -> their outer limit, which empties it
         self.lookout: Lookout | None = None  # where the operator wants storms seen
+        self.came: Counter[int] | None = None  # tickets by customer, where a fleet shares its quotas
         self.clock = 0
         self.due = False  # a turn is on its way
         self.take_in, self.relay = TakeIn(names, facts), Relay(book, self._answered)
@@ -250,6 +252,8 @@
 
     def _admit(self, now: int, slip: Slip, arrival: Arrival, kind: int, team: int) -> None:
         again = False
+        if self.came is not None:
+            self.came[team] += 1
         if self.lookout is not None:
             slip.by = arrival.sidecar
             try:
--- a/crowwing/settings/operator.py
+++ b/crowwing/settings/operator.py
@@ -91,6 +91,19 @@
     snapshot_every_ms: Annotated[
         int, Meta(ge=100, le=3_600_000, description="Between two writings, where something changed.")
     ] = 5000
+    lends_calls: Annotated[
+        bool,
+        Meta(description="Members lend each other their pace of calls below; the sum stays the fleet's."),
+    ] = False
+    shares_quota: Annotated[
+        bool, Meta(description="A customer's share goes to where its tickets come, by use across the fleet.")
+    ] = False
+    quota_window_ms: Annotated[
+        int, Meta(ge=200, le=15_000, description="Of a customer's use; three whole windows are looked at.")
+    ] = 1000
+    teaches: Annotated[
+        bool, Meta(description="A member that starts takes what others have learned as its start.")
+    ] = False
     clock_offset_ms: Annotated[
         int, Meta(ge=-3_600_000, le=3_600_000, description="Added to this member's clock; for trials only.")
     ] = 0
--- /dev/null
+++ b/tests/test_fleet_decides.py
@@ -0,0 +1,275 @@
+"""What members decide together: loans of the pace of calls, labels, quotas by use, what a cold one is
+taught."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from crowwing.fleet import lesson, quota
+from crowwing.fleet.labels import Claimed, Labels, homes
+from crowwing.fleet.loans import Loans, Terms, wanted
+
+S = 1_000_000
+
+
+class Net:
+    """Pure parts on one simulated wire: delay, loss, copies, clocks that run unlike, members that stand
+    still."""
+
+    def __init__(self, seed: int, loss: float, rates: dict[str, float]) -> None:
+        self.chance, self.loss, self.rates = random.Random(seed), loss, rates
+        self.now, self.parts, self.flying, self.still = 0, {}, [], {}
+
+    def time(self, name: str) -> int:
+        return round(self.now * self.rates.get(name, 1.0))
+
+    def carry(self, name: str) -> None:
+        for to, message in self.parts[name].outbox:
+            if self.chance.random() >= self.loss:
+                copies = 2 if self.chance.random() < 0.1 else 1
+                for _ in range(copies):
+                    late = self.chance.choice([1_000, 20_000, 300_000, 2_500_000])
+                    self.flying.append((self.now + late, to, message))
+        self.parts[name].outbox.clear()
+
+    def step(self, span: int) -> None:
+        self.now += span
+        due = sorted((one for one in self.flying if one[0] <= self.now), key=lambda one: one[0])
+        self.flying = [one for one in self.flying if one[0] > self.now]
+        for _, to, message in due:
+            if self.still.get(to, 0) > self.now:
+                self.flying.append((self.still[to], to, message))
+            elif to in self.parts:
+                self.parts[to].heard(self.time(to), message)
+                self.carry(to)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_the_sum_of_all_parts_never_passes_the_whole_whatever_the_wire_does(seed: int) -> None:
+    names = ["a", "b", "c", "d", "e"]
+    chance = random.Random(seed)
+    # Clocks 2% apart; the settings allow 5%.
+    net = Net(seed, 0.2, {name: 0.99 + 0.02 * chance.random() for name in names})
+    lives = Counter()
+
+    def born(name: str) -> None:
+        lives[name] += 1
+        others = [other for other in names if other != name]
+        net.parts[name] = Loans(name, others, net.time(name), random.Random(f"{seed}{name}{lives[name]}"))
+
+    for name in names:
+        born(name)
+    use = dict.fromkeys(names, 0.1)
+    borrowed = 0.0
+    for _ in range(3000):
+        net.step(10_000)
+        if chance.random() < 0.01:
+            use[chance.choice(names)] = chance.choice([0.0, 0.2, 0.8, 3.0])
+        if chance.random() < 0.004:
+            net.still[chance.choice(names)] = net.now + chance.randrange(3 * S)
+        if chance.random() < 0.002:
+            born(chance.choice(names))  # killed, and started with no memory of what it lent
+        for name, loans in net.parts.items():
+            if net.still.get(name, 0) <= net.now:
+                part = loans.part(net.time(name))
+                loans.turn(net.time(name), [o for o in names if o != name], min(use[name], part), use[name])
+                net.carry(name)
+        parts = [loans.part(net.time(name)) for name, loans in net.parts.items()]
+        assert sum(parts) <= len(names) + 1e-9, parts
+        borrowed = max(borrowed, max(parts))
+    assert borrowed > 1.5, "a busy one did get more"
+
+
+def test_an_idle_members_part_is_used_by_a_busy_one_and_comes_back() -> None:
+    names = ["a", "b", "c", "d"]
+    net = Net(1, 0.0, {})
+    for name in names:
+        net.parts[name] = Loans(name, [o for o in names if o != name], 0, random.Random(name))
+    use = {"a": 3.0, "b": 0.1, "c": 0.1, "d": 0.9}
+
+    def run(seconds: float) -> None:
+        for _ in range(round(seconds * 100)):
+            net.step(10_000)
+            for name, loans in net.parts.items():
+                part = loans.part(net.now)
+                loans.turn(net.now, [o for o in names if o != name], min(use[name], part), use[name])
+                net.carry(name)
+
+    run(6)
+    assert net.parts["a"].part(net.now) > 2.0 and net.parts["d"].part(net.now) >= 0.9
+    use.update(a=0.1, b=1.0)
+    run(5)
+    assert net.parts["b"].part(net.now) >= 0.95
+
+
+def test_a_member_that_starts_spends_no_more_than_is_never_lent_until_old_loans_are_out() -> None:
+    terms = Terms()
+    loans = Loans("a", ["b"], 0, random.Random(1), terms)
+    assert loans.part(0) == terms.keep and loans.idle(0) == 0.0
+    assert loans.part(round(terms.span * 1.11)) == 1.0
+
+
+def test_a_grant_that_comes_late_counts_from_the_asking_and_a_stranger_gets_none() -> None:
+    loans = Loans("a", ["b"], 0, random.Random(1))
+    loans.turn(3 * S, ["b"], 1.0, 2.0)
+    _, ask = loans.outbox.pop()
+    told = {"k": 21, "from": "b", "n": ask["n"], "part": 0.5, "idle": 0.0}
+    loans.heard(4 * S, told)
+    assert loans.part(4 * S) == 1.5 and loans.part(5 * S) == 1.0
+    loans.heard(4 * S, told)
+    assert loans.part(4 * S) == 1.5, "a copy lends nothing twice"
+    with pytest.raises(ValueError):
+        loans.heard(0, {"k": 20, "from": "z", "n": 1, "part": 0.5})
+    assert wanted(0.4, 1.0, False) == 0.5 and wanted(0.4, 1.0, True) == 1.5
+
+
+MEMBERS = ["a", "b", "c", "d", "e"]
+
+
+def label_net(seed: int, loss: float = 0.0) -> Net:
+    net = Net(seed, loss, {})
+    net.now = 1000 * S
+    for name in MEMBERS:
+        net.parts[name] = Labels(name, MEMBERS, 0, random.Random(f"{seed}{name}"), 1000, 400_000)
+    return net
+
+
+def claim(net: Net, name: str, label: str = "L") -> list:
+    told: list = []
+    net.parts[name].claim(net.now, label, 60 * S, lambda what, answer: told.append((what, answer)))
+    net.carry(name)
+    return told
+
+
+def run_labels(net: Net, seconds: float) -> None:
+    for _ in range(round(seconds * 100)):
+        net.step(10_000)
+        for name, labels in net.parts.items():
+            if net.still.get(name, 0) <= net.now:
+                labels.turn(net.now)
+                net.carry(name)
+
+
+def test_a_labelled_ticket_retried_elsewhere_gets_the_answer_and_does_not_run() -> None:
+    net = label_net(1)
+    net.chance.choice = lambda _: 1000
+    first = claim(net, "a")
+    run_labels(net, 0.1)
+    assert first == [(Claimed.OURS, None)]
+    second = claim(net, "d")
+    run_labels(net, 0.1)
+    assert second == [(Claimed.ELSEWHERE, None)]
+    net.parts["a"].over(net.now, "L", "answer")
+    net.carry("a")
+    run_labels(net, 0.1)
+    assert claim(net, "a") == [(Claimed.DONE, "answer")]
+    third = claim(net, "e")
+    run_labels(net, 0.1)
+    assert third == [(Claimed.DONE, "answer")]
+
+
+def test_with_two_homes_out_of_reach_it_says_so_and_what_never_ran_can_run_elsewhere() -> None:
+    net = label_net(2)
+    net.chance.choice = lambda _: 1000
+    asker = next(name for name in MEMBERS if name not in homes("L", MEMBERS))
+    for home in homes("L", MEMBERS)[:2]:
+        net.still[home] = net.now + 2 * S
+    told = claim(net, asker)
+    run_labels(net, 0.6)
+    assert told == [(Claimed.UNSURE, None)]
+    run_labels(net, 3)
+    other = next(name for name in MEMBERS if name != asker)
+    got = claim(net, other)
+    run_labels(net, 0.2)
+    assert got == [(Claimed.OURS, None)], "the grants were given back"
+    net.parts[other].never_ran(net.now, "L")
+    net.carry(other)
+    run_labels(net, 0.1)
+    again = claim(net, asker)
+    run_labels(net, 0.2)
+    assert again == [(Claimed.OURS, None)]
+
+
+def test_a_home_that_has_just_started_may_have_forgotten_and_does_not_count() -> None:
+    net = label_net(3)
+    net.chance.choice = lambda _: 1000
+    young, old = homes("L", MEMBERS)[:2], homes("L", MEMBERS)[2]
+    net.parts[young[0]] = Labels(young[0], MEMBERS, net.now, random.Random(9), 1000, 400_000)
+    told = claim(net, old)
+    run_labels(net, 0.2)
+    assert told == [(Claimed.OURS, None)], "the two others suffice"
+    for name in young:
+        net.parts[name] = Labels(name, MEMBERS, net.now, random.Random(10), 1000, 400_000)
+    net.still[old] = net.now + S
+    asker = next(name for name in MEMBERS if name not in (old, *young))
+    told = claim(net, asker)
+    run_labels(net, 0.6)
+    assert told == [(Claimed.UNSURE, None)], "who may have forgotten cannot grant"
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_no_label_runs_twice_under_loss_copies_pauses_and_restarts(seed: int) -> None:
+    net, chance = label_net(seed, loss=0.15), random.Random(seed)
+    ran: Counter[str] = Counter()
+    tries: list[tuple[str, str, list]] = []
+    for _ in range(1500):
+        run_labels(net, 0.02)
+        if chance.random() < 0.3:
+            label = f"L{chance.randrange(20)}"
+            name = chance.choice(MEMBERS)
+            if net.still.get(name, 0) <= net.now:
+                tries.append((name, label, claim(net, name, label)))
+        if chance.random() < 0.02:
+            net.still[chance.choice(MEMBERS)] = net.now + chance.randrange(S)
+        if chance.random() < 0.003:
+            name = chance.choice(MEMBERS)
+            net.parts[name] = Labels(name, MEMBERS, net.now, random.Random(f"{seed}{net.now}"), 1000, 400_000)
+            tries = [one for one in tries if one[0] != name]
+        for one in [one for one in tries if one[2]]:
+            tries.remove(one)
+            name, label, told = one
+            assert len(told) == 1
+            if told[0][0] is Claimed.OURS:
+                ran[label] += 1
+                if chance.random() < 0.5:
+                    net.parts[name].over(net.now, label, "done")
+                    net.carry(name)
+    assert ran and max(ran.values()) == 1, ran
+
+
+def test_parts_of_a_quota_follow_use_add_up_and_leave_the_dead_theirs() -> None:
+    use = Counter({"a": 90, "b": 10})
+    parts = {me: quota.part(use, me, [n for n in "abcd" if n != me], 5) for me in "abcd"}  # e is held dead
+    assert (
+        sum(parts.values()) == pytest.approx(4)
+        and parts["a"] > 3
+        and parts["c"] == pytest.approx(quota.LEAST)
+    )
+    assert quota.part(Counter(), "a", ["b"], 2) == 1.0
+    left = [quota.part(use, me, [n for n in "ab" if n != me], 4) for me in "ab"]
+    right = [quota.part(use, me, [n for n in "cd" if n != me], 4) for me in "cd"]
+    assert sum(left) + sum(right) == pytest.approx(4), "two sides of a cut never pass the quota together"
+
+
+def test_use_is_counted_by_whole_windows_and_another_life_adds_to_the_member() -> None:
+    rows = [
+        (quota.key("x", 9, "m.1", "aa"), 4), (quota.key("x", 9, "m.1", "bb"), 2),
+        (quota.key("x", 8, "n", "cc"), 5),
+        (quota.key("x", 10, "n", "cc"), 99), (quota.key("x", 5, "n", "cc"), 99), ("use/odd", 1),
+        ("use/x/no/m.a", 1),
+    ]  # fmt: skip
+    assert quota.counted(rows, 10 * S, S) == {"x": Counter({"m.1": 6, "n": 5})}
+
+
+def test_the_median_teaches_and_what_is_no_lesson_is_left_out() -> None:
+    told = [
+        lesson.Lesson(((100, 50), (0, 0)), 8.0, 20).told(), lesson.Lesson(((300, 70),
+        (90, 9)), 2.0, 30).told(),
+        lesson.Lesson(((200, 60), (0, 0)), 6.0, 0).told(), {"kinds": [[1, 1]], "limit": 1, "call": 1},
+        None, 7,
+        {"kinds": [[1, 1], [1, 1]], "limit": -1, "call": 1}, {"kinds": "x"},
+    ]  # fmt: skip
+    taken = lesson.taken(told, 2)
+    assert taken == lesson.Lesson(((200, 60), (90, 9)), 6.0, 25)
+    assert lesson.taken([None], 2) is None
