--- a/crowwing/emulator/dependency.py
+++ b/crowwing/emulator/dependency.py
@@ -12,6 +12,7 @@
         self.lingering: dict[str, int] = {}  # calls given up -> when they leave
         self.dead_until = 0
         self.deaths = 0
+        self.most = 0.0  # of what is in hand, against what it falls at
 
     def dead(self, now: int) -> bool:
         return now < self.dead_until
@@ -48,6 +49,7 @@
         self.slots.pass_to(now)
         self.hand.set(now, len(self.slots))
         part = self.hand.mean(now) / self.facts.slots
+        self.most = max(self.most, part / self.facts.fall_multiple)
         if part > self.facts.fall_multiple and not self.dead(now):
             self._fall(now)
         return found
--- a/crowwing/emulator/fleetrig.py
+++ b/crowwing/emulator/fleetrig.py
@@ -211,7 +211,7 @@
         view = self.view(name)
         if view is None:
             return None
-        return {view["me"]} | {m["name"] for m in view["members"] if m["state"] != "dead"}
+        return {view["me"]} | {m["name"] for m in view["members"] if m["state"] in ("alive", "suspect")}
 
     def until(self, check: object, most_s: float, every_s: float = 0.1) -> float | None:
         """Seconds until `check()` holds, or None if it did not within `most_s`."""
--- a/crowwing/emulator/outcome.py
+++ b/crowwing/emulator/outcome.py
@@ -18,6 +18,7 @@
         "tries_by_second": [second.tries for second in credit.by_second(plan, truth)],
         "recovery_s": credit.recovery(plan, truth),
         "breaches": [breach._asdict() for breach in rules.check(plan, truth)],
+        "below_most": truth.below_most,
         "late_part": late_part,
         "folder": folder,
     }
--- a/crowwing/emulator/stage.py
+++ b/crowwing/emulator/stage.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 import msgspec
+import orjson
 
 from crowwing.emulator import clock, faults, traffic
 from crowwing.emulator.choice import Sidecar
@@ -25,6 +26,7 @@
 READY = 15.0  # seconds in which every backend has to answer a health check
 TICK = 0.02  # seconds between looks at processes, roster and our own lateness
 GRACE = 500_000  # microseconds past its time for which the answer to a ticket is waited for at the end
+FLEET_PORT = 7946
 LATE = 0.025  # seconds over the tick from which our own loop counts as late
 LATE_PART = 0.02  # part of late ticks from which the figures of a run are void
 
@@ -108,6 +110,7 @@
                 duty.cancel()
             await asyncio.gather(*duties, return_exceptions=True)
             self._close()
+        self.truth.below_most = round(self.below.most, 3)
         self.truth.write(self.folder / "truth.jsonl")
         return self.truth
 
@@ -115,7 +118,7 @@
         nets = [self.net] if self.net else [f"127.{n}" for n in range(40, 60)]
         for net in nets:
             nodes = [
-                Node(self, n, f"{net}.0.{n + 1}", self.folder, self.program, self.operator)
+                Node(self, n, f"{net}.0.{n + 1}", self.folder, self.program, self._operator_of(n, net))
                 for n in range(self.plan.backends)
             ]
             try:
@@ -129,6 +132,21 @@
                 last = wrong
         raise last
 
+    def _operator_of(self, number: int, net: str) -> Path | None:
+        """The operator file of one backend: a `fleet` section gets the addresses of this emulation."""
+        if self.operator is None:
+            return None
+        told = orjson.loads(self.operator.read_bytes())
+        if "fleet" not in told:
+            return self.operator
+        at = {f"n{n + 1}": f"{net}.0.{n + 1}:{FLEET_PORT}" for n in range(self.plan.backends)}
+        me = f"n{number + 1}"
+        peers = [{"name": name, "address": address} for name, address in at.items() if name != me]
+        told["fleet"] |= {"listen": at[me], "peers": peers}
+        path = self.folder / f"{me}.operator.json"
+        path.write_bytes(orjson.dumps(told, option=orjson.OPT_INDENT_2))
+        return path
+
     def _close(self) -> None:
         self.below_alarm.cancel()
         for node in self.nodes:
--- a/crowwing/emulator/truth.py
+++ b/crowwing/emulator/truth.py
@@ -73,6 +73,7 @@
         default_factory=list
     )  # when, backend (None: below), what
     late_loop: list[tuple[int, int]] = field(default_factory=list)  # when, by how much our own loop was late
+    below_most: float = 0.0  # the most that what lies below had in hand, in parts of what it falls at
 
     def tries(self) -> Iterator[Try]:
         for ticket in self.tickets:
--- a/crowwing/fleet/link.py
+++ b/crowwing/fleet/link.py
@@ -225,6 +225,11 @@
         now = self.now()
         self.wake = self.loop.call_later(max(0.001, (member.wake_at(now) - now) / 1e6), self.turn)
 
+    def leave(self) -> None:
+        """The notice to drain."""
+        self.member.leave(self.now(), self.wall())
+        self._carry_out()
+
     def _send(self, data: bytes, where: tuple[str, int]) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.sent_bytes += len(data)
--- a/crowwing/fleet/member.py
+++ b/crowwing/fleet/member.py
@@ -15,7 +15,7 @@
 from crowwing.fleet.labels import Labels
 from crowwing.fleet.loans import Loans
 from crowwing.fleet.spread import Pace, Spread
-from crowwing.fleet.swim import DEAD, Membership, Message, Timing
+from crowwing.fleet.swim import Membership, Message, Timing
 
 # Kinds of message from here on are the state's, of loans, of labels; those under all of them the
 # membership's.
@@ -123,5 +123,7 @@
         else:
             self.events.append(("catching_up", {}))
 
-    def dead(self) -> list[str]:
-        return [name for name, seen in self.membership.members.items() if seen.state == DEAD]
+    def leave(self, now: int, wall: int) -> None:
+        """The notice to drain: the others hear that it leaves, and that it did not die."""
+        self.membership.leave()
+        self.turn(now, wall)
--- a/crowwing/fleet/swim.py
+++ b/crowwing/fleet/swim.py
@@ -1,16 +1,18 @@
-"""Who of the fleet is alive, as one member sees it: SWIM with two of Lifeguard's refinements. Pure.
+"""Who of the fleet is alive, as one member sees it: SWIM with Lifeguard's refinements. Pure.
 
 Sources: Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
 Protocol" (DSN 2002): a probe a period to one member in a shuffled round, indirect probes through `indirect`
 others, suspicion before death, incarnation numbers that only the member itself raises, news piggybacked on
 every message. Dadgar, Phillips, Currey, "Lifeguard: Local Health Awareness for More Accurate Failure
 Detection" (2018): a local health multiplier that stretches a member's own period and timeouts while it misses
-acks or has to refute, and a suspicion timeout that shrinks with each independent confirmation. Their nack is
-left out (docs/replication.md).
+acks or has to refute, a suspicion timeout that shrinks with each independent confirmation, and a nack: a
+helper that cannot reach the target either says so, and only helpers that say nothing count against our
+health.
 
 Changed for a fleet whose members are named in settings: a member declared dead is still probed now and then
 (`revive_every` periods), with the news of its death, so that a healed partition or a restarted member comes
-back by refuting it. Nothing else is learned of members that the settings do not name.
+back by refuting it. A member that drains says that it has left, which nobody takes for a death; it comes back
+the same way. Nothing else is learned of members that the settings do not name.
 
 Times are whole microseconds handed in; chance is a seeded `random.Random` handed in. No I/O: what is to be
 sent gathers in `outbox` as (member name, message), what changed in `changes` as (member name, state,
@@ -21,18 +23,19 @@
 import math
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 
-ALIVE, SUSPECT, DEAD = "alive", "suspect", "dead"
-RANK = {ALIVE: 0, SUSPECT: 1, DEAD: 2}  # at one incarnation, the later word of the three wins
+ALIVE, SUSPECT, DEAD, LEFT = "alive", "suspect", "dead", "left"
+RANK = {ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3}  # at one incarnation, the later word wins
+GONE = (DEAD, LEFT)
 Message = (
     dict  # as orjson carries it: "k" kind, "from", "inc", "seq", and "news" [[name, state, inc, origin]]
 )
 
 
 class Kind(IntEnum):
-    PING, ACK, PING_REQ = 0, 1, 2
+    PING, ACK, PING_REQ, NACK = 0, 1, 2, 3
 
 
 @dataclass(slots=True)
@@ -54,6 +57,17 @@
     sent: int
 
 
+@dataclass(slots=True)
+class Probe:
+    """Of this period."""
+
+    target: str
+    seq: int
+    sent: int
+    helpers: set[str] | None = None  # asked to probe it too; None: not yet
+    nacks: set[str] = field(default_factory=set)  # helpers that said they cannot reach it either
+
+
 @dataclass(slots=True, frozen=True)
 class Timing:
     """Of one member's protocol, in µs but for the counts; the kinds of value are the papers'."""
@@ -86,12 +100,12 @@
         ] = {}  # a member's name -> the latest news; emptied as sent often enough
         self.round: list[str] = []
         self.seq = 0
-        # the probe of this period: (target, seq, sent, indirect asked); None between periods
-        self.probe: tuple[str, int, int, bool] | None = None
+        self.probe: Probe | None = None  # None between periods
         self.relayed: dict[
             int, tuple[str, int, int]
         ] = {}  # our seq -> (asker, its seq, until); emptied by timeout
         self.health = 0
+        self.leaving = False
         self.periods = 0
         self.period_at = now
         self.outbox: list[tuple[str, Message]] = []
@@ -100,7 +114,7 @@
     # What it knows
 
     def alive(self) -> list[str]:
-        return [name for name, member in self.members.items() if member.state != DEAD]
+        return [name for name, member in self.members.items() if member.state not in GONE]
 
     def view(self) -> list[tuple[str, str, int, int]]:
         """(name, state, incarnation, since µs) of every member but this one."""
@@ -113,8 +127,8 @@
     def wake_at(self) -> int:
         """The next moment at which `turn` has something to do."""
         moments = [self.period_at + self.scaled(self.timing.period)]
-        if self.probe is not None and not self.probe[3]:
-            moments.append(self.probe[2] + self.scaled(self.timing.probe_timeout))
+        if self.probe is not None and self.probe.helpers is None:
+            moments.append(self.probe.sent + self.scaled(self.timing.probe_timeout))
         moments += [m.since + self._suspicion(m) for m in self.members.values() if m.state == SUSPECT]
         moments += [until for _, _, until in self.relayed.values()]
         return min(moments)
@@ -123,42 +137,44 @@
 
     def turn(self, now: int) -> None:
         timing = self.timing
-        for seq, (_, _, until) in list(self.relayed.items()):
+        for seq, (asker, its_seq, until) in list(self.relayed.items()):
             if now >= until:
                 del self.relayed[seq]
+                self._send(asker, Kind.NACK, seq=its_seq)
         for member in list(self.members.values()):
             if member.state == SUSPECT and now >= member.since + self._suspicion(member):
                 self._become(member, DEAD, member.incarnation, self.me, now)
-        if self.probe is not None:
-            target, seq, sent, asked = self.probe
-            if not asked and now >= sent + self.scaled(timing.probe_timeout):
-                self.probe = target, seq, sent, True
-                helpers = [name for name in self.alive() if name != target]
-                for helper in self.chance.sample(helpers, min(timing.indirect, len(helpers))):
-                    self._send(helper, Kind.PING_REQ, seq=seq, target=target)
+        probe = self.probe
+        if probe is not None and probe.helpers is None:
+            if now >= probe.sent + self.scaled(timing.probe_timeout):
+                others = [name for name in self.alive() if name != probe.target]
+                probe.helpers = set(self.chance.sample(others, min(timing.indirect, len(others))))
+                for helper in sorted(probe.helpers):
+                    self._send(helper, Kind.PING_REQ, seq=probe.seq, target=probe.target)
         if now >= self.period_at + self.scaled(timing.period):
             self._end_period(now)
 
     def _end_period(self, now: int) -> None:
         if self.probe is not None:  # no ack within the period: suspected, and our own health is less sure
-            target = self.members[self.probe[0]]
-            if target.state != DEAD:  # a revival that goes unanswered says nothing of our health
+            target = self.members[self.probe.target]
+            if target.state not in GONE:  # a revival that goes unanswered says nothing of our health
                 if target.state == ALIVE:
                     self._become(target, SUSPECT, target.incarnation, self.me, now)
-                self._health(+1)
+                helpers = self.probe.helpers or set()
+                self._health(len(helpers - self.probe.nacks) if helpers else 1)
         self.probe = None
         self.period_at, self.periods = now, self.periods + 1
         target = self._next_target()
         if target is not None:
             self.seq += 1
-            self.probe = target, self.seq, now, False
+            self.probe = Probe(target, self.seq, now)
             self._send(target, Kind.PING, seq=self.seq)
 
     def _next_target(self) -> str | None:
-        held_dead = [name for name, m in self.members.items() if m.state == DEAD]
+        held_dead = [name for name, m in self.members.items() if m.state in GONE]
         if held_dead and self.periods % self.timing.revive_every == 0:
             return self.chance.choice(held_dead)
-        while self.round and self.members[self.round[-1]].state == DEAD:
+        while self.round and self.members[self.round[-1]].state in GONE:
             self.round.pop()
         if not self.round:
             self.round = self.alive()
@@ -182,17 +198,28 @@
             target = message["target"]
             if target in self.members:
                 self.seq += 1
-                until = now + self.scaled(self.timing.probe_timeout)
+                # the nack comes within the period
+                until = now + self.scaled(self.timing.probe_timeout) * 4 // 5
                 self.relayed[self.seq] = sender, seq, until
                 self._send(target, Kind.PING, seq=self.seq)
         elif kind == Kind.ACK:
             self._acked(sender, seq)
+        elif kind == Kind.NACK and self.probe is not None and self.probe.seq == seq:
+            self.probe.nacks.add(sender)
+
+    def leave(self) -> None:
+        """This member drains: it says so to all, and does not refute what they then hold."""
+        self.leaving = True
+        self._rumour(self.me, LEFT, self.incarnation, self.me)
+        for name in self.alive():
+            self.seq += 1
+            self._send(name, Kind.PING, seq=self.seq)
 
     def _acked(self, sender: str, seq: int) -> None:
         if seq in self.relayed:
             asker, its_seq, _ = self.relayed.pop(seq)
             self._send(asker, Kind.ACK, seq=its_seq)
-        elif self.probe is not None and self.probe[1] == seq:
+        elif self.probe is not None and self.probe.seq == seq:
             self.probe = None
             self._health(-1)
 
@@ -206,7 +233,8 @@
         if state not in RANK:
             raise ValueError(f"{state}: no state")
         if name == self.me:
-            if state != ALIVE and incarnation >= self.incarnation:  # refuted, and our own health is less sure
+            # refuted, and our own health is less sure
+            if state != ALIVE and incarnation >= self.incarnation and not self.leaving:
                 self.incarnation = incarnation + 1
                 self._rumour(self.me, ALIVE, self.incarnation, self.me)
                 self._health(+1)
--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -186,6 +186,8 @@
             return
         self.front.draining = True
         self.log.write("leaving", open=len(self.desk.slips))
+        if self.fleet is not None:
+            self.fleet.leave()
         stop = self.posting.stop
         self.desk.leave(self.desk.now() + stop)
         self.duties.append(self.loop.create_task(self._drain(self.loop.time(), stop / 1e6)))
--- a/crowwing/program/together.py
+++ b/crowwing/program/together.py
@@ -24,7 +24,7 @@
 
 EVERY = 0.25  # seconds between two looks
 MEMORY = 4  # looks over which the use of calls is averaged
-LESSON_EVERY, LESSON_LIFE = 40, 3_600_000_000  # looks between two lessons told; µs that one stands
+LESSON_EVERY, LESSON_LIFE = 20, 3_600_000_000  # looks between two lessons told; µs that one stands
 
 
 class Together:
--- a/tests/test_fleet_swim.py
+++ b/tests/test_fleet_swim.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from crowwing.fleet.swim import ALIVE, DEAD, SUSPECT, Membership, Timing
+from crowwing.fleet.swim import ALIVE, DEAD, LEFT, SUSPECT, Membership, Timing
 from crowwing.fleet.world import World
 
 S = 1_000_000
@@ -94,6 +94,52 @@
     assert member.members["b"].state == ALIVE and not member.changes
 
 
+def test_one_that_leaves_is_held_left_not_dead_and_comes_back_when_it_starts_again() -> None:
+    world = World(6, seed=4, timing=FAST)
+    world.run_until(3 * S)
+    world.members["m2"].leave()
+    world._carry("m2")
+    world.run_until(world.now + S // 2)
+    world.kill("m2")
+    world.run_until(world.now + 10 * S)
+    others = [world.members[name] for name in world.names if name != "m2"]
+    assert {member.members["m2"].state for member in others} == {LEFT}
+    assert not [change for change in world.changes if change[3] in (DEAD, SUSPECT)]
+    world.members["m2"] = Membership(
+        "m2", [n for n in world.names if n != "m2"], world.now, random.Random(1), FAST
+    )
+    world.paused.discard("m2")
+    world.run_until(world.now + 10 * S)
+    assert {member.members["m2"].state for member in others} == {ALIVE}
+
+
+def test_helpers_that_cannot_reach_it_either_leave_our_health_alone_and_silent_ones_do_not() -> None:
+    def health(answers: int) -> int:
+        member = Membership("a", ["b", "c", "d", "e"], 0, random.Random(2), FAST)
+        member.turn(FAST.period)
+        (target, ping), *_ = member.outbox
+        member.outbox.clear()
+        member.turn(FAST.period + FAST.probe_timeout)
+        helpers = [to for to, message in member.outbox if message["k"] == 2]
+        assert len(helpers) == 3 and target not in helpers
+        for helper in helpers[:answers]:
+            member.heard(FAST.period + 2, {"k": 3, "from": helper, "inc": 0, "seq": ping["seq"]})
+        member.turn(2 * FAST.period)
+        assert member.members[target].state == SUSPECT
+        return member.health
+
+    assert [health(answers) for answers in (3, 2, 0)] == [0, 1, 3]
+
+
+def test_a_helper_that_gets_no_ack_says_so() -> None:
+    member = Membership("a", ["b", "c"], 0, random.Random(1), FAST)
+    member.heard(0, {"k": 2, "from": "b", "inc": 0, "seq": 7, "target": "c"})
+    member.outbox.clear()
+    member.turn(FAST.probe_timeout)
+    assert ("b", 3, 7) in [(to, message["k"], message["seq"]) for to, message in member.outbox]
+    assert not member.relayed
+
+
 def test_its_tables_stay_within_one_entry_a_member_and_the_probes_in_flight() -> None:
     world = World(30, seed=2, timing=FAST)
     world.loss = 0.3
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,5 +1,7 @@
 """Plain cases: the mechanism on the ordinary path, and each failure found on the bench."""
 
+import pytest
+
 from crowwing.contract import Halt, Outcome, Signal, Step
 from tests.rig import MS, World
 
@@ -164,6 +166,48 @@
     assert world.tickets[op_id].call_until - world.now == 450 * MS
 
 
+def test_the_pace_of_calls_follows_what_the_fleet_lends_and_the_burst_stays() -> None:
+    world = World(1, shares=(), calls_share=0.72, memory_kb=1e6)
+    manager = world.manager
+    burst, most = manager.burst, manager.most_calls
+    left = {}
+    for part in (0.5, 1.0, 2.0):
+        manager.allot(part, [])
+        manager.spent = burst
+        manager.steer(manager.last_step + 100 * MS)
+        left[part] = burst - manager.spent
+    assert left[0.5] == pytest.approx(left[1.0] / 2) and left[2.0] == pytest.approx(2 * left[1.0])
+    assert manager.burst == burst and manager.most_calls >= most
+
+
+def test_a_customers_share_follows_its_part_of_the_quota() -> None:
+    def within(part: float) -> int:
+        world = World(1, shares=(6.0, 6.0))
+        world.manager.allot(1.0, [part, 1.0])
+        tickets = [
+            world.manager.take(world.now, n, 0, 0, 0.5, 1.0, world.now, 0, 1, 0, 0, False) for n in range(90)
+        ]
+        return sum(world.manager.share_left(t, world.now + n * 10 * MS) == 1.0 for n, t in enumerate(tickets))
+
+    assert within(0.2) < within(1.0) < within(3.0)
+
+
+def test_what_others_learned_is_a_start_and_never_goes_over_what_was_measured() -> None:
+    world = World(1, shares=(), calls_share=0.72, memory_kb=1e6)
+    manager = world.manager
+    kinds = len(manager.facts.types)
+    for _ in range(20):
+        world.manager.runs[0].append(300 * MS)
+    mine = manager.timeout[0]
+    manager.taught(world.now, tuple((77 * MS, 33 * MS) for _ in range(kinds)), 5.0, 40 * MS)
+    assert manager.timeout[0] == mine and manager.timeout[1] == 77 * MS and manager.median[1] == 33 * MS
+    assert manager.call_usual == 40 * MS and manager.ended_calls
+    manager.learn_call(200 * MS, Outcome.GOOD)
+    assert manager.call_usual < 70 * MS, "the first call of a cold start is not taken for the usual one"
+    manager.taught(world.now, ((0, 0),) * kinds, 5.0, 900 * MS)
+    assert manager.call_usual < 70 * MS
+
+
 def test_crowded_callee_shrinks_the_room_for_calls() -> None:
     world = World(1)
     before = world.manager.call_room
@@ -230,7 +274,7 @@
 def test_over_share_tickets_rank_below_all_others() -> None:
     world = crowded()
     world.manager.facts = World(1, shares=(0.1, 100.0)).facts
-    world.manager.budget = [0.0, 100.0]
+    world.manager.budget, world.manager.parts = [0.0, 100.0], [1.0, 1.0]
     flood, fair = world.arrive(0, 0.4, team=0), world.arrive(0, 0.99, team=1)
     world.turn(FULL)
     assert world.tickets[flood].rank < 0.1 and world.tickets[fair].rank == 0.99
