--- /dev/null
+++ b/benchmarks/fleet_state.py
@@ -0,0 +1,109 @@
+"""Whole pure members in simulated time: a change held by all, agreement after a partition, catch-up, traffic.
+
+    .venv/bin/python -m benchmarks.fleet_state [--sizes 10 100 1000] [--seeds 5]
+
+Simulated, not emulated: period 1 s, digests compared each second, 0.5 to 2 ms between members.
+"""
+
+import argparse
+import random
+import statistics
+import sys
+import time
+
+from crowwing.fleet.catchup import Patience
+from crowwing.fleet.copies import Join, Space
+from crowwing.fleet.member import Manner
+from crowwing.fleet.spread import Pace
+from crowwing.fleet.swim import DEAD, Timing
+from crowwing.fleet.world import StateWorld
+
+S = 1_000_000
+SPACES = {"said": Space(Join.LATEST, 4096, 3600 * S)}
+MANNER = Manner(Timing(), Pace(), Patience())
+
+
+def until(world: StateWorld, check: object, most: int, step: int = 50_000) -> float | None:
+    """Simulated seconds until it holds."""
+    began = world.now
+    while not check():
+        if world.now - began > most:
+            return None
+        world.run_until(world.now + step)
+    return (world.now - began) / S
+
+
+def say(world: StateWorld, name: str, n: int) -> None:
+    world.do(name, lambda member, _, wall: member.spread.put(wall, f"said/{n}", n, 1800 * S))
+
+
+def one(size: int, seed: int, loss: float, entries: int) -> dict[str, float | None]:
+    world = StateWorld(size, seed, MANNER, SPACES)
+    world.loss = loss
+    chance = random.Random(seed)
+    world.run_until(8 * S)
+    for n in range(entries):
+        say(world, chance.choice(world.names), n)
+    until(world, lambda: len(world.roots()) == 1, 120 * S)
+    sent, at = world.bytes, world.now
+    world.run_until(world.now + 10 * S)
+    found: dict[str, float | None] = {"bytes": (world.bytes - sent) / ((world.now - at) / S) / size}
+    say(world, "m0", entries)
+    key = f"said/{entries}"
+    found["held"] = until(
+        world, lambda: all(key in m.copies.entries for m in world.members.values()), 120 * S
+    )
+    few = set(chance.sample(world.names, max(1, size // 5)))
+    world.cut = lambda a, b: (a in few) != (b in few)
+    world.run_until(world.now + 40 * S)
+    for n in range(50):
+        say(world, chance.choice(world.names), entries + 1 + n)
+    world.run_until(world.now + 5 * S)
+    world.cut = lambda _, __: False
+    found["healed"] = until(world, lambda: len(world.roots()) == 1, 300 * S)
+    world.kill("m1")
+    world.run_until(world.now + 20 * S)
+    world.restart("m1", disk=False)
+    rows = world.fetched_rows
+    found["caught_up"] = until(world, lambda: world.members["m1"].ready, 20 * S, 1_000)
+    found["rows"] = world.fetched_rows - rows
+    found["false"] = sum(
+        state == DEAD and who != "m1" for at, _, who, state in world.changes if at < 8 * S + 1
+    )
+    return found
+
+
+def middle(runs: list[dict], what: str, form: str = ".1f") -> str:
+    values = [run[what] for run in runs if run[what] is not None]
+    missed = f", {len(runs) - len(values)} not" if len(values) < len(runs) else ""
+    if not values:
+        return "-"
+    return f"{statistics.median(values):{form}} ({min(values):{form}} to {max(values):{form}}{missed})"
+
+
+def main() -> None:
+    told = argparse.ArgumentParser()
+    told.add_argument("--sizes", type=int, nargs="+", default=[10, 100, 1000])
+    told.add_argument("--seeds", type=int, default=5)
+    told.add_argument("--entries", type=int, default=300)
+    told = told.parse_args()
+    print(
+        "| members | loss | a change held by all, s | all agree after a heal, s | caught up empty, s "
+        "| rows fetched | bytes/s a member at rest |"
+    )
+    print("| --- | --- | --- | --- | --- | --- | --- |")
+    for size in told.sizes:
+        for loss in (0.0, 0.1):
+            began = time.monotonic()
+            runs = [one(size, seed, loss, told.entries) for seed in range(1, told.seeds + 1)]
+            print(
+                f"| {size} | {loss:.0%} | {middle(runs, 'held', '.2f')} | {middle(runs, 'healed')} "
+                f"| {middle(runs, 'caught_up', '.3f')} | {middle(runs, 'rows', '.0f')} "
+                f"| {middle(runs, 'bytes', '.0f')} |",
+                flush=True,
+            )
+            print(f"{size} members, {loss:.0%}: {time.monotonic() - began:.0f} s", file=sys.stderr)
+
+
+if __name__ == "__main__":
+    main()
--- a/crowwing/emulator/fleetrig.py
+++ b/crowwing/emulator/fleetrig.py
@@ -6,6 +6,7 @@
 holds. What a failing run needs to be played again (seed, script, members' files) stays in its folder.
 """
 
+import itertools
 import os
 import signal
 import socket
@@ -33,22 +34,32 @@
 }
 
 
-def free_port(kind: int) -> int:
+_rigs = itertools.count()
+
+
+def own_host() -> str:
+    """A loopback address of this rig alone: a port that is free when it is looked for is free when a member
+    comes to bind it, whatever other rigs on this machine take meanwhile."""
+    pid, number = os.getpid(), next(_rigs)
+    return f"127.{64 + (pid >> 8) % 64}.{pid & 255}.{1 + number % 250}"
+
+
+def free_port(kind: int, host: str = HOST) -> int:
     with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((HOST, 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
-def free_ports(count: int, taken: set[int]) -> list[int]:
+def free_ports(count: int, taken: set[int], host: str) -> list[int]:
     """Ports free now on UDP and TCP, none twice and none of `taken`."""
     chosen: list[int] = []
     while len(chosen) < count:
-        port = free_port(socket.SOCK_DGRAM)
+        port = free_port(socket.SOCK_DGRAM, host)
         if port in taken or port in chosen:
             continue
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
             try:
-                probe.bind((HOST, port))
+                probe.bind((host, port))
             except OSError:
                 continue
         chosen.append(port)
@@ -87,13 +98,13 @@
 
 class FleetRig:
     def __init__(self, folder: Path, size: int, seed: int, faults: list[dict], **fleet: object) -> None:
-        self.folder, self.seed = folder, seed
+        self.folder, self.seed, self.host = folder, seed, own_host()
         folder.mkdir(parents=True, exist_ok=True)
         self.names = [f"m{n}" for n in range(size)]
         self.fleet_at: dict[str, tuple[str, int]] = {}  # chosen once the relay's sockets are open
         self.told = {"size": size, "seed": seed, "faults": faults, "fleet": fleet}
         (folder / "rig.json").write_bytes(orjson.dumps(self.told, option=orjson.OPT_INDENT_2))
-        self.relay = Relay(self.names, script(faults, self.names), seed, HOST)
+        self.relay = Relay(self.names, script(faults, self.names), seed, self.host)
         self.fleet = fleet
         self.operator_of: dict[str, dict] = {}  # what one member's fleet section says besides
         self.children: dict[str, subprocess.Popen] = {}
@@ -101,20 +112,20 @@
 
     def start(self) -> None:
         self.relay.start()
-        ports = free_ports(len(self.names), set(self.relay.ports.values()))
-        self.fleet_at.update((name, (HOST, port)) for name, port in zip(self.names, ports, strict=True))
+        ports = free_ports(len(self.names), set(self.relay.ports.values()), self.host)
+        self.fleet_at.update((name, (self.host, port)) for name, port in zip(self.names, ports, strict=True))
         self.relay.members.update(self.fleet_at)
         for name in self.names:
             self.launch(name)
 
     def _files(self, name: str) -> tuple[Path, Path]:
         posting = orjson.loads(EXAMPLE.read_bytes()) | {
-            "name": name, "listen": f"{HOST}:{free_port(socket.SOCK_STREAM)}",
-            "agent": f"{HOST}:{free_port(socket.SOCK_STREAM)}",
+            "name": name, "listen": f"{self.host}:{free_port(socket.SOCK_STREAM, self.host)}",
+            "agent": f"{self.host}:{free_port(socket.SOCK_STREAM, self.host)}",
             "seed": f"{self.seed:08x}{self.names.index(name):08x}",
         }  # fmt: skip
         peers = [
-            {"name": other, "address": f"{HOST}:{self.relay.ports[(name, other)]}"}
+            {"name": other, "address": f"{self.host}:{self.relay.ports[(name, other)]}"}
             for other in self.names
             if other != name
         ]
