Ask borrowers what an earlier life lent, take use from call time, and distrust one's own silence

Use was a count of calls at four moments a second, 0 or 1 for 0.26. And with ten real processes, one paused for 4 s held three others dead as it woke: it took the silence for theirs. Change: a member that starts asks all others what they have of it (loans.py); logic.py sums the call time spent; swim.py begins its period and suspicions anew after two periods without a turn.

--- /dev/null
+++ b/benchmarks/fleet_emulated.py
@@ -0,0 +1,125 @@
+"""An emulated fleet of ten with the fleet's state off and on: a fifth killed; what lies below scarce; labels.
+
+    .venv/bin/python -m benchmarks.fleet_emulated [--seeds 3] [--at-once 1]
+
+Emulated. Off and on are played in turns. `scarce`: what lies below bears little and backends are unequal, so
+that the even parts of the pace of calls bind for some. `labels`: labelled tickets tried at one backend and,
+as their callers do when no answer comes, at others, while two of ten processes are killed; the wires of
+these backends carry no labels, so the tries are claims through the fleet's sockets.
+"""
+
+import argparse
+import random
+import statistics
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from itertools import product
+from pathlib import Path
+
+import orjson
+
+from crowwing.emulator.fleetrig import FleetRig
+
+KILL_AT, SECONDS = 10, 32
+KILL = [{"kind": "kill", "at_s": KILL_AT, "for_s": 8, "part": 0.2}]
+PLAN = {"seconds": SECONDS, "backends": 10, "sidecars": {"count": 6}}
+DAYS = {
+    "kill at 0.8": {"traffic": {"load": 0.8}, "below": {"slots": 20}, "faults": KILL},
+    "kill at 1.0": {"traffic": {"load": 1.0}, "below": {"slots": 20}, "faults": KILL},
+    "scarce": {
+        "traffic": {"load": 0.42}, "below": {"slots": 5, "fall_multiple": 0.8},
+        "machine": {"speeds": [1.6, 0.6, 0.6, 0.6, 0.6]},
+    },
+}  # fmt: skip
+ON = {
+    "fleet": {
+        "listen": "127.0.0.1:1", "peers": [{"name": "placeholder", "address": "127.0.0.1:2"}],
+        "period_ms": 500, "probe_timeout_ms": 150, "lends_calls": True, "shares_quota": True, "teaches": True,
+    }
+}  # fmt: skip
+
+
+def play(folder: Path, day: str, on: bool, seed: int) -> dict | None:
+    """The result of one run; None where it was void twice."""
+    name = f"{day.replace(' ', '-')}-{'on' if on else 'off'}-{seed}"
+    plan, operator = folder / f"{name}.json", folder / "on.json"
+    plan.write_bytes(orjson.dumps(PLAN | DAYS[day] | {"seed": seed}))
+    operator.write_bytes(orjson.dumps(ON))
+    words = [sys.executable, "-m", "crowwing", "emulate", str(plan), "--out", str(folder / name), "--json"]
+    words += ["--operator", str(operator)] if on else []
+    for _ in range(2):
+        ended = subprocess.run(words, capture_output=True)
+        try:
+            result = orjson.loads(ended.stdout)
+        except orjson.JSONDecodeError:
+            print(f"{name}: {ended.stderr.decode().strip()}", file=sys.stderr)
+            continue
+        if result["late_part"] is None:
+            return result
+    print(f"{name}: void twice", file=sys.stderr)
+    return None
+
+
+def labels(seed: int, folder: Path, size: int = 10, count: int = 150) -> tuple[int, int, int]:
+    """Labels tried at two backends or more; of them run twice without claims, and with."""
+    chance = random.Random(seed)
+    fast = {"period_ms": 200, "probe_timeout_ms": 60, "sync_every_ms": 500, "catch_up_most_ms": 3000}
+    with FleetRig(folder, size, seed, [], **fast) as rig:
+        rig.until(lambda: all((rig.view(name) or {}).get("whole") for name in rig.names), 30)
+
+        def claim(name: str, label: str) -> str:
+            return (rig.ask(name, 1, k="claim", label=label, window_ms=3000) or {}).get("claimed", "none")
+
+        rig.until(lambda: claim("m0", f"first{chance.random()}") == "ours", 20)
+        alive, twice_off, twice_on, retried = list(rig.names), 0, 0, 0
+        for n in range(count):
+            if n == count // 3:
+                for name in chance.sample(alive, size // 5):
+                    rig.kill(name)
+                    alive.remove(name)
+            tried = chance.sample(alive, chance.choice([1, 2, 3]))
+            runs = sum(claim(name, f"l{n}") == "ours" for name in tried)
+            retried += len(tried) > 1
+            twice_off += len(tried) > 1  # each backend alone knows nothing of the others' runs
+            twice_on += runs > 1
+    return retried, twice_off, twice_on
+
+
+def spread(values: list[float], form: str) -> str:
+    if not values:
+        return "-"
+    return f"{statistics.mean(values):{form}} ({min(values):{form}} to {max(values):{form}})"
+
+
+def main() -> None:
+    told = argparse.ArgumentParser()
+    told.add_argument("--seeds", type=int, default=3)
+    told.add_argument("--at-once", type=int, default=1)
+    told.add_argument("--days", nargs="+", default=list(DAYS))
+    told = told.parse_args()
+    folder, seeds = Path(tempfile.mkdtemp()), range(1, told.seeds + 1)
+    runs = list(product(told.days, seeds, (False, True)))
+    with ThreadPoolExecutor(told.at_once) as pool:
+        found = dict(zip(runs, pool.map(lambda r: play(folder, r[0], r[2], r[1]), runs), strict=True))
+    print(
+        "| day | fleet's state | credit in time, all | the 12 s from 10 | below at most, of its fall | rules broken |"
+    )
+    print("| --- | --- | --- | --- | --- | --- |")
+    for day, on in product(told.days, (False, True)):
+        good = [found[(day, seed, on)] for seed in seeds if found[(day, seed, on)] is not None]
+        print(
+            f"| {day} | {'on' if on else 'off'} "
+            f"| {spread([statistics.mean(run['seconds']) for run in good], '.3f')} "
+            f"| {spread([statistics.mean(run['seconds'][KILL_AT : KILL_AT + 12]) for run in good], '.3f')} "
+            f"| {spread([run['below_most'] for run in good], '.2f')} "
+            f"| {sum(len(run['breaches']) for run in good)} |"
+        )
+    print("\n| labels retried elsewhere | run twice, off | run twice, on |\n| --- | --- | --- |")
+    for seed in seeds:
+        print("| {} | {} | {} |".format(*labels(seed, folder / f"labels-{seed}")))
+
+
+if __name__ == "__main__":
+    main()
--- a/crowwing/fleet/loans.py
+++ b/crowwing/fleet/loans.py
@@ -8,8 +8,10 @@
 - The lender goes without from its granting until `span` and a margin later; the borrower spends from its own
   asking, which came before the granting, until `span` later. No clocks are compared; only that two clocks run
   alike to within the margin. So whatever is lost, copied, late or cut, the borrower stops first.
-- A member that has just started may have lent before and forgotten: it spends no more than `keep`, the part
-  that is never lent, until every loan of an earlier life has run out.
+- A member that has just started may have lent before and forgotten. It asks all others what they have of it,
+  and goes without that; who answers also lets go of what it had asked of the earlier life, so that no grant
+  still under way counts. Until all have answered, or every loan of an earlier life has run out, it spends no
+  more than `keep`, the part that is never lent.
 - A dead member's part lies idle, but for what it had lent: it may be alive behind a cut. That is the price of
   never passing the whole; the operators can take it out of their settings.
 
@@ -20,7 +22,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-ASK, LENT = 20, 21  # kinds of message
+ASK, LENT, STARTED, OWED = 20, 21, 22, 23  # kinds of message
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,11 +42,12 @@
     ) -> None:
         self.me, self.peers, self.chance, self.terms = me, set(peers), chance, terms or Terms()
         self.forgotten_until = now + self._withheld()
+        self.unheard = set(peers)  # that may have borrowed from an earlier life; emptied by their answers
         self.lent: dict[tuple[str, int], tuple[float, int]] = {}  # (asker, number) -> part, until; run out
         self.borrowed: dict[tuple[str, int], tuple[float, int]] = {}  # (lender, number) -> the same; run out
         self.asked: dict[tuple[str, int], int] = {}  # (lender, number) -> when; answered, or out after a span
         self.idle_at: dict[str, float] = {}  # what each member said was left when it was last asked
-        self.number = chance.randrange(1 << 30)  # of asks, not that of an earlier life
+        self.number = self.life = chance.randrange(1 << 30)  # of asks, not that of an earlier life
         self.use = 0.0
         self.next_ask = now
         self.outbox: list[tuple[str, dict]] = []
@@ -54,7 +57,7 @@
 
     def part(self, now: int) -> float:
         """What this member may spend at `now`."""
-        own = 1.0 - sum(part for part, until in self.lent.values() if now < until)
+        own = max(0.0, 1.0 - sum(part for part, until in self.lent.values() if now < until))
         if now < self.forgotten_until:
             own = min(own, self.terms.keep)
         return own + sum(part for part, until in self.borrowed.values() if now < until)
@@ -75,9 +78,14 @@
         self.asked = {ask: at for ask, at in self.asked.items() if now < at + self.terms.span}
         # the old run out meanwhile
         lacks = min(want, self.terms.most) - self.part(now + self.terms.span // 2)
-        if lacks < self.terms.least or now < self.next_ask or not alive:
+        if now < self.next_ask:
             return
         self.next_ask = now + self.terms.span // 8
+        if now < self.forgotten_until:
+            for name in sorted(self.unheard):
+                self.outbox.append((name, {"k": STARTED, "from": self.me, "n": self.life, "part": 0}))
+        if lacks < self.terms.least or not alive:
+            return
         order = list(alive)
         self.chance.shuffle(order)
         order.sort(key=lambda name: -self.idle_at.get(name, 0.5))
@@ -102,11 +110,29 @@
                 "idle": round(self.idle(now), 3),
             }
             self.outbox.append((sender, told))
+        elif message["k"] == STARTED:
+            self.asked = {ask: at for ask, at in self.asked.items() if ask[0] != sender}
+            had = [loan for (lender, _), loan in self.borrowed.items() if lender == sender and now < loan[1]]
+            left = max((until - now for _, until in had), default=0)
+            owed = round(sum(part for part, _ in had), 3)
+            told = {"k": OWED, "from": self.me, "n": number, "part": owed, "left": left}
+            self.outbox.append((sender, told))
+        elif message["k"] == OWED:
+            if number == self.life and sender in self.unheard:
+                self._owed(now, sender, part, min(int(message["left"]), self.terms.span))
         elif (at := self.asked.pop((sender, number), None)) is not None:
             self.idle_at[sender] = float(message["idle"])
             if part and now < at + self.terms.span:
                 self.borrowed[(sender, number)] = part, at + self.terms.span
 
+    def _owed(self, now: int, borrower: str, part: float, left: int) -> None:
+        """What an earlier life of this member has lent: gone without until it has run out."""
+        self.unheard.discard(borrower)
+        if part:
+            self.lent[(borrower, -1)] = part, now + round(left * (1 + 2 * self.terms.margin))
+        if not self.unheard:
+            self.forgotten_until = min(self.forgotten_until, now)
+
     def _lend(self, now: int, asker: str, number: int, part: float) -> float:
         if (known := self.lent.get((asker, number))) is not None:
             return known[0]  # the same ask once more: a copy on the way
--- a/crowwing/fleet/swim.py
+++ b/crowwing/fleet/swim.py
@@ -29,6 +29,7 @@
 ALIVE, SUSPECT, DEAD, LEFT = "alive", "suspect", "dead", "left"
 RANK = {ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3}  # at one incarnation, the later word wins
 GONE = (DEAD, LEFT)
+STOOD_STILL = 2.0  # periods without a turn, which comes once in one at least
 Message = (
     dict  # as orjson carries it: "k" kind, "from", "inc", "seq", and "news" [[name, state, inc, origin]]
 )
@@ -105,6 +106,7 @@
             int, tuple[str, int, int]
         ] = {}  # our seq -> (asker, its seq, until); emptied by timeout
         self.health = 0
+        self.looked = now
         self.leaving = False
         self.periods = 0
         self.period_at = now
@@ -137,6 +139,13 @@
 
     def turn(self, now: int) -> None:
         timing = self.timing
+        if now - self.looked > STOOD_STILL * self.scaled(timing.period):
+            # Guards against a process that stood still and takes the silence for the others': it heard
+            # nobody.
+            self.probe, self.period_at = None, now
+            for member in self.members.values():
+                member.since = now if member.state == SUSPECT else member.since
+        self.looked = now
         for seq, (asker, its_seq, until) in list(self.relayed.items()):
             if now >= until:
                 del self.relayed[seq]
--- a/crowwing/logic.py
+++ b/crowwing/logic.py
@@ -138,6 +138,7 @@
         self.ready, self.idle, self.told, self.returning = True, facts.idle_most, -1.0, 1.0
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
         self.notice = self.stop = self.call_usual = self.ended_calls = 0
+        self.below_time = 0.0  # call time spent since the start, for whoever lends what is left of it
         self.call_part, self.parts = 1.0, [1.0] * len(facts.shares)  # of the fleet's, in even parts
 
     # What comes in
@@ -281,6 +282,7 @@
         """One step of the loops: P90s and timeouts, the limit, the cut, the free value."""
         f, dt = self.facts, (now - self.last_step) / 1e6
         below = self.counts[CALLING] + len(self.lingering)
+        self.below_time += dt * 1e6 * below
         self.spent = max(0.0, self.spent + dt * 1e6 * (below - self.call_pace * self.call_part))
         self.last_step = now
         if now - self.faded >= WAKE_QUIET:
--- a/crowwing/program/together.py
+++ b/crowwing/program/together.py
@@ -15,7 +15,7 @@
 from crowwing.fleet import lesson, quota
 from crowwing.fleet.copies import NotKept
 from crowwing.fleet.loans import wanted
-from crowwing.logic import CALLING, ENOUGH, LoadManager
+from crowwing.logic import ENOUGH, LoadManager
 from crowwing.routing.book import Book
 from crowwing.routing.desk import Desk
 
@@ -23,7 +23,7 @@
     from crowwing.fleet.link import Link
 
 EVERY = 0.25  # seconds between two looks
-MEMORY = 4  # looks over which the use of calls is averaged
+MEMORY = 8  # looks over which the use of calls is averaged
 LESSON_EVERY, LESSON_LIFE = 20, 3_600_000_000  # looks between two lessons told; µs that one stands
 
 
@@ -34,7 +34,7 @@
         self.link, self.member, self.desk, self.names, self.book = link, link.member, desk, names, book
         self.lends, self.shares, self.teaches = fleet.lends_calls, fleet.shares_quota, fleet.teaches
         self.life, self.window = life, fleet.quota_window_ms * 1000
-        self.used = 0.0  # calls out and lingering, of late, in even parts of the pace
+        self.used, self.spent = 0.0, (0, 0.0)  # of late, in even parts of the pace; when and how much in all
         self.looks, self.taught = 0, False
         self.parts = [1.0] * len(names.customers)
         self.counted_to = quota.window_of(link.wall(), self.window)
@@ -60,8 +60,10 @@
 
     def _borrow(self, manager: LoadManager) -> float:
         now, loans = self.link.now(), self.member.loans
-        below = manager.counts[CALLING] + len(manager.lingering)
-        self.used += (below / max(1e-9, manager.call_pace) - self.used) / MEMORY
+        (at, spent), self.spent = self.spent, (now, manager.below_time)
+        if at and now > at and manager.call_pace > 0:
+            used = (manager.below_time - spent) / (now - at) / manager.call_pace
+            self.used += (used - self.used) / MEMORY
         starved = bool(manager.asking) and manager.spent > manager.burst / 2
         want = wanted(self.used, loans.part(now), starved)
         loans.turn(now, self.member.membership.alive(), self.used, want)
--- a/tests/test_fleet_decides.py
+++ b/tests/test_fleet_decides.py
@@ -84,6 +84,7 @@
 def test_an_idle_members_part_is_used_by_a_busy_one_and_comes_back() -> None:
     names = ["a", "b", "c", "d"]
     net = Net(1, 0.0, {})
+    net.chance.choice = lambda _: 1000  # a quiet wire
     for name in names:
         net.parts[name] = Loans(name, [o for o in names if o != name], 0, random.Random(name))
     use = {"a": 3.0, "b": 0.1, "c": 0.1, "d": 0.9}
@@ -110,6 +111,23 @@
     assert loans.part(round(terms.span * 1.11)) == 1.0
 
 
+def test_one_that_starts_learns_what_it_had_lent_and_a_grant_under_way_then_no_longer_counts() -> None:
+    started = Loans("a", ["b", "c"], 0, random.Random(1))
+    b, c = (Loans(name, ["a"], -9 * S, random.Random(name)) for name in "bc")
+    b.borrowed[("a", 5)] = 0.4, S
+    c.asked[("a", 6)] = 0  # granted by the earlier life, and still on its way
+    started.turn(0, ["b", "c"], 0.0, 0.0)
+    for to, message in started.outbox:
+        {"b": b, "c": c}[to].heard(0, message)
+    started.outbox.clear()
+    for other in (b, c):
+        for _, message in other.outbox:
+            started.heard(1000, message)
+    assert started.part(1000) == pytest.approx(0.6) and started.part(2 * S) == 1.0
+    c.heard(1000, {"k": 21, "from": "a", "n": 6, "part": 0.5, "idle": 0.0})
+    assert c.part(1000) == 1.0
+
+
 def test_a_grant_that_comes_late_counts_from_the_asking_and_a_stranger_gets_none() -> None:
     loans = Loans("a", ["b"], 0, random.Random(1))
     loans.turn(3 * S, ["b"], 1.0, 2.0)
--- a/tests/test_fleet_swim.py
+++ b/tests/test_fleet_swim.py
@@ -131,6 +131,15 @@
     assert [health(answers) for answers in (3, 2, 0)] == [0, 1, 3]
 
 
+def test_one_that_stood_still_does_not_take_the_silence_for_the_others() -> None:
+    member = Membership("a", ["b", "c"], 0, random.Random(1), FAST)
+    member.turn(FAST.period)
+    assert member.probe is not None
+    member.heard(FAST.period, {"k": 1, "from": "c", "inc": 0, "seq": 99, "news": [["b", SUSPECT, 0, "c"]]})
+    member.turn(60 * S)
+    assert member.members["b"].state == SUSPECT and member.members["c"].state == ALIVE
+
+
 def test_a_helper_that_gets_no_ack_says_so() -> None:
     member = Membership("a", ["b", "c"], 0, random.Random(1), FAST)
     member.heard(0, {"k": 2, "from": "b", "inc": 0, "seq": 7, "target": "c"})
