--- a/benchmarks/fleet_emulated.py
+++ b/benchmarks/fleet_emulated.py
@@ -62,8 +62,8 @@
     return None
 
 
-def labels(seed: int, folder: Path, size: int = 10, count: int = 150) -> tuple[int, int, int]:
-    """Labels tried at two backends or more; of them run twice without claims, and with."""
+def labels(seed: int, folder: Path, size: int = 10, count: int = 150) -> tuple[int, int, int, int]:
+    """Labels tried at two backends or more; of them run twice without claims, and with; run at all with."""
     chance = random.Random(seed)
     fast = {"period_ms": 200, "probe_timeout_ms": 60, "sync_every_ms": 500, "catch_up_most_ms": 3000}
     with FleetRig(folder, size, seed, [], **fast) as rig:
@@ -73,7 +73,7 @@
             return (rig.ask(name, 1, k="claim", label=label, window_ms=3000) or {}).get("claimed", "none")
 
         rig.until(lambda: claim("m0", f"first{chance.random()}") == "ours", 20)
-        alive, twice_off, twice_on, retried = list(rig.names), 0, 0, 0
+        alive, twice_off, twice_on, retried, ran = list(rig.names), 0, 0, 0, 0
         for n in range(count):
             if n == count // 3:
                 for name in chance.sample(alive, size // 5):
@@ -84,7 +84,8 @@
             retried += len(tried) > 1
             twice_off += len(tried) > 1  # each backend alone knows nothing of the others' runs
             twice_on += runs > 1
-    return retried, twice_off, twice_on
+            ran += runs > 0
+    return retried, twice_off, twice_on, ran
 
 
 def spread(values: list[float], form: str) -> str:
@@ -97,7 +98,7 @@
     told = argparse.ArgumentParser()
     told.add_argument("--seeds", type=int, default=3)
     told.add_argument("--at-once", type=int, default=1)
-    told.add_argument("--days", nargs="+", default=list(DAYS))
+    told.add_argument("--days", nargs="*", default=list(DAYS))
     told = told.parse_args()
     folder, seeds = Path(tempfile.mkdtemp()), range(1, told.seeds + 1)
     runs = list(product(told.days, seeds, (False, True)))
@@ -114,9 +115,10 @@
             f"| {spread([run['below_most'] for run in good], '.2f')} "
             f"| {sum(len(run['breaches']) for run in good)} |"
         )
-    print("\n| labels retried elsewhere | run twice, off | run twice, on |\n| --- | --- | --- |")
+    print("\n| of 150 labels retried elsewhere | run twice, off | run twice, on | run, on |")
+    print("| --- | --- | --- | --- |")
     for seed in seeds:
-        print("| {} | {} | {} |".format(*labels(seed, folder / f"labels-{seed}")))
+        print("| {} | {} | {} | {} |".format(*labels(seed, folder / f"labels-{seed}")))
 
 
 if __name__ == "__main__":
--- a/crowwing/fleet/spaces.py
+++ b/crowwing/fleet/spaces.py
@@ -11,6 +11,7 @@
     "mark": Space(Join.GONE, 512, 24 * HOUR),  # sets that operators put members or zones into
     "zone": Space(Join.LATEST, 256, 24 * HOUR),  # verdicts on zones
     "use": Space(Join.MOST, 4096, 60 * SECOND),  # a customer's tickets: by member, life and window
+    "turned": Space(Join.LATEST, 1024, 60 * SECOND),  # prints of what each member turned away of late
     "lesson": Space(Join.LATEST, 512, 24 * HOUR),  # what each member has learned
 }
 OPERATORS = ("said", "mark", "zone")  # what may be put through the fleet's socket
--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -67,7 +67,10 @@
             )
         self.together = None
         if self.fleet is not None and (
-            operator.fleet.lends_calls or operator.fleet.shares_quota or operator.fleet.teaches
+            operator.fleet.lends_calls
+            or operator.fleet.shares_quota
+            or operator.fleet.teaches
+            or operator.fleet.shares_prints
         ):
             from crowwing.program.together import Together
 
--- a/crowwing/program/main.py
+++ b/crowwing/program/main.py
@@ -42,6 +42,8 @@
     try:
         peers(operator.fleet, me)
         folder(operator.fleet)
+        if operator.fleet.shares_prints and operator.storm is None:
+            raise BadFleet("$.fleet.shares_prints: there is no storm section whose prints could be shared")
     except BadFleet as wrong:
         raise BadConfiguration(f"{os.environ['CROWWING_OPERATOR']}: {wrong}") from None
 
--- a/crowwing/program/together.py
+++ b/crowwing/program/together.py
@@ -1,5 +1,5 @@
 """What the fleet keeps together meets the module: the pace of calls lent and borrowed, customers' shares by
-use, what others have learned.
+use, what others have learned, prints of what others turned away.
 
 Loaded only where the operator file has a `fleet` section that switches one of them on. Decisions are the pure
 files' under `crowwing/fleet/`; this brings them the module's figures and hands it what they say, four times a
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import random
 from collections import Counter
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 from crowwing.fleet import lesson, quota
 from crowwing.fleet.copies import NotKept
 from crowwing.fleet.loans import wanted
+from crowwing.fleet.turned import Turned
 from crowwing.logic import ENOUGH, LoadManager
 from crowwing.routing.book import Book
 from crowwing.routing.desk import Desk
@@ -24,6 +26,7 @@
 
 EVERY = 0.25  # seconds between two looks
 MEMORY = 8  # looks over which the use of calls is averaged
+TURNED_LIFE = 8_000_000  # µs; a ring of 16 places comes round in 4 s
 LESSON_EVERY, LESSON_LIFE = 20, 3_600_000_000  # looks between two lessons told; µs that one stands
 
 
@@ -38,6 +41,10 @@
         self.looks, self.taught = 0, False
         self.parts = [1.0] * len(names.customers)
         self.counted_to = quota.window_of(link.wall(), self.window)
+        self.turned: Turned | None = None
+        if fleet.shares_prints and desk.lookout is not None:
+            self.turned = Turned(self.member.me, random.Random(f"{life}/turned"))
+            desk.lookout.tells = self.turned.add
         if self.shares:
             desk.came = Counter()  # by customer's place; emptied by each window
 
@@ -55,6 +62,8 @@
             self._teach(manager)
         if self.shares:
             self._share()
+        if self.turned is not None and self.desk.lookout is not None:
+            self._tell_turned(self.turned)
         manager.allot(self._borrow(manager) if self.lends else 1.0, self.parts)
         self.link.turn()
 
@@ -87,6 +96,13 @@
             for customer in self.names.customers
         ]
 
+    def _tell_turned(self, turned: Turned) -> None:
+        if (told := turned.tell()) is not None:
+            self._put(self.link.wall(), *told, TURNED_LIFE)
+        if prints := turned.heard(self.member.copies.under("turned/")):
+            self.desk.lookout.elsewhere(prints)
+            self.book.count("prints_heard", len(prints))
+
     def _teach(self, manager: LoadManager) -> None:
         """Only what was measured here."""
         kinds = tuple(
--- a/crowwing/routing/lookout.py
+++ b/crowwing/routing/lookout.py
@@ -25,6 +25,7 @@
         self.sight = Sight(now(), types, span, most)
         self.returns: Returns | None = None  # where returns are paced
         self.last = now()
+        self.tells: Callable[[int], None] | None = None  # of what was turned away, where a fleet shares it
 
     def arrived(self, arrival: Arrival, kind: int) -> tuple[int, bool]:
         """The print, and whether the module is to take it for a repeat: only in a storm, and if told to."""
@@ -38,6 +39,12 @@
 
     def ended(self, print_: int, good: bool) -> None:
         self.sight.ended(self.now(), print_, good)
+        if self.tells is not None and not good:
+            self.tells(print_)
+
+    def elsewhere(self, prints: list[int]) -> None:
+        """What others of the fleet turned away."""
+        self.sight.elsewhere(self.now(), prints)
 
     def away(self, by: int, brings: float, least: int, due: int) -> int:
         """For how long a caller that is dismissed is to stay away, where the module asks for `least`.
--- a/crowwing/settings/operator.py
+++ b/crowwing/settings/operator.py
@@ -104,6 +104,9 @@
     teaches: Annotated[
         bool, Meta(description="A member that starts takes what others have learned as its start.")
     ] = False
+    shares_prints: Annotated[
+        bool, Meta(description="Prints of what was turned away go to the others; needs a storm section.")
+    ] = False
     clock_offset_ms: Annotated[
         int, Meta(ge=-3_600_000, le=3_600_000, description="Added to this member's clock; for trials only.")
     ] = 0
--- a/crowwing/storm/sight.py
+++ b/crowwing/storm/sight.py
@@ -80,8 +80,9 @@
         self.equal = 1e-6  # chance that an arrival equals one given print in the settled window
         self.matched = self.worn = 0.0  # part of arrivals of late
         self.worn_calm = WORN_CALM
-        self.came = self.bad = self.good = 0  # since the last step
+        self.came = self.bad = self.good = self.others = 0  # since the last step
         self.rate = self.bad_rate = self.lagged = self.good_rate = self.base = 0.0  # a second
+        self.other_rate = 0.0  # prints turned away elsewhere that this member was told
         self.age = 0.0  # seconds of steps so far
         self.recent: deque[tuple[float, int, int]] = deque(maxlen=RECENT)  # span, came, ended badly by step
         self.onset: int | None = None  # steps for which the base may still rise; None: few end badly
@@ -109,7 +110,7 @@
         self.worn += (worn - self.worn) / MATCH_OVER
         likely = 0.0
         if again and not popular:
-            turned = min(self.bad_rate * self.span / 1e6, self.turned.mask * 3.0)
+            turned = min((self.bad_rate + self.other_rate) * self.span / 1e6, self.turned.mask * 3.0)
             likely = 1 - min(1.0, self.equal * turned / max(self.matched, 1 / MATCH_OVER))
         if worn:
             likely = max(likely, 1 - min(1.0, self.worn_calm / max(self.worn, 1 / MATCH_OVER)))
@@ -125,6 +126,14 @@
             self.bad += 1
             self.turned.add(now, print_)
 
+    def elsewhere(self, now: int, prints: list[int]) -> None:
+        """Others of the fleet turned these away. They count among the prints that a repeat may match, and
+        that an equal ticket may match by chance; our own rates are not theirs."""
+        now = self._clock(now)
+        for print_ in prints:
+            self.turned.add(now, print_)
+        self.others += len(prints)
+
     def step(self, now: int) -> View:
         """Every tenth of a second or so: the rates, and whether a storm is on."""
         now = self._clock(now)
@@ -137,9 +146,10 @@
         self.rate += fast * (self.came / span - self.rate)
         self.bad_rate += fast * (self.bad / span - self.bad_rate)
         self.good_rate += fast * (self.good / span - self.good_rate)
+        self.other_rate += fast * (self.others / span - self.other_rate)
         self.lagged += min(1.0, span / LAG) * (self.bad_rate - self.lagged)
         self.recent.append((span, self.came, self.bad))
-        self.came = self.bad = self.good = 0
+        self.came = self.bad = self.good = self.others = 0
         noise = sqrt(max(1.0, self.rate) / (2 * FAST))
         self._move_base(span, noise)
         excess = min(max(0.0, self.rate - self.base), self.lagged)
--- a/tests/test_fleet_decides.py
+++ b/tests/test_fleet_decides.py
@@ -7,8 +7,11 @@
 import pytest
 
 from crowwing.fleet import lesson, quota
+from crowwing.fleet.copies import Copies
 from crowwing.fleet.labels import Claimed, Labels, homes
 from crowwing.fleet.loans import Loans, Terms, wanted
+from crowwing.fleet.spaces import SPACES
+from crowwing.fleet.turned import PRINTS, Turned
 
 S = 1_000_000
 
@@ -280,6 +283,26 @@
     assert quota.counted(rows, 10 * S, S) == {"x": Counter({"m.1": 6, "n": 5})}
 
 
+def test_prints_turned_away_are_sampled_told_in_a_ring_and_heard_once() -> None:
+    there, here = Turned("a", random.Random(1)), Turned("b", random.Random(2))
+    a, b = (Copies(name, SPACES, 10 * S) for name in "ab")
+    assert there.tell() is None
+    heard = []
+    for look in range(40):
+        for print_ in range(look * 1000, look * 1000 + 1000):
+            there.add(print_)
+        assert len(there.fresh) <= 400
+        key, value = there.tell()
+        row = a.put((look + 1) * S // 4, key, value, 8 * S)
+        b.merge((look + 1) * S // 4, [row])
+        heard += here.heard(b.under("turned/"))
+        assert here.heard(b.under("turned/")) == [] and there.heard(a.under("turned/")) == []
+    assert len(heard) == 40 * PRINTS and len(set(heard)) == len(heard) and len(a.entries) == 16
+    assert min(one // 1000 for one in heard) == 0 and max(one // 1000 for one in heard) == 39
+    b.merge(11 * S, [["turned/c/1", ["x", -1, True, 5], 11 * S, 0, "c", 12 * S]])
+    assert here.heard(b.under("turned/")) == [5]
+
+
 def test_the_median_teaches_and_what_is_no_lesson_is_left_out() -> None:
     told = [
         lesson.Lesson(((100, 50), (0, 0)), 8.0, 20).told(), lesson.Lesson(((300, 70),
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -120,6 +120,14 @@
             "probe_timeout_ms",
         ),
         ({"listen": "127.0.0.1:7946", "peers": []}, "$.fleet.peers"),
+        (
+            {
+                "listen": "127.0.0.1:7946",
+                "peers": [{"name": "n2", "address": "127.0.0.1:1"}],
+                "shares_prints": True,
+            },
+            "$.fleet.shares_prints",
+        ),
     ],
 )
 def test_a_wrong_fleet_is_one_line_and_exit_2(tmp_path: Path, fleet: dict, said: str) -> None:
--- a/tests/test_storm_sight.py
+++ b/tests/test_storm_sight.py
@@ -216,3 +216,22 @@
         if busy:
             window.add(now, chance.getrandbits(64))
     assert not any(window.take(42 * S, one) for one in prints)
+
+
+def test_a_repeat_of_what_another_backend_turned_away_is_known_where_the_fleet_tells() -> None:
+    def likely(told: bool) -> float:
+        sight, chance = Sight(0, 1, 10_000_000, 4000), random.Random(1)
+        here, there = ([chance.getrandbits(64) for _ in range(2000)] for _ in range(2))
+        now, found = 0, []
+        for n in range(2000):
+            now += 10_000
+            sight.arrived(now, 0, here[n], 0)
+            sight.ended(now, here[n], n % 2 == 0)
+            if told:
+                sight.elsewhere(now, [there[n]])
+            if n >= 1000:  # repeats of what was turned away elsewhere, a second ago
+                found.append(sight.arrived(now, 0, there[n - 100], 0))
+            sight.step(now)
+        return sum(found) / len(found)
+
+    assert likely(False) == 0 and likely(True) > 0.8
