--- a/benchmarks/fleet_state.py
+++ b/benchmarks/fleet_state.py
@@ -39,6 +39,8 @@
 
 def one(size: int, seed: int, loss: float, entries: int) -> dict[str, float | None]:
     world = StateWorld(size, seed, MANNER, SPACES)
+    for member in world.members.values():  # a fleet that has been up: only who starts later catches up
+        member.catch_up.began, member.was_ready = None, True
     world.loss = loss
     chance = random.Random(seed)
     world.run_until(8 * S)
--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -265,6 +266,44 @@
     assert ended.returncode == 2 and "play.json" in ended.stderr
 
 
+def test_an_end_before_its_time_leaves_no_process_and_a_failing_one_neither(tmp_path: Path) -> None:
+    def ours() -> list[int]:
+        """Backends whose configuration lies in this test's folder."""
+        found = []
+        for place in Path("/proc").glob("[0-9]*/environ"):
+            try:
+                if str(tmp_path).encode() in place.read_bytes():
+                    found.append(int(place.parent.name))
+            except OSError:
+                continue  # ended meanwhile, or not ours to read
+        return found
+
+    command = [
+        sys.executable,
+        "-m",
+        "crowwing",
+        "fleet",
+        "play",
+        "--size",
+        "3",
+        "--out",
+        str(tmp_path / "out"),
+    ]
+    with subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True) as player:
+        deadline = time.monotonic() + 20
+        while len(ours()) < 3 and time.monotonic() < deadline:
+            time.sleep(0.05)
+        assert len(ours()) >= 3
+        player.send_signal(signal.SIGINT)
+        said = player.communicate(timeout=30)[1]
+    assert player.returncode == 1 and len(said.splitlines()) == 1, said
+    assert ours() == []
+    with pytest.raises(ZeroDivisionError), FleetRig(tmp_path / "fails", 3, 20, [], **FAST):
+        assert len(ours()) >= 3
+        raise ZeroDivisionError
+    assert ours() == []
+
+
 def test_the_checker_sees_what_was_lost_what_differs_and_what_may_stand_in_its_place() -> None:
     said = ["said/x", 1, 5, 0, "a", 99]
     later, earlier = ["said/x", 2, 6, 0, "b", 99], ["said/x", 0, 4, 9, "z", 99]
