--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -38,7 +38,7 @@
         rig.launch("m2")
 
         def back() -> bool:
-            """All hold it alive at an incarnation that it raised itself; a suspicion in passing is waited out."""
+            """All hold it alive at an incarnation of its own; a suspicion in passing is waited out."""
             views = [rig.view(name) for name in everyone - {"m2"}]
             seen = [one for view in views if view for one in view["members"] if one["name"] == "m2"]
             return len(seen) == 4 and all(one["state"] == "alive" and one["incarnation"] >= 1 for one in seen)
