Split the module by question: what comes in, runs, is called, is learned

Change: crowwing/logic.py becomes eight files under crowwing/logic/, all named under policy; the same names are imported from crowwing.logic. No decision changes.

--- /dev/null
+++ b/crowwing/logic/intake.py
@@ -0,0 +1,87 @@
+"""What comes in: a ticket is read, and judged by the cut, its customer's share and its repeats."""
+
+from crowwing.contract import Id, Repeat, Result, Step
+from crowwing.logic.books import PROBE, SICK, SURVIVE, WAKE_EVERY, Books
+from crowwing.logic.ticket import HELD, NEW, SHARING, Ticket
+
+
+class Intake(Books):
+    """Reads and judges arrivals."""
+
+    # fmt: off
+    def take(self, now: int, op_id: Id, kind: int, team: int, rank: float, kb: float, arrived: int, due: int,
+             by: int, repeats: Id, key: Id, write: bool, again: bool = False) -> Ticket:
+        # fmt: on
+        """A ticket has been read; `due` is 0 where its caller's patience is not told. `again`: what is likely
+        a repeat in a storm, though nothing marks it; its rank counts as one beyond its customer's share."""
+        t = Ticket(self, op_id, kind, kb)
+        t.rank = rank * (self.facts.over_share_credit if again else 1.0)
+        t.team, t.arrived, t.repeats, t.key, t.write = team, arrived, repeats, key, write
+        t.due = max(now, due or arrived + t.type.outer_limit)
+        t.aim = min(t.due, arrived + t.type.expected_time)
+        self.span[kind] += round(0.05 * (t.aim - arrived - self.span[kind]))
+        self.unread += 0.1 * (now - arrived - self.unread)
+        self.returning += 0.02 * ((by in self.weights) - self.returning)
+        self.shed *= 0.95
+        self.weights[by] = self.weights.get(by, 0.0) + 1.0
+        self.open[op_id] = t
+        self.arrivals.append(t)
+        self.move(t, NEW)
+        return t
+
+    def judge(self, now: int, out: list[Result]) -> None:
+        """Each arrival of this moment is dismissed at once or joins the hold."""
+        for t in self.arrivals:
+            if t.closed or self.seen_before(t, now, out):
+                continue
+            t.rank *= self.share_left(t, now)
+            full = self.used() > SURVIVE * self.facts.memory_kb or self.lined_up(t)
+            if self.barred(t, now):
+                self.dismiss(t, now, out, elsewhere=True)
+            elif t.rank < self.cut or full or not self.keepable(t, now, out):
+                self.dismiss(t, now, out)
+            else:
+                self.move(t, HELD)
+        self.arrivals.clear()
+
+    def barred(self, t: Ticket, now: int) -> bool:
+        """What is better off at another backend: after the grace of a drain, and while runs fail here."""
+        if self.notice:
+            late = now + 2 * self.median[t.kind] + 2 * WAKE_EVERY > self.stop
+            return late or t.arrived > self.notice + self.facts.grace
+        return self.stalled(now) or (self.errors > SICK and self.random() > PROBE)
+
+    def share_left(self, t: Ticket, now: int) -> float:
+        """What a ticket's rank is worth: beyond its customer's share, no more than its credit there."""
+        passed, self.budget_at = (now - self.budget_at) / 1e6, now
+        for team, quota in enumerate(self.facts.shares):
+            rate = 1.3 * quota / max(1, self.facts.fleet) * self.parts[team]
+            self.budget[team] = min(max(2.0, 2 * rate), self.budget[team] + rate * passed)
+        if not self.budget or self.budget[t.team] < 1:
+            return self.facts.over_share_credit if self.budget else 1.0
+        self.budget[t.team] -= 1
+        return 1.0
+
+    def seen_before(self, t: Ticket, now: int, out: list[Result]) -> bool:
+        """Repeats: what has run is shared, and a labelled ticket takes the place of its held earlier try."""
+        first = self.open.get(t.repeats)
+        if not t.repeats or t.repeats in self.unrun or t.type.repeat is Repeat.IRREVERSIBLE:
+            return False
+        if first is not None and first.answered and first.type.repeat is Repeat.REDOABLE:
+            return False
+        if first is not None and first.state in (NEW, HELD) and not first.ran:
+            if t.type.repeat is Repeat.LABELLED and first.state == HELD and self.keepable(t, now, out):
+                self.kept.pop(first.id, None)
+                self.dismiss(first, now, out, elsewhere=False)
+            return False
+        self.move(t, SHARING)
+        t.ran = True
+        out.append((Step.SHARE, t, 0))
+        return True
+
+    def keepable(self, t: Ticket, now: int, out: list[Result]) -> bool:
+        """A labelled ticket is known by its entry once read; without room for one it may not run."""
+        if t.type.repeat is not Repeat.LABELLED or t.id in self.kept:
+            return True
+        span = t.arrived + t.type.window - now + WAKE_EVERY
+        return span <= 0 or self.keep(t, now, span, out)
