Steer how long idle connections stay open by the part of arrivals dismissed

Seen: links 70 to 98 of a table, cores 0.9 busy with 1.0 runs a core; ruled out: retries (1.00 attempts a ticket), reading (30 ms unread). Wrong line: the clause busy > 0.8 in wake().

Change: the time moves between a 60th and the whole of idle_most, shorter while under half of the arrivals are dismissed, longer above; the part of returning callers is averaged evenly from the first. Also covers restarts; harms where opening a connection costs as much as a run.

--- a/crowwing/logic/books.py
+++ b/crowwing/logic/books.py
@@ -46,7 +46,8 @@
         self.budget, self.budget_at = [float(quota) for quota in facts.shares], now  # a second of each share
         self.ready, self.idle, self.told, self.returning = True, facts.idle_most, -1.0, 1.0
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
-        self.notice = self.stop = self.call_usual = self.ended_calls = 0
+        self.keep_open = facts.idle_most / 6  # steered: after this time idle connections are closed
+        self.came = self.notice = self.stop = self.call_usual = self.ended_calls = 0
         self.below_time = 0.0  # call time spent since the start, for whoever lends what is left of it
         self.call_part, self.parts = 1.0, [1.0] * len(facts.shares)  # of the fleet's, in even parts
 
--- a/crowwing/logic/intake.py
+++ b/crowwing/logic/intake.py
@@ -21,7 +21,8 @@
         t.aim = min(t.due, arrived + t.type.expected_time)
         self.span[kind] += round(0.05 * (t.aim - arrived - self.span[kind]))
         self.unread += 0.1 * (now - arrived - self.unread)
-        self.returning += 0.02 * ((by in self.weights) - self.returning)
+        self.came += 1
+        self.returning += max(0.02, 1 / self.came) * ((by in self.weights) - self.returning)
         self.shed *= 0.95
         self.weights[by] = self.weights.get(by, 0.0) + 1.0
         self.open[op_id] = t
--- a/crowwing/logic/manager.py
+++ b/crowwing/logic/manager.py
@@ -1,7 +1,7 @@
 """One backend's decisions, in the order in which a moment is worked through."""
 
 from crowwing.contract import Result, Step
-from crowwing.logic.books import WAKE_EVERY, WAKE_QUIET
+from crowwing.logic.books import SPREAD, WAKE_EVERY, WAKE_QUIET
 from crowwing.logic.calls import Calls
 from crowwing.logic.intake import Intake
 from crowwing.logic.learned import Learned
@@ -33,10 +33,13 @@
             self.ready = not jammed
             out.append((Step.READY if self.ready else Step.UNREADY, None, 0))
         self.tell(now, out)
-        # Guards against a table of connections full of callers that don't come back: others find no room.
-        # Should also cover restarts. Could do harm where opening one is dear. Full cores close none.
-        idle = self.facts.idle_most // (1 if self.returning > RETURNING or self.busy > 0.8 else 3)
-        if idle != self.idle:
+        # Guards against a table full of callers that don't come back: it costs capacity, and others find no
+        # room. Should also cover restarts. Where most that comes is dismissed it stays full, since who finds
+        # no room costs no reading. Could do harm where opening a connection costs as much as a run.
+        self.keep_open *= 1 + (self.shed - SPREAD) * min(1.0, passed / 500_000)
+        self.keep_open = min(max(self.keep_open, self.facts.idle_most / 60), self.facts.idle_most)
+        idle = self.facts.idle_most if self.returning > RETURNING else round(self.keep_open)
+        if abs(idle - self.idle) > 0.1 * self.idle:
             self.idle = idle
             out.append((Step.IDLE, None, idle))
         return out
