Close connections soon only where dismissed tickets do not come back; tell a try's age

Seen there: with idle time at 0.5 s when its burst came, 3.9 tries a ticket were read (40 ms of handshake each) and reading stood 6 s late; the table fills too slowly once the storm is there.

Change: callers bound their tries alike; a bound that under a 20th share is what is left of the outer limit and tells the try's age (table of eight bounds a type, fading). From it: the part of later tries, against the part dismissed. Idle connections close after a 60th only where under a tenth as many come again as are dismissed; where nothing tells, they are taken to come again. The age also moves a ticket's expected time to where it belongs; one past it ranks last.

Could harm callers with a bound of their own that send under a 20th of a type: they rank last.

--- a/crowwing/logic/books.py
+++ b/crowwing/logic/books.py
@@ -46,7 +46,8 @@
         self.budget, self.budget_at = [float(quota) for quota in facts.shares], now  # a second of each share
         self.ready, self.idle, self.told, self.returning = True, facts.idle_most, -1.0, 1.0
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
-        self.keep_open = facts.idle_most / 6  # steered: after this time idle connections are closed
+        self.bounds: list[dict[int, float]] = [{} for _ in facts.types]  # eight at most a type; they fade
+        self.again = self.turned = 0.0  # parts of some hundred arrivals: later tries, dismissed
         self.came = self.notice = self.stop = self.call_usual = self.ended_calls = 0
         self.below_time = 0.0  # call time spent since the start, for whoever lends what is left of it
         self.call_part, self.parts = 1.0, [1.0] * len(facts.shares)  # of the fleet's, in even parts
@@ -98,6 +99,7 @@
             return self.forfeit(t, now, out)
         self.keep(t, now, 0, out)
         self.shed += 0.05
+        self.turned += 0.005
         local = bool(elsewhere) or self.sick(now) or self.notice > 0
         line = self.busy < 0.9 and self.lined_up(t)  # no reason to stay away: other types have room
         part = 1.0 if local else 0.0 if line else min(1.0, AWAY_FROM + AWAY_CUT * self.cut)
--- a/crowwing/logic/intake.py
+++ b/crowwing/logic/intake.py
@@ -4,6 +4,8 @@
 from crowwing.logic.books import PROBE, SICK, SURVIVE, WAKE_EVERY, Books
 from crowwing.logic.ticket import HELD, NEW, SHARING, Ticket
 
+ALIKE, BOUNDS = 20_000, 8  # tries whose bounds are so close share one; bounds remembered a traffic type
+
 
 class Intake(Books):
     """Reads and judges arrivals."""
@@ -20,8 +22,16 @@
         t.due = max(now, due or arrived + t.type.outer_limit)
         t.aim = min(t.due, arrived + t.type.expected_time)
         self.span[kind] += round(0.05 * (t.aim - arrived - self.span[kind]))
-        self.unread += 0.1 * (now - arrived - self.unread)
+        age = self.age(kind, t.type.outer_limit, due - arrived) if due else 0
+        if age < t.type.expected_time:
+            t.aim = max(arrived, min(t.due, arrived + t.type.expected_time - age))
+        else:  # its answer earns nothing any more: it runs only where there is room
+            t.rank = 0.0
         self.came += 1
+        later = age > 0 or not due  # where nothing tells, tickets are taken to be tried again
+        self.again += max(0.005, 1 / self.came) * (later - self.again)
+        self.turned *= 0.995
+        self.unread += 0.1 * (now - arrived - self.unread)
         self.returning += max(0.02, 1 / self.came) * ((by in self.weights) - self.returning)
         self.shed *= 0.95
         self.weights[by] = self.weights.get(by, 0.0) + 1.0
@@ -30,6 +40,18 @@
         self.move(t, NEW)
         return t
 
+    def age(self, kind: int, outer: int, left: int) -> int:
+        """How old a ticket was when this try came. Callers bound their tries alike; a bound that few share is
+        what is left of the outer limit. Guards against work for late answers while tickets are tried again.
+        Could harm callers with a bound of their own that send under a 20th: they rank last."""
+        bounds = {at: 0.99 * weight for at, weight in self.bounds[kind].items()}
+        alike = next((at for at in bounds if abs(at - left) < ALIKE), left)
+        if alike == left and len(bounds) == BOUNDS and left not in bounds:
+            del bounds[min(bounds, key=lambda at: bounds[at])]
+        bounds[alike] = bounds.get(alike, 0.0) + 1
+        self.bounds[kind], total = bounds, sum(bounds.values())
+        return 0 if total < 20 or bounds[alike] > total / 20 else max(0, outer - left)
+
     def judge(self, now: int, out: list[Result]) -> None:
         """Each arrival of this moment is dismissed at once or joins the hold."""
         for t in self.arrivals:
--- a/crowwing/logic/manager.py
+++ b/crowwing/logic/manager.py
@@ -1,7 +1,7 @@
 """One backend's decisions, in the order in which a moment is worked through."""
 
 from crowwing.contract import Result, Step
-from crowwing.logic.books import SPREAD, WAKE_EVERY, WAKE_QUIET
+from crowwing.logic.books import WAKE_EVERY, WAKE_QUIET
 from crowwing.logic.calls import Calls
 from crowwing.logic.intake import Intake
 from crowwing.logic.learned import Learned
@@ -10,6 +10,7 @@
 
 JAM_OVER, JAM_UNDER = 0.6, 0.3  # unread time, in the time tickets come with: leave the list, come back
 RETURNING = 0.5  # part of tickets whose caller was here lately, under which idle connections are closed early
+AGAIN = 0.1  # later tries for each ticket dismissed, under which a full table shelters from nothing
 
 
 class LoadManager(Intake, Running, Calls, Learned):
@@ -34,12 +35,13 @@
             out.append((Step.READY if self.ready else Step.UNREADY, None, 0))
         self.tell(now, out)
         # Guards against a table full of callers that don't come back: it costs capacity, and others find no
-        # room. Should also cover restarts. Where most that comes is dismissed it stays full, since who finds
-        # no room costs no reading. Could do harm where opening a connection costs as much as a run.
-        self.keep_open *= 1 + (self.shed - SPREAD) * min(1.0, passed / 500_000)
-        self.keep_open = min(max(self.keep_open, self.facts.idle_most / 60), self.facts.idle_most)
-        idle = self.facts.idle_most if self.returning > RETURNING else round(self.keep_open)
-        if abs(idle - self.idle) > 0.1 * self.idle:
+        # room. Should also cover restarts. Where what is dismissed is tried again it stays full while cores
+        # are, since who finds no room costs no reading; that it is not, only dismissals can
+        # show. Could do harm where opening a connection costs as much as a run.
+        closes = 1 if self.busy > 0.8 else 3
+        closes = 1 if self.returning > RETURNING else 60 if self.again < AGAIN * self.turned else closes
+        idle = self.facts.idle_most // closes
+        if idle != self.idle:
             self.idle = idle
             out.append((Step.IDLE, None, idle))
         return out
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -347,22 +347,35 @@
     assert world.figures[Step.WAKE] >= 200 * MS
 
 
-def test_idle_connections_close_soon_only_where_callers_do_not_return_and_little_is_dismissed() -> None:
-    for callers, gauges, shed, soon in (
-        (400, IDLE, 0.0, True),
-        (400, FULL, 0.2, True),
-        (2, IDLE, 0.0, False),
-    ):
+def test_idle_connections_close_soon_only_where_callers_and_dismissed_tickets_do_not_return() -> None:
+    base, cases = (
+        15000 * MS,
+        ((400, FULL, 5000, 60), (400, FULL, 0, 1), (400, IDLE, 0, 3), (2, FULL, 5000, 1)),
+    )
+    for callers, gauges, left, parts in cases:  # `left` 0: nothing tells whether a ticket came before
         world = World(1, callers, shares=())
         for _ in range(200):
-            world.arrive(0, 0.5)
-            world.manager.shed = shed
+            world.arrive(0, 0.5, left=left * MS)
             pass_time(world, 20, gauges)
-        assert (world.figures.get(Step.IDLE, 15000 * MS) < 1000 * MS) is soon
-    for _ in range(600):  # the same table once most is dismissed
-        world.manager.returning, world.manager.shed = 0.0, 0.9
+            world.manager.turned = 0.2
+        assert world.figures.get(Step.IDLE, base) == base // parts
+    world = World(1, 400, shares=())
+    for _ in range(100):  # the first case again, once dismissed tickets come back with part of their time
+        for n in range(8):
+            world.arrive(0, 0.5, left=(5000 if n % 4 else 2000 + 37 * (world.now // MS % 59)) * MS)
         pass_time(world, 20, FULL)
-    assert world.figures[Step.IDLE] > 13000 * MS
+    assert world.manager.again > 0.1 and world.figures.get(Step.IDLE, base) == base
+
+
+def test_a_try_with_part_of_the_outer_limit_left_is_as_old_as_the_rest() -> None:
+    world = World(1, shares=())
+    for n in range(100):  # two kinds of caller: one waits the whole outer limit, one 1.2 s for each try
+        world.arrive(0, 0.5, left=(1200 if n % 5 == 0 else 5000) * MS)
+        pass_time(world, 20, IDLE)
+    for left, aim, rank in ((5000, 2000, 0.5), (1200, 1200, 0.5), (3800, 800, 0.5), (2900, 2000, 0.0)):
+        ticket = world.tickets[world.arrive(0, 0.5, left=left * MS)]
+        assert (ticket.aim - ticket.arrived, ticket.rank) == (aim * MS, rank)
+    assert len(world.manager.bounds[0]) <= 8
 
 
 def test_other_backends_are_named_less_the_more_is_dismissed() -> None:
