Expect over-share credit evenly over a customer's tickets, and rank by the credit left

Taken for granted so far: that the fleet keeps the size told at the start, and that a customer comes evenly within two seconds.

Covers floods of one customer as before; harms one that comes unevenly to backends.

--- a/crowwing/contract.py
+++ b/crowwing/contract.py
@@ -77,6 +77,7 @@
     window: int  # labelled: how long a repeat may follow
     calls: bool  # may call what lies below
     credit_without: float  # part of the credit that is left without its calls
+    credit: float = 1.0  # what an answer is worth
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwing/logic/books.py
+++ b/crowwing/logic/books.py
@@ -43,7 +43,7 @@
         total = facts.calls_share * facts.calls_over  # call time that the rule leaves us in its span
         self.burst = max(CALL_BURST * total, min(2.0 * facts.lingers, CALL_BURST_MOST * total))
         self.call_pace = max(CALL_PACE * total, SURVIVE * total - self.burst) / max(1, facts.calls_over)
-        self.budget, self.budget_at = [float(quota) for quota in facts.shares], now  # a second of each share
+        self.flow, self.flow_at = [0.0] * len(facts.shares), now  # tickets of each customer of late; fades
         self.ready, self.idle, self.told, self.returning = True, facts.idle_most, -1.0, 1.0
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
         self.bounds: list[dict[int, float]] = [{} for _ in facts.types]  # eight at most a type; they fade
--- a/crowwing/logic/intake.py
+++ b/crowwing/logic/intake.py
@@ -6,6 +6,8 @@
 
 ALIKE, BOUNDS = 20_000, 8  # tries whose bounds are so close share one; bounds remembered a traffic type
 
+SHARE_SPAN = 5_000_000  # the time over which a customer's traffic is held against its share
+
 
 class Intake(Books):
     """Reads and judges arrivals."""
@@ -57,7 +59,7 @@
         for t in self.arrivals:
             if t.closed or self.seen_before(t, now, out):
                 continue
-            t.rank *= self.share_left(t, now)
+            t.rank = self.worth(t, self.share_left(t, now))
             full = self.used() > SURVIVE * self.facts.memory_kb or self.lined_up(t)
             if self.barred(t, now):
                 self.dismiss(t, now, out, elsewhere=True)
@@ -75,15 +77,22 @@
         return self.stalled(now) or (self.errors > SICK and self.random() > PROBE)
 
     def share_left(self, t: Ticket, now: int) -> float:
-        """What a ticket's rank is worth: beyond its customer's share, no more than its credit there."""
-        passed, self.budget_at = (now - self.budget_at) / 1e6, now
-        for team, quota in enumerate(self.facts.shares):
-            rate = 1.3 * quota / max(1, self.facts.fleet) * self.parts[team]
-            self.budget[team] = min(max(2.0, 2 * rate), self.budget[team] + rate * passed)
-        if not self.budget or self.budget[t.team] < 1:
-            return self.facts.over_share_credit if self.budget else 1.0
-        self.budget[t.team] -= 1
-        return 1.0
+        """The part of its credit that a ticket can expect. Which tickets lie beyond their customer's share is
+        told nowhere, so all carry alike what its traffic of late, against this backend's even part, says.
+        Guards against floods of one customer. Could harm one whose traffic comes unevenly to the backends."""
+        if not self.facts.shares:
+            return 1.0
+        left, self.flow_at = max(0.0, 1 - (now - self.flow_at) / SHARE_SPAN), now
+        self.flow = [left * seen for seen in self.flow]
+        self.flow[t.team] += 1
+        even = 1.3 * self.facts.shares[t.team] / max(1, self.facts.fleet) * self.parts[t.team]
+        inside = min(1.0, (even * SHARE_SPAN / 1e6 + 2) / self.flow[t.team])
+        return inside + self.facts.over_share_credit * (1 - inside)
+
+    def worth(self, t: Ticket, part: float) -> float:
+        """The rank of a ticket that expects `part` of its credit: above the types whose credit it passes."""
+        lesser = sum(other.credit < part * t.type.credit for other in self.facts.types)
+        return max(t.rank * part, min(t.rank, lesser / len(self.facts.types)))
 
     def seen_before(self, t: Ticket, now: int, out: list[Result]) -> bool:
         """Repeats: what has run is shared, and a labelled ticket takes the place of its held earlier try."""
--- a/crowwing/premises.py
+++ b/crowwing/premises.py
@@ -40,6 +40,7 @@
                 window=us(lane.get("dedup_window", 0)),
                 calls=below and (bool(calls[n]) if n < len(calls) else True),
                 credit_without=float(without[n]) if n < len(without) else 0.0,
+                credit=float(lane.get("worth", 1)),
             )
             for n, lane in enumerate(told["lanes"])
         )
