--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -429,3 +429,12 @@
     ids = [world.arrive(0, 0.5) for _ in range(2)]
     pass_time(world, 1500, FULL, hung=True)
     assert world.manager.ready and set(ids) <= set(steps(world, Step.RUN))
+
+
+def test_the_first_long_runs_of_a_cold_backend_are_not_taken_for_hung_work() -> None:
+    world = World(1, shares=(), cores=2, cold=True)
+    ids = [world.arrive(0, 0.5) for _ in range(2)]
+    pass_time(world, 1500, FULL, hung=True)  # a fifth of the speed: runs of a third of a second
+    assert world.manager.ready and set(ids) <= set(steps(world, Step.RUN))
+    pass_time(world, 2500, FULL, hung=True)
+    assert not world.manager.ready
