Hold tickets longer while little is dismissed and their ages are known

Change: the timeout stretches from its P90 towards what a median run leaves, by the part of half of the arrivals that is not dismissed, less the part of later tries (all, where nothing tells); the cut takes the stretched time too. Could harm where runs vary so much that half of what starts last answers late.

--- a/crowwing/logic/learned.py
+++ b/crowwing/logic/learned.py
@@ -37,7 +37,9 @@
         most = self.ceiling(now)
         stuck = self.limit >= most or (error <= 0 and idle <= 0) or idle <= -0.1 * f.cores
         self.limit = min(max(self.limit, f.cores), most)
-        waits = [(now - t.arrived) / max(1, self.timeout[t.kind]) for queue in self.queues for t in queue]
+        waits = [
+            (now - t.arrived) / max(1, self.patience(t) - t.arrived) for queue in self.queues for t in queue
+        ]
         outwait, self.waited = max([self.waited, *waits]), 0.0
         over = min(1.0, outwait - CUT_FROM)
         if over > 0 and self.busy > 0.9 and stuck:
--- a/crowwing/logic/running.py
+++ b/crowwing/logic/running.py
@@ -1,7 +1,7 @@
 """What runs and when: the hold, its timeouts, the start of work, and the watch over outer limits."""
 
 from crowwing.contract import Repeat, Result, Step
-from crowwing.logic.books import SURVIVE, WAKE_EVERY, Books
+from crowwing.logic.books import SPREAD, SURVIVE, WAKE_EVERY, Books
 from crowwing.logic.ticket import HELD, NEW, PAUSED, RUNNING, Ticket
 
 
@@ -13,7 +13,7 @@
         for queue in self.queues:
             for t in queue[:]:
                 if now >= self.patience(t) or self.stalled(now):
-                    self.waited = max(self.waited, (now - t.arrived) / max(1, self.timeout[t.kind]))
+                    self.waited = max(self.waited, (now - t.arrived) / max(1, self.patience(t) - t.arrived))
                     self.dismiss(t, now, out)
         for t in sorted((t for queue in self.queues for t in queue), key=lambda t: -t.rank):
             if self.counts[RUNNING] >= int(self.limit) or self.crowded(now):
@@ -31,7 +31,12 @@
         """Until when a held ticket is worth holding: its queue timeout, and while an answer can earn."""
         if t.ran and t.type.repeat is not Repeat.REDOABLE:
             return t.due
-        return min(t.arrived + self.timeout[t.kind], t.aim - self.median[t.kind] // 2)
+        # Guards against dismissals for a chance wait while cores idle again soon: few cores, long runs. Waits
+        # are stretched only while little is dismissed and tickets' ages are known. Could harm where runs vary
+        # so much that half of what starts at the end of the stretched time answers late.
+        spare = max(0.0, 1 - self.shed / SPREAD - self.again)
+        more = max(0, self.span[t.kind] - self.median[t.kind] - self.timeout[t.kind])
+        return min(t.arrived + self.timeout[t.kind] + round(spare * more), t.aim - self.median[t.kind] // 2)
 
     def fits(self, t: Ticket) -> bool:
         """Whether memory and the line before what lies below leave room for one more run."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -81,6 +81,21 @@
     assert ids[4] in world.answers
 
 
+def test_waits_are_stretched_while_little_is_dismissed_and_ages_are_known() -> None:
+    for shed, left, stretched in ((0.0, 5000, True), (0.9, 5000, False), (0.0, 0, False)):
+        world = World(1, shares=(), signal=Signal.NONE)
+        for _ in range(80):  # runs of 400 ms: a timeout of 400 ms
+            op_id = world.arrive(0, 0.5, left=left * MS)
+            world.turn(IDLE)
+            world.end(op_id, Outcome.GOOD, took=400 * MS)
+            pass_time(world, 10, IDLE)
+        held = [world.arrive(0, 0.5, left=left * MS) for _ in range(5)][4]
+        for _ in range(100):
+            world.manager.shed = shed
+            pass_time(world, 10, FULL)
+        assert (held not in world.answers) is stretched
+
+
 def test_limit_starts_at_the_cores_climbs_while_they_idle_and_stays_under_the_ceiling() -> None:
     world = World(1, shares=(), memory_kb=1e6)
     assert world.manager.limit == 4
