--- a/crowwing/logic/books.py
+++ b/crowwing/logic/books.py
@@ -59,11 +59,17 @@
         if span <= 0:
             if self.kept.pop(t.id, None) is not None:
                 out.append((Step.FORGET, t, 0))
-        elif t.id in self.kept or self.used() + self.facts.key_kb <= SURVIVE * self.facts.memory_kb:
+        elif t.id in self.kept or self.room_for_entry():
             self.kept[t.id] = now + span
             out.append((Step.KEEP, t, span))
         return span > 0 and t.id in self.kept
 
+    def room_for_entry(self) -> bool:
+        """Whether one more entry leaves a third of the memory to work. Guards against entries, which go only as
+        windows end, shutting out redoable tickets. Could harm where a window's keys need more than that."""
+        most, more = SURVIVE * self.facts.memory_kb, self.facts.key_kb
+        return self.used() + more <= most and (len(self.kept) + 1) * more <= most * 2 / 3
+
     def lined_up(self, t: Ticket) -> bool:
         """Whether the ticket would wait in a line before what lies below, and cannot go without."""
         return t.type.calls and t.type.credit_without == 0 and len(self.asking) >= self.facts.cores
