Average the pace of runs as before: a short bound hands quiet boxes' tickets on

At a load under half the gaps between moves are gaps between arrivals; taken into the pace at once they raise the bound from 0.9 to 3 s, and a backend whose cores both hold a long run no longer sends what comes elsewhere, where there is room. Ruled out: the speed in the bound (kept).

--- a/crowwing/logic/books.py
+++ b/crowwing/logic/books.py
@@ -48,7 +48,7 @@
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
         self.bounds: list[dict[int, float]] = [{} for _ in facts.types]  # eight at most a type; they fade
         self.again = self.turned = 0.0  # parts of some hundred arrivals: later tries, dismissed
-        self.came = self.moves = self.notice = self.stop = self.call_usual = self.ended_calls = 0
+        self.came = self.notice = self.stop = self.call_usual = self.ended_calls = 0
         self.below_time = 0.0  # call time spent since the start, for whoever lends what is left of it
         self.call_part, self.parts = 1.0, [1.0] * len(facts.shares)  # of the fleet's, in even parts
 
@@ -87,8 +87,7 @@
         return self.counts[RUNNING] + self.counts[CALLING] >= self.ceiling(now)
 
     def progress(self, now: int) -> None:
-        self.moves += 1
-        self.pace += max(0.05, 1 / self.moves) * (now - self.moved - self.pace)
+        self.pace += 0.05 * (now - self.moved - self.pace)
         self.moved = now
 
     def stalled(self, now: int) -> bool:
