Take a type's first timeout from all runs; stretch waits only where dismissals are final

Change: a type with too few runs goes by the P90 of all runs.

Where a dismissed ticket comes again, an early no is cheaper than a wait. Change: waits are stretched only where hardly as many come again as are dismissed, by the same sign as for connections.

--- a/crowwing/logic/books.py
+++ b/crowwing/logic/books.py
@@ -12,6 +12,7 @@
 STALL = 6  # usual times between two moves of runs, without one, from which work is taken for hung
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
 AWAY_FROM, AWAY_CUT = 0.2, 2.0  # stay-away advice, in parts of the longest: least, and with the cut
+AGAIN = 0.2  # later tries for each ticket dismissed, under which a full table shelters from nothing
 SPREAD = 0.5  # part of arrivals dismissed of late, from which no other backend is named
 CALL_PATIENCE, CALL_LEAST = 20, 8  # the bound of a call in recent medians: most, least
 CALL_BURST, CALL_BURST_MOST, CALL_PACE = 0.25, 0.6, 0.3  # parts of the share: at once (most), and for good
@@ -64,6 +65,10 @@
             out.append((Step.KEEP, t, span))
         return span > 0 and t.id in self.kept
 
+    def final(self) -> bool:
+        """Whether a dismissal here is the end of its ticket: hardly as many come again as are dismissed."""
+        return self.again < AGAIN * self.turned
+
     def room_for_entry(self) -> bool:
         """Whether one more entry leaves a third of the memory to work. Guards against entries, which go only
         as windows end, shutting out redoable tickets. Could harm where a window's keys need more."""
--- a/crowwing/logic/learned.py
+++ b/crowwing/logic/learned.py
@@ -54,13 +54,15 @@
         self.errors += 0.1 * ((0.0 if good else 1.0) - self.errors)
         if not good:
             return
-        k, runs, own, span = t.kind, self.runs[t.kind], took - t.below, self.span[t.kind]
+        k, runs, own = t.kind, self.runs[t.kind], took - t.below
         runs.append(took)
-        if len(runs) >= ENOUGH:
-            ranked = sorted(runs)
-            self.median[k] = ranked[len(ranked) // 2]
-            p90 = ranked[len(ranked) * 9 // 10]
-            self.timeout[k] = max(span // 8, min(p90, span - p90))
+        for j, own_runs in enumerate(self.runs):  # a type without enough of its own goes by all of them
+            few = len(own_runs) < ENOUGH
+            ranked = sorted(took for kind in self.runs for took in kind) if few else sorted(own_runs)
+            if (few or j == k) and len(ranked) >= ENOUGH:
+                self.median[j] = ranked[len(ranked) // 2]
+                p90 = ranked[len(ranked) * 9 // 10]
+                self.timeout[j] = max(self.span[j] // 8, min(p90, self.span[j] - p90))
         usual = 0.05 if t.crowd <= self.facts.cores else 0.002
         weight = max(usual, 1 / len(runs) if len(runs) < SAMPLES else 0)
         self.usual[k] += weight * (own - self.usual[k])
--- a/crowwing/logic/manager.py
+++ b/crowwing/logic/manager.py
@@ -10,7 +10,6 @@
 
 JAM_OVER, JAM_UNDER = 0.6, 0.3  # unread time, in the time tickets come with: leave the list, come back
 RETURNING = 0.5  # part of tickets whose caller was here lately, under which idle connections are closed early
-AGAIN = 0.2  # later tries for each ticket dismissed, under which a full table shelters from nothing
 
 
 class LoadManager(Intake, Running, Calls, Learned):
@@ -39,7 +38,7 @@
         # are, since who finds no room costs no reading; that it is not, only dismissals can
         # show. Could do harm where opening a connection costs as much as a run.
         closes = 1 if self.busy > 0.8 else 3
-        closes = 1 if self.returning > RETURNING else 60 if self.again < AGAIN * self.turned else closes
+        closes = 1 if self.returning > RETURNING else 60 if self.final() else closes
         idle = self.facts.idle_most // closes
         if idle != self.idle:
             self.idle = idle
--- a/crowwing/logic/running.py
+++ b/crowwing/logic/running.py
@@ -32,9 +32,9 @@
         if t.ran and t.type.repeat is not Repeat.REDOABLE:
             return t.due
         # Guards against dismissals for a chance wait while cores idle again soon: few cores, long runs. Waits
-        # are stretched only while little is dismissed and tickets' ages are known. Could harm where runs vary
-        # so much that half of what starts at the end of the stretched time answers late.
-        spare = max(0.0, 1 - self.shed / SPREAD - self.again)
+        # are stretched only while little is dismissed, and where that is the end of a ticket. Could harm
+        # where runs vary so much that half of what starts at the end of the stretched time answers late.
+        spare = max(0.0, 1 - self.shed / SPREAD) if self.final() else 0.0
         more = max(0, self.span[t.kind] - self.median[t.kind] - self.timeout[t.kind])
         return min(t.arrived + self.timeout[t.kind] + round(spare * more), t.aim - self.median[t.kind] // 2)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -81,7 +81,7 @@
     assert ids[4] in world.answers
 
 
-def test_waits_are_stretched_while_little_is_dismissed_and_ages_are_known() -> None:
+def test_waits_are_stretched_while_little_is_dismissed_and_that_is_the_end_of_a_ticket() -> None:
     for shed, left, stretched in ((0.0, 5000, True), (0.9, 5000, False), (0.0, 0, False)):
         world = World(1, shares=(), signal=Signal.NONE)
         for _ in range(80):  # runs of 400 ms: a timeout of 400 ms
@@ -91,11 +91,21 @@
             pass_time(world, 10, IDLE)
         held = [world.arrive(0, 0.5, left=left * MS) for _ in range(5)][4]
         for _ in range(100):
-            world.manager.shed = shed
+            world.manager.shed, world.manager.turned = shed, 0.2
             pass_time(world, 10, FULL)
         assert (held not in world.answers) is stretched
 
 
+def test_a_type_without_enough_runs_of_its_own_goes_by_all_runs() -> None:
+    world = World(1, shares=())
+    for n in range(12):  # ten of one type, one each of the others
+        op_id = world.arrive(max(0, n - 9), 0.5)
+        world.turn(IDLE)
+        world.end(op_id, Outcome.GOOD, took=400 * MS)
+        pass_time(world, 10, IDLE)
+    assert world.manager.timeout == [400 * MS] * 3 and world.manager.median == [400 * MS] * 3
+
+
 def test_limit_starts_at_the_cores_climbs_while_they_idle_and_stays_under_the_ceiling() -> None:
     world = World(1, shares=(), memory_kb=1e6)
     assert world.manager.limit == 4
