--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -22,7 +22,7 @@
 
 from crowwing.emulator import processes
 from crowwing.settings import operator, plain
-from tests.test_program import at, told
+from tests.test_program_life import at, told
 
 ROOT = Path(__file__).parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
