--- a/tests/test_program_life.py
+++ b/tests/test_program_life.py
@@ -92,7 +92,7 @@
         await town.until(lambda: ident(1) in town.farm.running)
         late.writer.write(Sidecar.ticket(ident(2)))  # in the socket, not read yet
         town.backend.leave()
-        async with asyncio.timeout(1):
+        async with asyncio.timeout(4):  # an idle time of a third of 15 s would end it later
             assert await idle.reader.read() == b""
         await town.until(lambda: ident(2) in town.farm.running)
         town.farm.go_on(ident(1))
