Start where nothing lies below and no address for it is told

Change: the address is needed only where a type may call; with none, an exchange is NeverSent before any descriptor is taken, so a run that asks for a call all the same is forfeited at once. Still one line and exit 2 where types call.

--- a/crowwing/program/configuration.py
+++ b/crowwing/program/configuration.py
@@ -23,7 +23,7 @@
     listen: Address
     agent: Address
     control: Address
-    below: Address
+    below: Address | None  # None: nothing lies below
     seed: int
     stop: int  # microseconds from the notice to the end
     sockets: int
@@ -56,7 +56,9 @@
             listen=_address(environment.get("PROXY_LISTEN") or told["listen"]),
             agent=_address(told["agent"]),
             control=_address(told["control"]),
-            below=_address(told["backend"]),
+            below=_address(told["backend"])
+            if told.get("backend") or any(k.calls for k in facts.types)
+            else None,
             seed=int(str(told["seed"]), 16),
             stop=round(float(told["stop_ms"]) * 1000),
             sockets=int(told.get("limits", {}).get("sockets", 1024)),
--- a/crowwing/routing/call.py
+++ b/crowwing/routing/call.py
@@ -18,7 +18,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        address: tuple[str, int],
+        address: tuple[str, int] | None,
         pool: BufferPool,
         most: int,
         book: Book,
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -53,7 +53,7 @@
         names: Names,
         seed: int,
         farm: tuple[str, int],
-        below: tuple[str, int],
+        below: tuple[str, int] | None,
         calls_most: int,
         pool: BufferPool,
         book: Book,
@@ -129,7 +129,7 @@
         """The caller's connection was reset: no answer can reach it."""
         self._hear(self._gone, slip, caller)
 
-    def move(self, farm: tuple[str, int], below: tuple[str, int]) -> None:
+    def move(self, farm: tuple[str, int], below: tuple[str, int] | None) -> None:
         """The farm agent and what lies below have new addresses; runs and calls go on."""
         self.send.link.move(farm)
         self.call.exchanges.move(below)
--- a/crowwing/transport/exchange.py
+++ b/crowwing/transport/exchange.py
@@ -31,12 +31,12 @@
 
 
 class Exchanges:
-    """Connections to one address; an idle one is closed after `idle` seconds at most, half of it at least."""
+    """Connections to one address (None: to nothing); an idle one is closed after `idle` seconds at most, half of it at least."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        address: tuple[str, int],
+        address: tuple[str, int] | None,
         pool: BufferPool,
         reader: Callable[[], Reader],
         idle: float,
@@ -50,9 +50,9 @@
 
     @property
     def host(self) -> str:
-        return f"{self.address[0]}:{self.address[1]}"
+        return f"{self.address[0]}:{self.address[1]}" if self.address else ""
 
-    def move(self, address: tuple[str, int]) -> None:
+    def move(self, address: tuple[str, int] | None) -> None:
         """From now on to another address; what is out ends where it is."""
         if address != self.address:
             self.address = address
@@ -95,6 +95,8 @@
         return reply, reader.reusable and size > 0
 
     async def _connect(self) -> socket.socket:
+        if self.address is None:
+            raise NeverSent("there is nothing to connect to")
         if self.open >= self.most:
             raise NeverSent("no descriptor is left for it")
         try:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -306,9 +306,15 @@
         self.usual, self.answers = usual, deque()
         self.heard: list[tuple[str, bytes]] = []
         self.links = 0
+        self.open: set[asyncio.StreamWriter] = set()  # emptied by each one's end
+
+    def cut(self) -> None:
+        for writer in self.open:
+            writer.transport.abort()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.links += 1
+        self.open.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -321,6 +327,7 @@
                     writer.write(answer)
         except (OSError, asyncio.IncompleteReadError):
             pass
+        self.open.discard(writer)
         writer.close()
 
 
--- /dev/null
+++ b/tests/street.py
@@ -0,0 +1,123 @@
+"""The real command as `run` starts it, among the stand-ins of rig.py: crossings are forced at its own sockets."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import tomllib
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+
+import uvloop
+
+from tests.rig import SETTINGS, FarmAgent, HttpStandIn, reply
+
+ROOT = Path(__file__).parent.parent
+RUN = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+WAIT = 30.0  # seconds, for what has to come; nothing is shown by how long it takes
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        return taken.getsockname()[1]
+
+
+class Street:
+    """One process of the program; its log lines as they come; the parties around it."""
+
+    def __init__(self, folder: Path, settings: dict = SETTINGS, stop: int = 3000, **changes: object) -> None:
+        self.folder, self.settings, self.stop, self.changes = folder, settings, stop, changes
+        self.farm = FarmAgent()
+        self.below = HttpStandIn(lambda head, body: reply(200, b"reply to " + body))
+        self.control = HttpStandIn(lambda head, body: b"HTTP/1.1 204 So\r\n\r\n")
+        self.lines: list[dict] = []
+        self.heard = asyncio.Condition()
+        self.address = ("127.0.0.1", free_port())
+        self.path = folder / "configuration.json"
+        self.servers: list[asyncio.Server] = []
+
+    async def __aenter__(self) -> "Street":
+        await self.open_parties()
+        self.path.write_text(json.dumps(self.told))
+        await self.exec()
+        return self
+
+    async def open_parties(self) -> None:
+        places = [self.farm.serve, self.below.serve, self.control.serve]
+        self.servers = [await asyncio.start_server(serve, "127.0.0.1", 0) for serve in places]
+
+    @property
+    def told(self) -> dict:
+        farm, below, control = ("%s:%d" % server.sockets[0].getsockname()[:2] for server in self.servers)
+        told = {
+            "name": "n1", "listen": "%s:%d" % self.address, "agent": farm, "control": control,
+            "backend": below, "seed": "8c1f30d27a5be964", "stop_ms": self.stop,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": self.settings,
+        } | self.changes  # fmt: skip
+        return {name: value for name, value in told.items() if value is not None}
+
+    async def exec(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", RUN, cwd=ROOT, env=os.environ | {"PROXY_CONFIG": str(self.path)},
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE, limit=1 << 20,
+        )  # fmt: skip
+        self.reading = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        while line := await self.process.stdout.readline():
+            async with self.heard:
+                self.lines.append(json.loads(line))
+                self.heard.notify_all()
+        async with self.heard:
+            self.heard.notify_all()
+
+    async def event(self, name: str, count: int = 1) -> dict:
+        """The count-th line of an event, once it has been written."""
+
+        def found() -> list[dict]:
+            return [line for line in self.lines if line["event"] == name]
+
+        async with asyncio.timeout(WAIT), self.heard:
+            await self.heard.wait_for(lambda: len(found()) >= count or self.reading.done())
+        assert len(found()) >= count, f"no {name} in {[line['event'] for line in self.lines]}"
+        return found()[count - 1]
+
+    async def until(self, so: Callable[[], bool]) -> None:
+        async with asyncio.timeout(WAIT):
+            while not so():
+                await asyncio.sleep(0.002)
+
+    def signal(self, number: signal.Signals = signal.SIGTERM) -> None:
+        self.process.send_signal(number)
+
+    async def ended(self, code: int = 0) -> None:
+        """It ends by itself, with this code, nothing on standard error and no defect in its log."""
+        async with asyncio.timeout(WAIT):
+            assert await self.process.wait() == code
+            await self.reading
+        wrong = (await self.process.stderr.read()).decode()
+        assert code or not wrong, wrong
+        defects = [line for line in self.lines if line["event"] in ("defect", "stray_defect")]
+        assert not defects, defects
+        counts = [line["counts"] for line in self.lines if line["event"] == "figures"]
+        assert not any(name.startswith("broken") for count in counts for name in count), counts
+
+    async def __aexit__(self, *_: object) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.reading
+        self.process._transport.close()
+        for server in self.servers:
+            server.close()
+        for party in (self.farm, self.below, self.control):
+            party.cut()
+
+
+def live_in(street: Street, scene: Callable[[Street], Coroutine]) -> None:
+    async def live() -> None:
+        async with street:
+            await scene(street)
+
+    uvloop.run(asyncio.wait_for(live(), 90))
