Serve every effect that settings can name: keyed classes by X-Txn-Key, calls, pauses

Cause: program/configuration.py::_check refused labelled types, worth_without above 0 and the halt that freezes.

Change: routing/repeats.py tells the module which try an arrival repeats (type, customer and key; another body under a key or id is a 400) and hands out the shared result; the module's own rule for repeats decides. Desk.ran, rebuilt whole at every close, is now part of that table, emptied by a heap at constant work an entry. A launch of a labelled ticket is not sent again over a new link; a run stopped though nobody asked does not run twice where it must not; worth_without is not used on sockets.

--- a/crowwing/program/configuration.py
+++ b/crowwing/program/configuration.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, fields, replace
 
-from crowwing.contract import Halt, Names, Premises, Repeat
+from crowwing.contract import Names, Premises
 from crowwing.premises import BadPremises, decode
 
 Address = tuple[str, int]
@@ -51,6 +51,8 @@
         raise BadConfiguration(f"{path}: no JSON: {wrong}") from None
     try:
         facts, names = decode(told["settings"])
+        # No command tells the farm agent to go on without a call, whatever such an answer would be worth.
+        facts = replace(facts, types=tuple(replace(kind, credit_without=0.0) for kind in facts.types))
         posting = Posting(
             name=str(environment.get("PROXY_NAME") or told["name"]),
             listen=_address(environment.get("PROXY_LISTEN") or told["listen"]),
@@ -83,15 +85,9 @@
 
 
 def _check(path: str, posting: Posting) -> None:
-    """What these wires cannot carry is said at the start, not found out by a broken rule."""
+    """What no page allows is said at the start, not found out by a broken rule."""
     facts = posting.facts
     if posting.stop <= 0:
         raise BadConfiguration(f"{path}: stop_ms is not above 0")
     if not facts.types:
         raise BadConfiguration(f"{path}: no traffic types")
-    if any(kind.repeat is Repeat.LABELLED for kind in facts.types):
-        raise BadConfiguration(f"{path}: labelled traffic types: nothing on these wires shows the label")
-    if any(kind.credit_without > 0 for kind in facts.types):
-        raise BadConfiguration(f"{path}: answers without their calls: the farm agent has no command for them")
-    if facts.halt is Halt.FREEZE:
-        raise BadConfiguration(f"{path}: frozen work: the farm agent has no command to go on with it")
--- a/crowwing/protocol/arrival.py
+++ b/crowwing/protocol/arrival.py
@@ -15,4 +15,5 @@
     kb: float
     rank: float
     row: str
+    key: str  # the idempotency key; empty where none came
     body: bytes
--- a/crowwing/protocol/sidecar.py
+++ b/crowwing/protocol/sidecar.py
@@ -12,6 +12,7 @@
 BODY_MOST = 2048
 HEAD_MOST = 8192
 RESULT_MOST = 4096
+KEY_MOST = 255
 _NUMBER = re.compile(rb"\d{1,20}(\.\d{1,20})?(e-?\d{1,2})?")  # no sign, no word such as inf
 _ID = re.compile(rb"[0-9a-fA-F]{16}")
 _REASONS = {
@@ -126,6 +127,9 @@
         ident, patience = self.headers.get(b"x-txn", b""), self.headers.get(b"x-ttl-ms")
         if not _ID.fullmatch(ident):
             raise _Wrong(400, "x-txn is not 16 hex digits")
+        key = self.headers.get(b"x-txn-key", b"")
+        if len(key) > KEY_MOST:  # it is kept for as long as its window
+            raise _Wrong(400, "x-txn-key over its limit")
         arrived = self._whole(b"x-ingress-time", 10**15) * 1000
         rank, kb = self._number(b"x-shed-order"), self._number(b"x-working-set-kb")
         if not 0 <= rank < 1:
@@ -135,13 +139,14 @@
         return Arrival(
             id=ident.decode(),
             type=path[6:],
-            customer=self.headers.get(b"x-merchant", b"").decode("latin-1"),
+            customer=_text(self.headers.get(b"x-merchant", b"")),
             arrived=arrived,
             due=arrived + self._whole(b"x-ttl-ms", 10**9) * 1000 if patience is not None else 0,
             sidecar=self._whole(b"x-router", 10**9),
             kb=kb,
             rank=rank,
             row=self.headers.get(b"x-row", b"").decode("latin-1"),
+            key=key.decode("latin-1"),
             body=bytes(self.body),
         )
 
@@ -158,6 +163,14 @@
         return float(text)
 
 
+def _text(value: bytes) -> str:
+    """A name as the settings write it: UTF-8, or one byte a letter where it is none."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def _answer(status: int, headers: Iterator[str], body: bytes) -> bytes:
     head = f"HTTP/1.1 {status} {_REASONS[status]}\r\n{''.join(headers)}Content-Length: {len(body)}\r\n\r\n"
     return head.encode("latin-1") + body
--- a/crowwing/routing/admit.py
+++ b/crowwing/routing/admit.py
@@ -6,7 +6,14 @@
 
 
 def admit(
-    manager: LoadManager, now: int, slip: Slip, arrival: Arrival, kind: int, team: int, again: bool
+    manager: LoadManager,
+    now: int,
+    slip: Slip,
+    arrival: Arrival,
+    kind: int,
+    team: int,
+    repeats: str,
+    again: bool,
 ) -> None:
     # A stamp ahead of our clock counts as now: the machine's clock may have stepped between the two readings.
     arrived = min(now, arrival.arrived)
@@ -20,7 +27,7 @@
         arrived,
         arrival.due,
         arrival.sidecar,
-        0,
+        repeats or 0,
         0,
         False,
         again,
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -21,6 +21,7 @@
 from crowwing.routing.call import Call
 from crowwing.routing.check import Check
 from crowwing.routing.relay import Relay
+from crowwing.routing.repeats import Repeats, work_of
 from crowwing.routing.route import Route
 from crowwing.routing.send import Send
 from crowwing.routing.slip import Caller, Slip
@@ -63,7 +64,7 @@
         self.manager: LoadManager | None = None  # from the farm agent's greeting on
         self.slips: dict[str, Slip] = {}  # open tickets by id; emptied as the module closes them
         self.news: list[tuple[Callable, Slip | None, tuple]] = []  # emptied by each turn
-        self.ran: dict[str, int] = {}  # irreversible tickets that ran -> their outer limit, which empties it
+        self.repeats = Repeats(lambda slip, result: self._hear(self._shared, slip, result))
         self.lookout: Lookout | None = None  # where the operator wants storms seen
         self.came: Counter[int] | None = None  # tickets by customer, where a fleet shares its quotas
         self.clock = 0
@@ -75,11 +76,12 @@
         self.wake = Wake(loop, self.now, self.send, book, lambda: self._hear(self._nothing, None))
         self.check = Check(loop, self.send)
         by_ticket: dict[Step, Callable] = {
-            Step.RUN: self.send.launch,
+            Step.RUN: self._run,
             Step.HALT: self.send.freeze,
             Step.CALL: self.call.begin,
-            Step.KEEP: lambda slip, span: None,  # no wire here shows repeats, so nothing is looked up
-            Step.FORGET: lambda slip, span: None,
+            Step.KEEP: lambda slip, span: self.repeats.keep(slip, self.clock + round(span)),
+            Step.FORGET: lambda slip, _: self.repeats.forget(slip),
+            Step.SHARE: lambda slip, _: self.repeats.share(slip),
             Step.DISMISS: lambda slip, away: self.relay.dismiss(slip, self._away(slip, away)),
             Step.DISMISS_ALL: lambda slip, away: self.relay.dismiss_all(slip, self._away(slip, away)),
             Step.FORFEIT: self.relay.forfeit,
@@ -103,15 +105,19 @@
     def arrive(self, arrival: Arrival, caller: Caller) -> Slip | None:
         """Raises NoTicket for what is none; None where it was answered on the spot."""
         kind, team = self.take_in.place(arrival, self.now())
-        known = self.slips.get(arrival.id)
+        known, work = self.slips.get(arrival.id), work_of(arrival, kind, team)
         if self.manager is None:
             caller.dismissed(0, False)  # nothing can run before the farm agent is up
-        elif arrival.id in self.ran and self.now() < self.ran[arrival.id]:
-            caller.forfeited()  # it crossed a close and came again: it ran, and must not twice
+        elif known is None and (ended := self.repeats.again(arrival, work)) is not None:
+            self.book.count("answered_again")  # it ran, and must not twice
+            caller.forfeited() if ended.result is None else caller.settled(ended.result)
         elif known is None:
+            labelled = self.facts.types[kind].repeat is Repeat.LABELLED
+            slip = Slip(arrival, caller, work)
+            repeats = self.repeats.first(slip, min(self.now(), arrival.arrived)) if labelled else ""
             self.book.count("had")
-            slip = self.slips[arrival.id] = Slip(arrival, caller)
-            self._hear(self._admit, slip, arrival, kind, team)
+            self.slips[arrival.id] = slip
+            self._hear(self._admit, slip, arrival, kind, team, repeats)
             return slip
         elif not known.same(arrival):
             # Guards against one that makes itself party to the ticket of another. Harms nobody: a sidecar
@@ -200,6 +206,7 @@
                 for slip in [slip for slip in self.slips.values() if slip.handle and slip.handle.closed]:
                     self._close(slip)
             self.book.holds(len(self.slips) == len(self.manager.open), "the desk's tickets are the module's")
+        self.repeats.expire(now)
 
     def _decide(self, now: int) -> None:
         """Guards against a ticket that the module or a stage fails on: it is given up, the others go on."""
@@ -241,16 +248,14 @@
         slip.launched = False
         if self.slips.get(slip.id) is slip:
             del self.slips[slip.id]
-        if slip.runs and slip.handle.type.repeat is Repeat.IRREVERSIBLE:
-            self.ran = {ident: until for ident, until in self.ran.items() if until > self.clock}
-            self.ran[slip.id] = self.clock + slip.handle.type.outer_limit
+        self.repeats.closed(slip)
 
     # News, each handed in at the turn's reading of the clock
 
     def _nothing(self, now: int, _: None) -> None:
         """No news, but a turn."""
 
-    def _admit(self, now: int, slip: Slip, arrival: Arrival, kind: int, team: int) -> None:
+    def _admit(self, now: int, slip: Slip, arrival: Arrival, kind: int, team: int, repeats: str) -> None:
         again = False
         if self.came is not None:
             self.came[team] += 1
@@ -260,7 +265,21 @@
                 slip.likeness, again = self.lookout.arrived(arrival, kind)
             except Exception:
                 self._blind("lookout", slip)
-        admit(self.manager, now, slip, arrival, kind, team, again)
+        admit(self.manager, now, slip, arrival, kind, team, repeats, again)
+
+    def _run(self, slip: Slip, _: float = 0) -> None:
+        self.repeats.began(slip, self.clock)
+        self.send.launch(slip)
+
+    def _shared(self, now: int, slip: Slip, result: bytes | None) -> list | None:
+        """The run that this ticket shares is over."""
+        if slip.answered or self.slips.get(slip.id) is not slip:
+            return None  # its own time was up before
+        if result is not None:
+            self.relay.settle(slip, result)
+        else:
+            self.relay.forfeit(slip)
+        return slip.handle.ended(now, 0, Outcome.FAILED if result is None else Outcome.GOOD)
 
     def _gone(self, now: int, slip: Slip, caller: Caller) -> list | None:
         if caller in slip.callers:
@@ -322,13 +341,18 @@
 
     def _ended(self, now: int, slip: Slip, notice: agent.Ended) -> list:
         slip.launched, slip.wanted = False, None
+        end = notice.end
+        if end == "STOPPED" and not slip.answered and slip.handle.type.repeat is not Repeat.REDOABLE:
+            # Guards against a run that was stopped though nobody asked: held again, it would run twice.
+            end = "ERROR"
+        self.repeats.ended(slip, end == "OK", end != "MOOT", notice.result)
         self.call.give_up(slip)
         if not slip.answered:
-            if notice.end == "OK":
+            if end == "OK":
                 self.relay.settle(slip, notice.result)
-            elif notice.end != "STOPPED":
+            elif end != "STOPPED":
                 self.relay.forfeit(slip)
-        return slip.handle.ended(now, notice.took, ENDS[notice.end])
+        return slip.handle.ended(now, notice.took, ENDS[end])
 
     def _wants(self, now: int, slip: Slip, notice: agent.Wants) -> list:
         slip.asks += 1
--- a/crowwing/routing/send.py
+++ b/crowwing/routing/send.py
@@ -3,7 +3,7 @@
 A command is unproven until a sample asked for after it has come back. A new link first reads back all notices
 since the last one known; the fence, a sample, says when they are all in. Only then are those unproven
 commands sent again that the notices have not made pointless. A launch sent again could cross the end of the
-run it began, so an irreversible ticket's is not: its run counts as failed.
+run it began, so that of a ticket which must not run twice is not: its run counts as failed.
 """
 
 import asyncio
@@ -23,7 +23,7 @@
     number: int
     data: bytes
     still: Callable[[], bool]  # whether it has a point
-    once: Slip | None  # the ticket, where it launches an irreversible one
+    once: Slip | None  # the ticket, where it launches one that must not run twice
     sent: bool  # it went out, on whatever link
 
 
@@ -55,7 +55,7 @@
         self.book.holds(not slip.launched, "launched while its run is on")
         slip.launched = True
         slip.runs += 1
-        once = slip if slip.handle.type.repeat is Repeat.IRREVERSIBLE else None
+        once = slip if slip.handle.type.repeat is not Repeat.REDOABLE else None
         self._issue(agent.launch(slip.id, slip.type, slip.body), self._still_runs(slip), once)
 
     def freeze(self, slip: Slip, _: float = 0) -> None:
--- a/crowwing/routing/slip.py
+++ b/crowwing/routing/slip.py
@@ -39,10 +39,12 @@
         "wanted",
         "call",
         "likeness",
+        "work",
+        "content",
         "by",
     )
 
-    def __init__(self, arrival: Arrival, caller: Caller) -> None:
+    def __init__(self, arrival: Arrival, caller: Caller, work: tuple[int, int, str]) -> None:
         self.id, self.type, self.body = arrival.id, arrival.type, arrival.body
         self.print = print_of(arrival)  # tells its like without its body
         self.callers = [caller]  # more than one where the same try came again over another connection
@@ -52,6 +54,8 @@
         self.runs = self.frozen = self.asks = 0  # launches so far, the last told to stop, and calls wanted
         self.wanted: bytes | None = None  # the body of the call the run waits for
         self.call: asyncio.Task | None = None
+        self.work = work  # what it asks for, the same in its repeats
+        self.content = hash(arrival.body)  # the same in them too
         self.likeness = self.by = 0  # what a repeat would share, and who sent it: for the lookout
 
     def same(self, arrival: Arrival) -> bool:
--- a/crowwing/routing/take_in.py
+++ b/crowwing/routing/take_in.py
@@ -1,5 +1,7 @@
 """Take in: what came becomes a ticket of a known traffic type and customer, or is turned down by name."""
 
+from urllib.parse import unquote
+
 from crowwing.contract import Names, Premises
 from crowwing.protocol.arrival import Arrival
 
@@ -20,6 +22,8 @@
     def place(self, arrival: Arrival, now: int) -> tuple[int, int]:
         """The places of its traffic type and its customer."""
         kind = self.types.get(arrival.type)
+        if kind is None:  # in a path, letters that are not plain come encoded
+            kind = self.types.get(unquote(arrival.type))
         if kind is None:
             raise NoTicket("unknown traffic type")
         if self.tells_patience and not arrival.due:
--- a/crowwing/transport/exchange.py
+++ b/crowwing/transport/exchange.py
@@ -31,7 +31,7 @@
 
 
 class Exchanges:
-    """Connections to one address (None: to nothing); an idle one is closed after `idle` seconds at most, half of it at least."""
+    """Connections to one address, or to none; an idle one closes after half of `idle` to `idle` seconds."""
 
     def __init__(
         self,
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,379 @@
+"""Idempotency keys on the sockets: one run for each piece of work, and its result for every repeat."""
+
+import asyncio
+import copy
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+from crowwing.contract import Repeat
+from crowwing.routing.repeats import Repeats, work_of
+from crowwing.routing.slip import Slip
+from crowwing.routing.take_in import NoTicket
+from tests.rig import MS, SETTINGS, Sidecar, Town, play_in, reply
+from tests.street import Street, live_in
+from tests.test_program import ask_one, ident
+
+
+def keyed(window: float = 20000.0, **family: object) -> dict:
+    """`look` (calls below) and `book` by key, `pay` irreversible."""
+    changed = copy.deepcopy(SETTINGS)
+    for lane in changed["lanes"][:2]:
+        lane |= {"semantics": "keyed", "dedup_window": window}
+    changed["realms"].append({"name": "acme-east", "quota_per_s": 1000.0})
+    changed["family_info"] |= family
+    return changed
+
+
+def again(town: Town, n: int, key: str = "k1", kind: str = "book", **changes: object) -> asyncio.Task:
+    return asyncio.create_task(ask_one(town, n, kind, X_Txn_Key=key, **changes))
+
+
+async def running(town: Town, n: int) -> None:
+    await town.until(lambda: ident(n) in town.farm.running)
+
+
+def runs(town: Town) -> int:
+    return sum(town.farm.begun.values())
+
+
+def test_a_repeat_of_what_runs_waits_for_its_result_and_one_of_what_was_answered_has_it_at_once() -> None:
+    async def scene(town: Town) -> None:
+        town.farm.hold = True
+        first = again(town, 1)
+        await running(town, 1)
+        second = again(town, 2)
+        await town.until(lambda: town.counts["had"] == 2)
+        town.farm.go_on(ident(1))
+        result = town.farm.result(ident(1))
+        assert [(await asked)[::2] for asked in (first, second)] == [(200, result)] * 2
+        assert (await again(town, 3))[::2] == (200, result)
+        assert (await again(town, 1))[::2] == (200, result)  # the very same try, after a crossed close
+        assert town.farm.begun == {ident(1): 1}
+        town.check()
+
+    play_in(Town(keyed()), scene)
+
+
+def test_a_repeat_of_what_waits_for_a_call_makes_none_of_its_own() -> None:
+    async def scene(town: Town) -> None:
+        held: list[bytes] = []
+        town.below.usual = lambda head, body: held.append(body) or "hang"
+        first = again(town, 1, kind="look")
+        await town.until(lambda: len(held) == 1)
+        second = again(town, 2, kind="look")
+        await town.until(lambda: town.counts["had"] == 2)
+        (writer,) = town.below.open
+        writer.write(reply(200, b"late"))
+        assert (await first)[0] == (await second)[0] == 200
+        assert len(held) == 1 and town.farm.begun == {ident(1): 1}
+        town.check()
+
+    play_in(Town(keyed()), scene)
+
+
+def test_a_repeat_takes_the_place_of_a_first_try_that_still_waits_to_run() -> None:
+    async def scene(town: Town) -> None:
+        town.farm.hold = True
+        town.backend.desk.manager.limit = 0.0
+        town.backend.desk.manager.steer = lambda now: None
+        first = again(town, 1)
+        await town.until(lambda: town.backend.desk.manager.counts[1] == 1)
+        second = again(town, 2)
+        assert (await first)[0] == 503
+        town.backend.desk.manager.limit = 4.0
+        await running(town, 2)
+        town.farm.go_on(ident(2))
+        assert (await second)[0] == 200 and town.farm.begun == {ident(2): 1}
+        town.check()
+
+    play_in(Town(keyed()), scene)
+
+
+@pytest.mark.parametrize(("after", "begun"), [(-20, 1), (0, 1), (1, 2)])
+def test_the_window_counts_from_the_arrival_of_the_try_that_ran(after: int, begun: int) -> None:
+    async def scene(town: Town) -> None:
+        stamp = town.backend.desk.now() // MS - 300
+        assert (await again(town, 1, X_Ingress_Time=str(stamp)))[0] == 200
+        entry = town.backend.desk.repeats.ids[ident(1)]
+        end = max(stamp + 600, -(-entry.until // MS)) + after if after > 0 else stamp + 600 + after
+        await town.until(lambda: town.backend.desk.now() // MS > end)
+        assert (await again(town, 2, X_Ingress_Time=str(end)))[0] == 200
+        assert runs(town) == begun
+        town.check()
+
+    play_in(Town(keyed(600.0)), scene)
+
+
+def test_a_stamp_ahead_of_our_clock_takes_no_repeat_out_of_its_window() -> None:
+    async def scene(town: Town) -> None:
+        assert (await again(town, 1))[0] == 200
+        ahead = str(town.backend.desk.now() // MS + 60_000)
+        assert (await again(town, 2, X_Ingress_Time=ahead, left=500))[0] == 200 and runs(town) == 1
+        town.check()
+
+    play_in(Town(keyed()), scene)
+
+
+def test_a_window_that_ends_while_the_run_is_on_starts_no_second_run_beside_it() -> None:
+    async def scene(town: Town) -> None:
+        town.farm.hold = True
+        first = again(town, 1)
+        await running(town, 1)
+        over = town.backend.desk.repeats.ids[ident(1)].until
+        await town.until(
+            lambda: town.backend.desk.now() > over + 100 * MS and not town.backend.desk.manager.kept
+        )
+        second = again(town, 2)
+        await town.until(lambda: town.counts["had"] == 2)
+        town.farm.go_on(ident(1))
+        assert (await first)[0] == (await second)[0] == 200 and town.farm.begun == {ident(1): 1}
+        town.check()
+
+    play_in(Town(keyed(50.0)), scene)
+
+
+def test_a_run_that_failed_is_not_run_again_and_one_that_never_was_may_be() -> None:
+    async def scene(town: Town) -> None:
+        town.farm.hold = True
+        first = again(town, 1)
+        await running(town, 1)
+        second = again(town, 2)
+        await town.until(lambda: town.counts["had"] == 2)
+        town.farm.end(ident(1), "ERROR")
+        assert (await first)[0] == (await second)[0] == (await again(town, 3))[0] == 500
+        assert runs(town) == 1
+        unknown = again(town, 4, key="k2")
+        await running(town, 4)
+        town.farm.running.clear()
+        town.farm.writer.write(f"refusal launch {ident(4)}\r\n".encode())
+        assert (await unknown)[0] == 500
+        town.farm.hold = False
+        assert (await again(town, 5, key="k2"))[0] == 200
+        town.check()
+
+    play_in(Town(keyed()), scene)
+
+
+def test_a_repeat_whose_own_time_is_up_is_answered_while_the_run_goes_on() -> None:
+    async def scene(town: Town) -> None:
+        town.farm.hold = True
+        first = again(town, 1)
+        await running(town, 1)
+        assert (await again(town, 2, left=200))[0] == 500
+        town.farm.go_on(ident(1))
+        assert (await first)[0] == 200 and runs(town) == 1
+        town.check()
+
+    play_in(Town(keyed()), scene)
+
+
+def test_no_result_reaches_another_customer_type_or_body() -> None:
+    async def scene(town: Town) -> None:
+        assert (await again(town, 1))[0] == 200
+        east = await again(town, 2, X_Merchant="acme-east")
+        assert east[0] == 200 and east[2] == town.farm.result(ident(2))
+        other = await again(town, 3, kind="look")
+        assert other[0] == 200 and other[2] == town.farm.result(ident(3))
+        assert (await again(town, 4, body=b"fished"))[0] == 400  # its key, another body
+        assert (await again(town, 1, body=b"fished"))[0] == 400  # its id and key, another body
+        assert (await again(town, 1, X_Merchant="acme-east"))[0] == 400  # its id, another customer
+        for n in (5, 6):  # no key: each stands for itself
+            assert (await ask_one(town, n))[2] == town.farm.result(ident(n))
+        assert (await again(town, 7, key="x" * 256))[0] == 400
+        town.farm.hold = True
+        both = [again(town, 8, key="k3", body=body) for body in (b"one", b"two")]
+        await running(town, 8)
+        town.farm.go_on(ident(8))
+        assert sorted([(await asked)[0] for asked in both]) == [200, 400]
+        town.check()
+
+    play_in(Town(keyed()), scene)
+
+
+@pytest.mark.parametrize("kind", ["book", "pay"])
+def test_an_ended_irreversible_or_keyed_try_under_another_customer_is_never_launched_again(kind: str) -> None:
+    async def scene(town: Town) -> None:
+        assert (await again(town, 1, kind=kind))[0] == 200
+        assert (await again(town, 1, key="k9", kind=kind, X_Merchant="acme-east"))[0] == 400
+        assert runs(town) == 1
+        town.check()
+
+    play_in(Town(keyed()), scene)
+
+
+def test_a_launch_by_key_is_not_sent_again_over_a_new_link() -> None:
+    """Sent again it could cross the end of the run that it began, and run a second time."""
+
+    async def scene(town: Town) -> None:
+        town.farm.mute = town.farm.hold = True  # nothing proves that a command arrived
+        first = again(town, 1)
+        await running(town, 1)
+        assert town.backend.desk.send.unproven
+        town.farm.cut()
+        town.farm.mute = False
+        assert (await first)[0] == 500 and town.farm.begun == {ident(1): 1}
+        assert (await again(town, 2))[0] == 500 and runs(town) == 1
+
+    play_in(Town(keyed()), scene)
+
+
+@pytest.mark.parametrize("kind", ["book", "pay"])
+def test_a_run_stopped_though_nobody_asked_does_not_run_a_second_time(kind: str) -> None:
+    async def scene(town: Town) -> None:
+        town.farm.hold = True
+        first = again(town, 1, kind=kind)
+        await running(town, 1)
+        town.farm.end(ident(1), "STOPPED")
+        assert (await first)[0] == 500 and runs(town) == 1
+        town.check()
+
+    play_in(Town(keyed()), scene)
+
+
+def test_a_caller_that_goes_while_its_repeat_waits_leaves_the_first_alone() -> None:
+    async def scene(town: Town) -> None:
+        town.farm.hold = True
+        first = again(town, 1)
+        await running(town, 1)
+        side = await Sidecar(town).open()
+        side.writer.write(Sidecar.ticket(ident(2), X_Txn_Key="k1"))
+        await town.until(lambda: town.counts["had"] == 2)
+        raw = side.writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, bytes([1] + [0] * 7))
+        side.writer.transport.abort()
+        await town.until(lambda: town.counts["gone"] == 1)
+        town.farm.go_on(ident(1))
+        assert (await first)[0] == 200 and runs(town) == 1
+        town.check()
+
+    play_in(Town(keyed()), scene)
+
+
+# The table by itself
+
+
+def slip_of(n: int, window: int = 1000, outer: int = 5000, arrived: int = 0) -> Slip:
+    arrival = SimpleNamespace(
+        id=ident(n), type="book", body=b"b", customer="", sidecar=1, kb=1.0, rank=0.5, key=f"k{n}"
+    )
+    slip = Slip(arrival, None, work_of(arrival, 1, 0))
+    kind = SimpleNamespace(repeat=Repeat.LABELLED, window=window, outer_limit=outer)
+    slip.handle = SimpleNamespace(type=kind, arrived=arrived)
+    return slip
+
+
+class Counted(dict):
+    """Counts how many entries are touched."""
+
+    looked = 0
+
+    def get(self, *given: object) -> object:
+        Counted.looked += 1
+        return super().get(*given)
+
+
+def test_entries_go_as_their_time_ends_at_constant_work_for_each() -> None:
+    table = Repeats(lambda slip, result: None)
+    for n in range(3000):
+        slip = slip_of(n, arrived=n)
+        table.began(slip, n)
+        table.ended(slip, True, True, b"r" * 100)
+        table.closed(slip)
+    table.entries, Counted.looked = Counted(table.entries), 0
+    for now in range(1000, 6000):
+        table.expire(now)
+    assert len(table.entries) == len(table.ids) == 3000 and Counted.looked == 0
+    table.expire(7000)
+    assert len(table.entries) == len(table.ids) == 1999 and Counted.looked == 1001
+    table.expire(9000)
+    assert not table.entries and not table.ids and not table.ends
+
+
+def test_an_entry_whose_ticket_is_open_outlives_its_window_and_goes_with_it() -> None:
+    table, first = Repeats(lambda slip, result: None), slip_of(1)
+    table.keep(first, 1000)
+    table.began(first, 0)
+    for now in range(0, 30_000_000, 500_000):
+        table.expire(now)
+    assert table.first(slip_of(1), 29_000_000) == first.id
+    table.closed(first)
+    table.expire(60_000_000)
+    assert not table.entries and not table.ids and not table.ends
+
+
+def test_forgetting_and_keeping_again_leaves_one_entry_that_ends() -> None:
+    told: list = []
+    table = Repeats(lambda slip, result: told.append((slip.id, result)))
+    for n in range(50):
+        slip = slip_of(1, arrived=n)
+        slip.id = ident(n)
+        table.keep(slip, 1000)
+        table.forget(slip)
+        table.closed(slip)
+    assert not table.entries
+    table.expire(7000)
+    assert not table.ends and not told
+
+
+def test_two_bodies_under_one_key_in_one_moment_are_told_apart() -> None:
+    table, one, two = Repeats(lambda slip, result: None), slip_of(1), slip_of(1)
+    two.content = hash(b"other")
+    assert table.first(one, 0) == ""
+    with pytest.raises(NoTicket):
+        table.first(two, 0)
+    table.expire(0)
+    assert table.first(two, 0) == ""  # the other was of another moment, and nothing of it is kept
+
+
+# As `run` starts it, with every effect that settings can name
+
+
+@pytest.mark.parametrize("halt", ["none", "discard", "freeze"])
+def test_every_effect_starts_and_is_served(tmp_path: Path, halt: str) -> None:
+    async def scene(street: Street) -> None:
+        await street.event("ready")
+        side: Callable = Sidecar(street).open
+        for n, kind in enumerate(("look", "book", "pay")):
+            one = await (await side()).ask(Sidecar.ticket(ident(n), kind, X_Txn_Key=f"key {kind}"))
+            assert one[0] == 200 and one[2] == street.farm.result(ident(n))
+        again = await (await side()).ask(Sidecar.ticket(ident(11), "book", X_Txn_Key="key book"))
+        assert again[2] == street.farm.result(ident(1)) and ident(11) not in street.farm.begun
+        # A call that fails for good: an answer without it would be worth something, but no command says so.
+        street.below.usual = lambda head, body: reply(500)
+        failed = await (await side()).ask(Sidecar.ticket(ident(12), "look", X_Txn_Key="other"))
+        assert failed[0] == 500
+        street.signal()
+        await street.ended()
+
+    settings = keyed(halt=halt, worth_without=[0.5, 0.0, 0.4])
+    live_in(Street(tmp_path, settings, stop=1000), scene)
+
+
+def test_names_that_are_not_plain_words_or_begin_one_another_are_told_apart() -> None:
+    names = ["dock", "dock-east", "pilot & tow", "ümlaut-line"]
+    changed = copy.deepcopy(SETTINGS) | {"realms": [{"name": name, "quota_per_s": 9.0} for name in names]}
+    changed["lanes"][1]["name"] = "réserve 1"
+
+    async def scene(town: Town) -> None:
+        taken, take = [], town.backend.desk.manager.take
+
+        def seen(now: int, op_id: str, kind: int, team: int, *more: object) -> object:
+            taken.append((kind, team))
+            return take(now, op_id, kind, team, *more)
+
+        town.backend.desk.manager.take = seen
+        for n, name in enumerate(names):
+            assert (await ask_one(town, n, "pay", X_Merchant=name))[0] == 200
+        latin = Sidecar.ticket(ident(8), "pay", X_Merchant="ümlaut-line").decode().encode("latin-1")
+        assert (await (await Sidecar(town).open()).ask(latin))[0] == 200
+        assert (await ask_one(town, 9, "r%C3%A9serve%201", X_Merchant="dock"))[0] == 200
+        for wrong in ("doc", "dock-eas", "DOCK", ""):
+            assert (await ask_one(town, 20, "pay", X_Merchant=wrong))[0] == 400
+        assert taken == [(2, 0), (2, 1), (2, 2), (2, 3), (2, 3), (1, 0)]
+        town.check()
+
+    play_in(Town(changed), scene)
