Let our end of a connection go out only with the look that finds nothing owed on it

A socket shut both ways answers data with a reset, which drops what is queued to go out: an answer that its caller read late was cut off by half a line behind it (rest of 8 kB missing). A request that landed between the last empty read and our end was in the buffer, unread, and the last close a reset. - A close in the moment between uvloop's read and the handing on of its bytes sent our end before the request was seen. - Listener.close reset who waited to be accepted, with what was written; a cancelled sock_accept dropped a socket just taken. - The process ended 10 ms after the last answer, whatever was queued or unread; what was accepted last was not read at all. - Behind an answer that said 'Connection: close' a 400 for half a line could follow. Half a request at the notice got a 400 though its other half was on its way. - One exception in leave() or _drain: no drain, and a second notice changed nothing; the process hung until it was killed.

Change: our end is one shutdown(SHUT_WR), in one go with a peek that finds nothing unread and a reader that has handed on all it took; then what comes is read and dropped, and once more at the very last. The listener takes all who wait before it closes, and waits for a knock instead of taking. The drain is started first, each step guarded; from 0.25 s before the stop connections end as nothing is owed on them, and the last bytes read are dismissed at once.

--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -6,7 +6,8 @@
 import signal
 import traceback
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from crowwing.program.configuration import BadConfiguration, Posting
@@ -26,7 +27,9 @@
 
 FIGURES = 5.0  # seconds between lines of figures
 READ_AGAIN = 0.25  # seconds to the next reading of a configuration that could not be read
-LAST_CALL, LAST_WORDS = 0.12, 0.03  # seconds before the end: takes no more connections; has gone
+# Seconds before the end: takes no more connections, and ends those on which nothing is owed; has gone.
+LAST_CALL, LAST_WORDS = 0.25, 0.06
+LET_GO = 0.05  # seconds for what is given up at the end
 
 
 class Backend:
@@ -39,7 +42,10 @@
         log: Log,
         read: Callable[[], Posting],
         operator: "SimpleNamespace | None" = None,
+        told_early: Sequence[int] = (),
     ) -> None:
+        """`told_early`: the notices to leave that came before the loop hears them."""
+        self.told_early = told_early
         self.loop, self.posting, self.log, self.read = loop, posting, log, read
         records = operator.records if operator else None
         self.figures_every = records.figures_every_ms / 1000 if records else FIGURES
@@ -131,6 +137,8 @@
             self.loop.add_signal_handler(number, self.leave)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.reload()  # a SIGHUP that came before went unheard
+        if self.told_early:
+            self.leave()
         self.loop.set_exception_handler(self._stray)
         duties = (self.listener.accept, self.desk.send.link.run, self.reporter.run, self._beat)
         if self.together is not None:
@@ -143,11 +151,12 @@
         await self.over.wait()
         for duty in self.duties:
             duty.cancel()
-        await asyncio.gather(*self.duties, return_exceptions=True)
+        await asyncio.wait(self.duties, timeout=LET_GO)  # the end waits for none that does not let go
         if self.fleet is not None:
-            self.fleet.close()
-        self.figures()
-        self.log.write("stopped")
+            self._tried(self.fleet.close)
+        self._tried(self.figures)
+        self._tried(lambda: self.log.write("stopped"))
+        self.listener.last_look()
 
     async def _keep(self, duty: Callable[[], Coroutine]) -> None:
         """A defect in a duty is logged, and it begins again."""
@@ -170,14 +179,13 @@
         if before is not None:
             before[1].cancel()
         try:
-            told = self.read()
+            posting, changed, fixed = self.posting.follow(self.read())
         except BadConfiguration as wrong:
             if before is None or before[0] != str(wrong):
                 self.log.write("not_reloaded", why=str(wrong))
             self.unread = str(wrong), self.loop.call_later(READ_AGAIN, self.reload)
             return
-        was = self.posting
-        self.posting, changed, fixed = was.follow(told)
+        self.posting = posting
         if changed or fixed:
             self.log.write("reloaded", changed=changed, cannot_change=fixed)
         self.desk.move(self.posting.agent, self.posting.below)
@@ -188,27 +196,42 @@
         if self.front.draining:
             return
         self.front.draining = True
-        self.log.write("leaving", open=len(self.desk.slips))
-        self.listener.close_idle()
+        # First of all: it ends by itself, whatever fails in the steps below.
+        self.duties.append(self.loop.create_task(self._drain(self.loop.time(), self.posting.stop / 1e6)))
+        self._tried(lambda: self.log.write("leaving", open=len(self.desk.slips)))
+        self._tried(lambda: self.desk.leave(self.desk.now() + self.posting.stop))
+        self._tried(self.listener.close_idle)
         if self.fleet is not None:
-            self.fleet.leave()
-        stop = self.posting.stop
-        self.desk.leave(self.desk.now() + stop)
-        self.duties.append(self.loop.create_task(self._drain(self.loop.time(), stop / 1e6)))
+            self._tried(self.fleet.leave)
+
+    def _tried(self, step: Callable[[], object]) -> None:
+        """Guards the end of the process against a defect in one of its steps."""
+        try:
+            step()
+        except Exception:
+            with suppress(Exception):  # the log itself may be what fails
+                self.book.defect("leaving", None)
 
     async def _drain(self, began: float, stop: float) -> None:
         """Stays for what callers still send, until they have all gone or the end is near."""
-        grace = self.posting.facts.grace / 1e6
-        while self.desk.manager is not None and (passed := self.loop.time() - began) < stop - LAST_WORDS:
+        grace, end = self.posting.facts.grace / 1e6, began + stop
+        while self.desk.manager is not None and self.loop.time() < end - LAST_CALL:
             answered = all(slip.answered for slip in self.desk.slips.values())
-            if passed > stop - LAST_CALL:
-                self.listener.close()
-            if answered and (passed > stop - LAST_CALL or (passed > grace and not self.listener.connections)):
+            if answered and self.loop.time() > began + grace and not self.listener.connections:
                 break
             await asyncio.sleep(0.01)
-        self.listener.close()
-        self.desk.end()
-        await asyncio.sleep(0.01)  # what was just answered goes out
+        self._tried(self.listener.close)
+        try:
+            await self.listener.finish(end - LAST_WORDS)
+        except Exception:
+            with suppress(Exception):
+                self.book.defect("leaving", None)
+        self.front.ending = True
+        for _ in range(2):  # what the readers have taken is handed on, and answered at once
+            await asyncio.sleep(0)
+        self._tried(self.desk.end)
+        for connection in list(self.listener.connections):
+            self._tried(connection.end)
         self.over.set()
 
     async def _beat(self) -> None:
--- a/crowwing/program/front.py
+++ b/crowwing/program/front.py
@@ -25,6 +25,7 @@
         self.retry_after = False  # advice also goes out in this standard field
         self.good = False  # until the module says so
         self.draining = False
+        self.ending = False  # nothing more is handed to the desk
         self.turned_down: Counter[str] = Counter()  # by reason; emptied by each line of figures
         self.checks: set[asyncio.Task] = set()  # deep checks out; each ends within the bound
 
@@ -79,7 +80,8 @@
             self.front.desk.gone(self.slip, self)
             self._free()
         elif not broken and self.connection.began and not (self.connection.busy or self.reader.dead):
-            self.connection.busy = True
+            self.connection.busy = self.reader.dead = self.connection.deaf = True
+            self.connection.began = 0.0
             self._turn_down(sidecar.Bad(400, "ended before it was whole", fatal=True))
 
     def _next(self) -> None:
@@ -100,6 +102,10 @@
                 self._checked(self.front.good)
 
     def _arrive(self, arrival: Arrival) -> None:
+        if self.front.ending:  # read with the last bytes of all: it never runs
+            self.front.book.count("dismissed_at_the_end")
+            self.dismissed(0, False)
+            return
         try:
             self.slip = self.front.desk.arrive(arrival, self)
             self.connection.proven = True
@@ -141,8 +147,11 @@
         if self.connection.busy:
             closes = self._closes()
             self.connection.send(data)
+            if closes:  # as the answer said, nothing comes behind it
+                self.waiting.clear()
+                self.reader.dead = self.connection.deaf = True
             self._free()
-            if closes and not self.waiting:
+            if closes:
                 self.connection.close()
             else:
                 self._next()
--- a/crowwing/transport/connection.py
+++ b/crowwing/transport/connection.py
@@ -1,4 +1,9 @@
-"""One accepted connection: reads into a pooled buffer, sends in order, and cuts nothing off."""
+"""One accepted connection: reads into a pooled buffer, sends in order, and cuts nothing off.
+
+Our end is sent in one go with the look that finds nothing unread and nothing owed, and by then the reader has
+handed on all that it took: no request is read behind our end, and one that lies there before it is answered.
+From our end on what comes is read and dropped: a close over unread bytes is a reset and takes answers along.
+"""
 
 import asyncio
 import socket
@@ -11,6 +16,7 @@
 
 DROPPED_MOST = 1 << 18  # bytes read and dropped of what has no answer any more
 LINGER = 0.1  # seconds between our end and the descriptor's: what crosses it is sent anew within 50 ms
+LEFT_MOST = 32  # buffers of unread bytes that are dropped at the last close
 STUCK_SEND = 5.0  # seconds after which an answer that the far side does not read is given up
 
 
@@ -25,76 +31,123 @@
 class Connection:
     """`busy` keeps it open; `since`: when it last carried something; `began`: what is half read.
 
-    `proven`: it has brought something whole; `deaf`: what comes is dropped; `pause`: before the next read.
+    `proven`: it has brought something whole; `deaf`: what comes is dropped; `pause`: before the next read;
+    `closing`: it ends once nothing is owed; `shut`: our end has gone out.
     """
 
     __slots__ = (
         "loop", "sock", "pool", "user", "busy", "since", "began", "proven", "deaf", "pause",
-        "outbox", "sender", "task", "closing", "done",
+        "outbox", "sender", "task", "closing", "shut", "buffer", "done", "lingers",
     )  # fmt: skip
 
     def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, pool: BufferPool) -> None:
         self.loop, self.sock, self.pool = loop, sock, pool
-        self.busy = self.closing = self.proven = self.deaf = False
+        self.busy = self.closing = self.shut = self.proven = self.deaf = False
         self.since = loop.time()
         self.began = self.pause = 0.0
         self.outbox: deque[bytes] = deque()  # emptied by the sender
         self.sender: asyncio.Task | None = None
-        self.done: asyncio.Event | None = None  # set once nothing is owed, when someone waits for that
+        self.done: asyncio.Event | None = None  # set once nothing is owed, where the far side has ended
+        self.lingers: asyncio.TimerHandle | None = None
+        self.buffer = pool.borrow()
+        self.buffer[0] = 0
         self.user: User
         self.task: asyncio.Task
 
     def start(self, user: User, over: Callable[["Connection"], None]) -> None:
         self.user = user
         self.task = self.loop.create_task(self._live())
-        self.task.add_done_callback(lambda _: over(self))
+        self.task.add_done_callback(lambda _: self._gone(over))
+
+    def _gone(self, over: Callable[["Connection"], None]) -> None:
+        """Also where it was ended before it began to live."""
+        self.closing = self.shut = self.deaf = True
+        if self.lingers is not None:
+            self.lingers.cancel()
+        if self.sender is not None:
+            self.sender.cancel()
+        self.drop_unread()
+        self.sock.close()
+        self.pool.give_back(self.buffer)
+        over(self)
 
     async def _live(self) -> None:
-        buffer = self.pool.borrow()
-        broken = await self._read(buffer)
-        try:
+        broken = await self._read()
+        with suppress(OSError):
             self.user.ended(broken)
             if not broken:
                 await self._finish()
-        except OSError:
-            pass
-        finally:
-            self.closing = True
-            if self.sender is not None:
-                self.sender.cancel()
-            self.sock.close()
-            self.pool.give_back(buffer)
-
-    async def _read(self, buffer: bytearray) -> bool:
-        """Until either side ends it; whether it broke."""
+
+    async def _read(self) -> bool:
+        """Until the far side ends it; whether it broke. Our own end does not end the reading."""
         dropped = 0
         try:
-            with memoryview(buffer) as view:
-                while dropped < DROPPED_MOST and (size := await self.loop.sock_recv_into(self.sock, buffer)):
+            with memoryview(self.buffer) as view:
+                while dropped < DROPPED_MOST and (
+                    size := await self.loop.sock_recv_into(self.sock, self.buffer)
+                ):
                     if self.deaf:
                         dropped += size
+                        self.buffer[0] = 0
+                        if self.closing:
+                            self._shut()
                         continue
                     self.since = self.loop.time()
                     self.user.received(view[:size])
-                    if self.pause:
+                    self.buffer[0] = 0  # all that was taken is handed on
+                    if self.closing:
+                        self._shut()
+                    if self.pause and not self.closing:
                         await asyncio.sleep(self.pause)
             return False
         except OSError:
             return True
 
     async def _finish(self) -> None:
-        """Sends what is owed and says that no more comes; what crosses that has its time to turn back."""
-        ours, self.closing = self.closing, True
-        self.done = asyncio.Event()
+        """The far side sends no more (or too much): sends what is owed, and ends ours."""
+        self.closing, self.done = True, asyncio.Event()
         self._settle()
         await self.done.wait()
-        self.sock.shutdown(socket.SHUT_WR)
-        if ours and (self.proven or self.deaf):  # a silent one is owed no more than the close
-            await asyncio.sleep(LINGER)
+        if not self.shut:
+            self.sock.shutdown(socket.SHUT_WR)
 
     def _settle(self) -> None:
-        if self.done is not None and not self.busy and self.sender is None:
+        if self.busy or self.sender is not None:
+            return
+        if self.done is not None:
             self.done.set()
+        elif self.closing:
+            self._shut()
+
+    def _shut(self) -> None:
+        """Ends our side where nothing is owed. What has come in by now is read first: a ticket may be."""
+        if self.shut or self.done is not None or self.busy or self.sender is not None:
+            return
+        if not self.deaf:
+            # No request begins with a zero: the first byte tells whether the reader has taken something that
+            # it has not handed on yet. It comes by here once it has, as it does with what is still unread.
+            if self.buffer[0] or self._unread():
+                return
+            if self.began:  # half a request: its sender is told, and we come by here again
+                self.user.ended(False)
+                return
+        linger = self.proven or self.deaf  # a silent one is owed no more than the close
+        self.shut = self.deaf = True
+        with suppress(OSError):  # the far side was faster
+            self.sock.shutdown(socket.SHUT_WR)
+        self.lingers = self.loop.call_later(LINGER if linger else 0, self.task.cancel)
+
+    def _unread(self) -> bool:
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:  # nothing is there, or nothing can come any more
+            return False
+
+    def drop_unread(self) -> None:
+        with suppress(OSError):
+            for _ in range(LEFT_MOST):
+                if not self.sock.recv_into(self.buffer):
+                    break
 
     def send(self, data: bytes) -> None:
         self.since = self.loop.time()
@@ -131,7 +184,17 @@
 
     def close(self) -> None:
         """Ends it once what is owed has gone out. What has come in by now is still read: a ticket may be."""
-        if not self.closing:
-            self.closing = True
-            with suppress(OSError):  # the far side was faster
-                self.sock.shutdown(socket.SHUT_RD)  # the read ends behind what is there
+        self.closing = True
+        self._shut()
+
+    def end(self) -> None:
+        """At the process's end, when the reader has handed on what it took: reads what is there, and ends."""
+        self.closing = True
+        if not (self.deaf or self.shut or self.done is not None):
+            with suppress(OSError), memoryview(self.buffer) as view:
+                for _ in range(LEFT_MOST):
+                    if self.deaf or not (size := self.sock.recv_into(self.buffer)):
+                        break
+                    self.user.received(view[:size])
+            self.buffer[0] = 0
+        self._shut()
--- a/crowwing/transport/listener.py
+++ b/crowwing/transport/listener.py
@@ -4,6 +4,7 @@
 import errno
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 from crowwing.transport.connection import Connection, User
 from crowwing.transport.pool import BufferPool
@@ -30,7 +31,7 @@
         self.patience = PATIENCE
         self.room = asyncio.Event()
         self.sock: socket.socket | None = None
-        self.accepting: asyncio.Task | None = None
+        self.knock: asyncio.Future | None = None  # while nobody waits to be accepted
         self.waits = 0  # times that accepting had to wait
 
     def open(self, host: str, port: int) -> None:
@@ -48,18 +49,17 @@
 
     async def accept(self) -> None:
         """Until close()."""
-        self.accepting = asyncio.current_task()
-        while True:
+        while self.sock is not None:
             while len(self.connections) >= self.most:
                 self.waits += 1
                 self._make_room()
                 self.room.clear()
                 await self.room.wait()
+            await self._knock()
             try:
-                sock, _ = await self.loop.sock_accept(self.sock)
-                self._take(sock)
                 for _ in range(min(AT_ONCE, self.most - len(self.connections))):
-                    self._take(self.sock.accept()[0])
+                    if self.sock is not None:
+                        self._take(self.sock.accept()[0])
             except BlockingIOError:
                 pass  # no more are there
             except OSError as wrong:
@@ -70,6 +70,19 @@
             if len(self.connections) > self.most - self.spare:
                 self._make_room()
 
+    async def _knock(self) -> None:
+        """Until someone waits to be accepted. Takes nobody yet: who is taken by a call that is given up in
+        that moment would be dropped, with what was written."""
+        if self.sock is None:
+            return
+        self.knock = knock = self.loop.create_future()
+        self.loop.add_reader(self.sock, lambda: knock.done() or knock.set_result(None))
+        try:
+            await knock
+        finally:
+            if self.sock is not None:
+                self.loop.remove_reader(self.sock)
+
     def _take(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -94,6 +107,7 @@
                 connection.close()
 
     def _sweep(self) -> None:
+        self.loop.call_later(SWEEP, self._sweep)  # first: it goes on whatever becomes of one connection
         now = self.loop.time()
         for connection in self.connections:
             if not connection.busy and not connection.closing:
@@ -101,7 +115,6 @@
                 spent = self.idle is not None and now - connection.since >= self.idle
                 if spent or now - began >= self.patience:
                     connection.close()
-        self.loop.call_later(SWEEP, self._sweep)
 
     def close_idle(self) -> None:
         """Ends each connection that has carried something and carries nothing now.
@@ -111,13 +124,37 @@
         what crosses a close.
         """
         for connection in list(self.connections):
-            if connection.proven and not connection.busy and not connection.closing:
+            if connection.proven and not (connection.busy or connection.closing or connection.began):
                 connection.close()
 
     def close(self) -> None:
-        """Takes no more connections; those there are go on."""
-        if self.sock is not None:
-            if self.accepting is not None:
-                self.accepting.cancel()
-            self.sock.close()
-            self.sock = None
+        """Takes no more connections; those there are go on.
+
+        Who waits to be accepted is taken first, beyond the budget if need be: the close would reset them,
+        with what they have written.
+        """
+        if self.sock is None:
+            return
+        sock, self.sock = self.sock, None
+        self.loop.remove_reader(sock)
+        with suppress(OSError):  # no more are there, or no descriptor is left for them
+            while True:
+                self._take(sock.accept()[0])
+        sock.close()
+        self.room.set()
+        if self.knock is not None and not self.knock.done():
+            self.knock.set_result(None)
+
+    def last_look(self) -> None:
+        """The last thing before the process ends: what has come since our ends went out is dropped, since the
+        end over unread bytes would be a reset."""
+        for connection in self.connections:
+            connection.drop_unread()
+
+    async def finish(self, until: float) -> None:
+        """Ends every connection once nothing is owed on it; returns when all are gone, or at `until`, a time
+        of the loop."""
+        while self.connections and self.loop.time() < until:
+            for connection in list(self.connections):
+                connection.close()
+            await asyncio.sleep(0.002)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -300,7 +300,7 @@
 
 
 class HttpStandIn:
-    """Answers each call by what `answers` says of it, or else by `usual`: bytes, 'hang' or 'break'."""
+    """Answers each call by what `answers` says of it, or else by `usual`: bytes, 'hang', 'break' or both."""
 
     def __init__(self, usual: Callable[[str, bytes], bytes]) -> None:
         self.usual, self.answers = usual, deque()
@@ -323,6 +323,10 @@
                 answer = self.answers.popleft() if self.answers else self.usual(head, body)
                 if answer == "break":
                     break
+                if isinstance(answer, tuple):  # so much of it
+                    writer.write(answer[0])
+                    await writer.drain()
+                    break
                 if answer != "hang":
                     writer.write(answer)
         except (OSError, asyncio.IncompleteReadError):
@@ -388,7 +392,7 @@
         self.links: dict[asyncio.Task, asyncio.StreamWriter] = {}  # of the stand-ins, for closing them
         facts, names = decode(self.settings)
         nowhere = ("127.0.0.1", 0)
-        self.posting = Posting("n1", *[nowhere] * 4, 7, self.stop, self.sockets, facts, names)
+        self.posting = Posting("n1", "n1", *[nowhere] * 4, 7, self.stop, self.sockets, facts, names)
         await self.reopen()
         self.backend = Backend(
             loop, self.posting, SimpleNamespace(write=self._write), lambda: self.posting, self.operator
--- a/tests/street.py
+++ b/tests/street.py
@@ -1,10 +1,10 @@
 """The real command as `run` starts it, among the stand-ins of rig.py."""
 
 import asyncio
+import itertools
 import json
 import os
 import signal
-import socket
 import tomllib
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -18,9 +18,14 @@
 WAIT = 30.0  # seconds, for what has to come; nothing is shown by how long it takes
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as taken:
-        return taken.getsockname()[1]
+NUMBERS = itertools.count(1)
+
+
+def own_address() -> tuple[str, int]:
+    """An address that no other street and no caller's own port can have."""
+    high, low = divmod(os.getpid(), 256)
+    more, number = divmod(next(NUMBERS), 250)
+    return f"127.{64 + high % 64}.{low}.{number + 1}", 7001 + more
 
 
 def written(address: tuple) -> str:
@@ -37,7 +42,7 @@
         self.control = HttpStandIn(lambda head, body: b"HTTP/1.1 204 So\r\n\r\n")
         self.lines: list[dict] = []
         self.heard = asyncio.Condition()
-        self.address = ("127.0.0.1", free_port())
+        self.address = own_address()
         self.path = folder / "configuration.json"
         self.servers: list[asyncio.Server] = []
 
