Hear signals from the first line on, and go on reporting after a defect

Change: 'run' ignores SIGHUP from the shell on, until it is heard (the configuration is read again then in any case); the first lines of __main__ keep notices to leave until the loop hears them. A file that tells another name than ours is not followed, one line 'not_reloaded'.

Also held, without a mend, by tests/test_broken_replies.py: each party's answers cut at each byte, in single bytes, twice, on an old link, on a spare connection that died.

--- a/crowwing/__main__.py
+++ b/crowwing/__main__.py
@@ -1,10 +1,20 @@
 """`python -m crowwing` starts one real backend; with a word behind it, it is the command line."""
 
+import signal
 import sys
 
 if len(sys.argv) > 1:
     from crowwing.cli import main
-else:
-    from crowwing.program.main import main
 
-sys.exit(main())
+    sys.exit(main())
+
+# Before anything that takes time is imported. A SIGHUP would end the process; the backend reads its settings
+# again once it hears signals, whether one came or not. A notice to leave is kept until then.
+told: list[int] = []
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+for number in (signal.SIGTERM, signal.SIGINT):
+    signal.signal(number, lambda number, _: told.append(number))
+
+from crowwing.program.main import main  # noqa: E402
+
+sys.exit(main(told))
--- a/crowwing/program/configuration.py
+++ b/crowwing/program/configuration.py
@@ -20,6 +20,7 @@
     """Where this backend stands, and whom it speaks with."""
 
     name: str
+    own: str  # the name that the file itself tells
     listen: Address
     agent: Address
     control: Address
@@ -31,7 +32,12 @@
     names: Names
 
     def follow(self, told: "Posting") -> tuple["Posting", list[str], list[str]]:
-        """This one with the parts of another that can change in service; what those are, and what cannot."""
+        """This one with the parts of another that can change in service; what those are, and what cannot.
+
+        BadConfiguration where the other is not this backend's at all: its addresses are another's.
+        """
+        if told.own != self.own:
+            raise BadConfiguration(f"it is the configuration of {told.own}, not of {self.own}")
         differs = [f.name for f in fields(self) if getattr(self, f.name) != getattr(told, f.name)]
         changed = [name for name in differs if name in IN_SERVICE]
         fixed = [name for name in differs if name not in IN_SERVICE]
@@ -55,6 +61,7 @@
         facts = replace(facts, types=tuple(replace(kind, credit_without=0.0) for kind in facts.types))
         posting = Posting(
             name=str(environment.get("PROXY_NAME") or told["name"]),
+            own=str(told.get("name", environment.get("PROXY_NAME"))),
             listen=_address(environment.get("PROXY_LISTEN") or told["listen"]),
             agent=_address(told["agent"]),
             control=_address(told["control"]),
--- a/crowwing/program/log.py
+++ b/crowwing/program/log.py
@@ -23,7 +23,12 @@
         }  # fmt: skip
         if self.lost:
             line["lines_lost"] = self.lost
-        data = orjson.dumps(line, default=str)
+        try:
+            data = orjson.dumps(line, default=str)
+        except TypeError:  # text that is no Unicode, such as a path of the system's
+            data = orjson.dumps(
+                {key: value if type(value) is int else ascii(value) for key, value in line.items()}
+            )
         if len(data) > LINE_MOST:
             cut = {key: value[-1000:] for key, value in line.items() if isinstance(value, str)}
             data = orjson.dumps(line | cut, default=str)[:LINE_MOST]
--- a/crowwing/program/main.py
+++ b/crowwing/program/main.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import os
-import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -52,10 +51,8 @@
     await backend_of(asyncio.get_running_loop()).run()
 
 
-def main() -> int:
-    # Guards against the end by a SIGHUP that comes before the loop hears signals: the backend, once it does,
-    # reads its configuration again whether one came or not.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+def main(told_early: Sequence[int] = ()) -> int:
+    """`told_early`: notices to leave, as the first lines of __main__ hear them until the loop does."""
     try:
         posting = read(os.environ)
         operator = _operator(os.environ)
@@ -66,7 +63,7 @@
     log = Log(posting.name)
     try:
         again = partial(read, os.environ)
-        uvloop.run(_serve(lambda loop: Backend(loop, posting, log, again, operator)))
+        uvloop.run(_serve(lambda loop: Backend(loop, posting, log, again, operator, told_early)))
     except OSError as wrong:
         where = wrong.filename or f"{posting.listen[0]}:{posting.listen[1]}"
         print(f"crowwing: {where}: {wrong.strerror}", file=sys.stderr)
--- a/crowwing/program/reporter.py
+++ b/crowwing/program/reporter.py
@@ -39,7 +39,8 @@
                 self.changed.set()
 
     async def run(self) -> None:
-        await self.changed.wait()
+        if not self.told:  # begun anew after a defect it has something to say at once
+            await self.changed.wait()
         self.told = True
         last, lost = self.loop.time(), False  # when one counted, and whether that was said to be long ago
         while True:
--- /dev/null
+++ b/tests/test_broken_replies.py
@@ -0,0 +1,234 @@
+"""What the other parties send breaks off at any byte, comes in single bytes, twice, late, on an old link."""
+
+import asyncio
+
+import pytest
+
+from tests.rig import SETTINGS, Town, play_in, reply
+from tests.test_program import ask_one, ident
+
+
+async def held(town: Town, n: int, kind: str = "book") -> asyncio.Task:
+    town.farm.hold = True
+    asked = asyncio.create_task(ask_one(town, n, kind))
+    await town.until(lambda: ident(n) in town.farm.running)
+    return asked
+
+
+def outcome(town: Town, n: int) -> bytes:
+    """The notice of a run's end, noted but not sent."""
+    writer, town.farm.writer = town.farm.writer, None
+    town.farm.end(ident(n), "OK")
+    town.farm.writer = writer
+    return town.farm.notices[-1]
+
+
+def test_a_notice_that_breaks_off_at_any_byte_is_read_whole_on_the_next_link() -> None:
+    async def scene(town: Town) -> None:
+        n = size = 0
+        while n <= size:
+            asked = await held(town, n)
+            notice = outcome(town, n)
+            size = len(notice)
+            town.farm.writer.write(notice[:n])
+            await town.farm.writer.drain()
+            town.farm.writer.close()  # behind the bytes, not instead of them
+            status, _, body = await asked
+            assert status == 200 and body == town.farm.result(ident(n)) and town.farm.begun[ident(n)] == 1
+            n += 1
+        assert n > 60 and town.farm.links > n - 1 and not town.counts["notices_missed"]
+        assert all(times == 1 for times in town.farm.begun.values())
+        await town.until(lambda: not town.backend.desk.slips)
+
+    play_in(Town(), scene)
+
+
+def test_notices_in_single_bytes_twice_and_of_a_ticket_that_is_over_are_read_once() -> None:
+    async def scene(town: Town) -> None:
+        for n in range(8):
+            asked = await held(town, n)
+            notice = outcome(town, n)
+            town.farm.mute = True  # no sample's answer between the bytes
+            for byte in notice:
+                town.farm.writer.write(bytes([byte]))
+                await asyncio.sleep(0)
+            town.farm.writer.write(notice * 2)
+            town.farm.mute = False
+            assert (await asked)[0] == 200
+        assert town.backend.desk.send.last == len(town.farm.notices) and not town.counts["notices_missed"]
+        town.check()
+
+    play_in(Town(), scene)
+
+
+def test_what_lies_on_an_old_link_as_it_is_given_up_and_comes_again_on_the_new_one_counts_once() -> None:
+    async def scene(town: Town) -> None:
+        asked = await held(town, 1)
+        notice = outcome(town, 1)
+        town.farm.writer.write(notice)
+        await town.farm.writer.drain()
+        town.backend.desk.send.link.drop()
+        await town.until(lambda: town.farm.links == 2 and town.backend.desk.send.fenced)
+        town.farm.writer.write(notice)
+        assert (await asked)[0] == 200
+        assert town.backend.desk.send.last == 1 and town.counts["settled"] == 1
+        town.check()
+
+    play_in(Town(), scene)
+
+
+WHOLE = reply(200, b"the reply of the back end", "Date: now\r\n")
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+def test_a_reply_from_below_that_breaks_off_at_any_byte_is_unsure_and_asked_again_only_if_safe(
+    kind: str,
+) -> None:
+    settings = SETTINGS | {"lanes": [SETTINGS["lanes"][0] | {"semantics": kind}, *SETTINGS["lanes"][1:]]}
+
+    async def one(town: Town, cut: int) -> None:
+        sent: list[str] = []
+
+        def broken(head: str, body: bytes) -> bytes | str:
+            first = f"Parent-Call: {ident(cut)}\r\n" in head and ident(cut) not in sent
+            sent.append(ident(cut))
+            return (WHOLE[:cut], "break") if first else WHOLE
+
+        town.below.usual = broken
+        status, _, _ = await ask_one(town, cut, "look")
+        calls = sum(f"Parent-Call: {ident(cut)}\r\n" in head for head, _ in town.below.heard)
+        assert (status, calls) == ((200, 2) if kind == "safe" else (500, 1)), cut
+        assert town.farm.begun[ident(cut)] == 1
+
+    async def scene(town: Town) -> None:
+        for cut in range(len(WHOLE)):
+            await one(town, cut)
+        assert town.counts["call_unsure"] == len(WHOLE)
+        await town.until(lambda: not town.backend.desk.slips)  # its run ends at the call that is not made
+        town.check()
+
+    play_in(Town(settings), scene)
+
+
+def test_replies_from_below_in_single_bytes_and_for_a_run_that_is_over() -> None:
+    async def scene(town: Town) -> None:
+        town.below.usual = lambda head, body: "hang"
+        slow = asyncio.create_task(ask_one(town, 1, "look"))
+        await town.until(lambda: len(town.below.heard) == 1)
+        (writer,) = town.below.open
+        for byte in WHOLE:
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0)
+        assert (await slow)[0] == 200
+        late = asyncio.create_task(ask_one(town, 2, "look"))
+        await town.until(lambda: len(town.below.heard) == 2)
+        town.farm.end(ident(2), "ERROR")
+        assert (await late)[0] == 500
+        writer.write(WHOLE)  # its connection is given up: no other call can take this for its reply
+        town.below.usual = lambda head, body: reply(200, b"its own")
+        assert (await ask_one(town, 3, "look"))[0] == 200
+        assert town.farm.replies[ident(3)] == b"its own" and ident(2) not in town.farm.replies
+        town.check()
+
+    play_in(Town(), scene)
+
+
+def test_a_spare_connection_that_has_died_or_brings_a_second_reply_is_used_for_no_call() -> None:
+    async def scene(town: Town) -> None:
+        town.below.usual = lambda head, body: WHOLE
+        assert (await ask_one(town, 1, "look"))[0] == 200
+        (writer,) = town.below.open
+        writer.write(reply(200, b"of nobody"))  # lies on the spare one
+        spare = next(iter(town.backend.desk.call.exchanges.spare))
+        await town.until(lambda: readable(spare))
+        assert (await ask_one(town, 2, "look"))[0] == 200
+        assert town.farm.replies[ident(2)] == b"the reply of the back end" and town.below.links == 2
+        for other in list(town.below.open):
+            other.transport.abort()  # a reset that lies there
+        spare = next(iter(town.backend.desk.call.exchanges.spare))
+        await town.until(lambda: readable(spare))
+        assert (await ask_one(town, 3, "look"))[0] == 200
+        assert town.below.links == 3 and not town.counts["call_unsure"]
+        town.check()
+
+    play_in(Town(), scene)
+
+
+def readable(sock: object) -> bool:
+    import select
+
+    return bool(select.select([sock], [], [], 0)[0])
+
+
+def test_a_spare_connection_that_dies_between_the_look_and_the_write_is_unsure_for_its_call() -> None:
+    """Nothing tells that reset from one that came after the call had run."""
+
+    async def scene(town: Town) -> None:
+        exchanges = town.backend.desk.call.exchanges
+        assert (await ask_one(town, 1, "look"))[0] == 200
+        take = exchanges._take
+
+        def dying() -> object:
+            sock = take()
+            if sock is not None:
+                exchanges._take = take
+                for other in list(town.below.open):
+                    other.get_extra_info("socket").setsockopt(1, 13, bytes([1] + [0] * 7))  # SO_LINGER: reset
+                    other.transport.abort()
+            return sock
+
+        exchanges._take = dying
+        pays = SETTINGS["lanes"][0]["semantics"] == "unsafe"
+        assert (await ask_one(town, 2, "look"))[0] == (500 if pays else 200)
+        assert town.counts["call_unsure"] == 1 and exchanges.open <= 1
+        town.check()
+
+    play_in(Town(), scene)
+
+
+GOOD = b"HTTP/1.1 204 So\r\nDate: now\r\n\r\n"
+
+
+def test_an_answer_of_the_control_plane_that_breaks_off_at_any_byte_does_not_count() -> None:
+    async def scene(town: Town) -> None:
+        await town.until(lambda: len(town.control.heard) >= 1)
+        for cut in range(0, len(GOOD), 3):
+            more = len(town.control.heard) + 2
+            town.control.answers.append((GOOD[:cut], "break"))
+            town.backend.ready(bool(cut % 2))
+            await town.until(lambda more=more: not town.control.answers and len(town.control.heard) >= more)
+            want = b'{"condition":"Ready"}' if cut % 2 else b'{"condition":"NotReady"}'
+            assert town.control.heard[-1][1] == want
+        assert town.backend.reporter.exchanges.open <= 2
+        assert not town.counts["defects"]
+
+    play_in(Town(), scene)
+
+
+@pytest.mark.parametrize("moved", ["connecting", "calling"])
+def test_an_address_that_moves_in_the_midst_of_a_call_leaves_it_whole(moved: str) -> None:
+    async def scene(town: Town) -> None:
+        exchanges = town.backend.desk.call.exchanges
+        town.below.usual = lambda head, body: "hang"
+        old = exchanges.address
+        if moved == "connecting":
+            connect = exchanges._connect
+
+            async def moving() -> object:
+                sock = await connect()
+                exchanges.move(("127.0.0.1", 9))
+                return sock
+
+            exchanges._connect = moving
+        asked = asyncio.create_task(ask_one(town, 1, "look"))
+        await town.until(lambda: len(town.below.heard) == 1)
+        exchanges.move(("127.0.0.1", 9))
+        (writer,) = town.below.open
+        writer.write(WHOLE)
+        assert (await asked)[0] == 200
+        assert not exchanges.spare, "the old address keeps no spare connection"
+        await town.until(lambda: exchanges.open == 0)
+        exchanges.move(old)
+        town.check()
+
+    play_in(Town(), scene)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -175,6 +175,9 @@
     assert (
         line["lines_lost"] > 0 and line["event"] == "after" and line["trace"].endswith("y") and not log.lost
     )
+    log.write("odd", why="no Unicode: \udc80", count=3)
+    line = json.loads(os.read(read, 1 << 20))
+    assert line["event"] == "'odd'" and line["why"] == r"'no Unicode: \udc80'" and line["count"] == 3
     os.close(read)
     log.write("nobody reads")
     os.close(write)
