--- a/crowwing/transport/listener.py
+++ b/crowwing/transport/listener.py
@@ -13,6 +13,7 @@
 PATIENCE = 1.5  # seconds in which a new connection brings something whole, and one that began ends it
 HEAD_START = 1.0  # seconds by which one that has brought something may be idle for longer
 AT_ONCE = 8  # connections accepted, at most, before others of the loop have their turn
+NEW = 0.05  # seconds in which one that was just accepted is not ended for its silence
 RETRY = 0.02  # seconds before another try to accept
 BACKLOG = 4096  # beyond it callers would try again only after a second
 SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
@@ -153,8 +154,9 @@
 
     async def finish(self, until: float) -> None:
         """Ends every connection once nothing is owed on it; returns when all are gone, or at `until`, a time
-        of the loop."""
-        while self.connections and self.loop.time() < until:
+        of the loop. A new one is given a moment: its request may be on its way."""
+        while self.connections and (now := self.loop.time()) < until:
             for connection in list(self.connections):
-                connection.close()
+                if connection.proven or now - connection.since > NEW:
+                    connection.close()
             await asyncio.sleep(0.002)
--- /dev/null
+++ b/tests/test_customers.py
@@ -0,0 +1,139 @@
+"""No customer's figures reach another: instances in one process, settings in another order or number."""
+
+import copy
+import importlib
+import inspect
+import json
+import pkgutil
+import random
+from collections import Counter, deque
+from collections.abc import Iterator
+from dataclasses import replace
+from types import ModuleType
+
+import pytest
+
+import crowwing
+from crowwing.contract import Halt, Outcome, Signal
+from crowwing.premises import decode
+from crowwing.routing.take_in import TakeIn
+from tests.rig import MS, SETTINGS, World
+
+LOADED = ("logic", "drill", "program", "protocol", "routing", "transport")  # in every backend, or simulated
+CHANGES = (list, dict, set, bytearray, Counter, deque)
+
+
+def modules() -> Iterator[ModuleType]:
+    for package in LOADED:
+        root = importlib.import_module(f"crowwing.{package}")
+        yield root
+        for found in pkgutil.iter_modules(root.__path__, f"{root.__name__}."):
+            if not found.name.endswith("__main__"):
+                yield importlib.import_module(found.name)
+    yield importlib.import_module("crowwing.premises")
+    yield importlib.import_module("crowwing.contract")
+
+
+def shared() -> dict[str, str]:
+    """All that two instances in one process have in common and that could change, as it stands."""
+    found: dict[str, str] = {}
+    for module in modules():
+        for name, value in vars(module).items():
+            if name.startswith("__"):
+                continue
+            if isinstance(value, CHANGES):
+                found[f"{module.__name__}.{name}"] = repr(value)
+            if inspect.isclass(value) and value.__module__.startswith(crowwing.__name__):
+                for inner, held in vars(value).items():
+                    if isinstance(held, CHANGES) and not inner.startswith("_"):
+                        found[f"{value.__qualname__}.{inner}"] = repr(held)
+    return found
+
+
+def script(world: World, seed: int) -> Iterator[None]:
+    """A busy stretch in a world of its own, a step at a time."""
+    chance = random.Random(seed)
+    customers = max(1, len(world.facts.shares))
+    for _ in range(500):
+        for _ in range(chance.randrange(3)):
+            world.arrive(
+                chance.randrange(len(world.facts.types)), chance.random(), 0, chance.randrange(200 * MS),
+                chance.choice([0, 3000 * MS]), chance.randrange(customers),
+            )  # fmt: skip
+        for ident, state in list(world.state.items()):
+            if state == "running" and chance.random() < 0.1:
+                world.end(ident, chance.choice([Outcome.GOOD, Outcome.GOOD, Outcome.FAILED]))
+            elif state == "halting":
+                world.end(ident, Outcome.STOPPED)
+        world.turn()
+        world.advance(10)
+        yield
+
+
+def worlds() -> list[World]:
+    """Three customers' deployments: their numbers of tenants, shares, signals and types all differ."""
+    first = World(1, shares=(30.0, 10.0), signal=Signal.ALLOWANCE, fresh_for=0)
+    second = World(2, shares=(), signal=Signal.FLOOR, cores=2, halt=Halt.NONE)
+    third = World(3, shares=(5.0, 7.0, 900.0), signal=Signal.WEIGHT, memory_kb=9000.0, cold=True)
+    return [first, second, third]
+
+
+def test_three_deployments_in_one_process_act_as_each_does_alone() -> None:
+    alone = worlds()
+    for seed, world in enumerate(alone):
+        for _ in script(world, seed):
+            pass
+    together = worlds()
+    turns = [script(world, seed) for seed, world in enumerate(together)]
+    chance = random.Random(9)
+    while turns:
+        turn = chance.choice(turns)
+        if next(turn, turns) is turns:
+            turns.remove(turn)
+    for one, other in zip(alone, together, strict=True):
+        assert one.log == other.log and one.figures == other.figures and len(one.log) > 200
+
+
+def test_nothing_that_instances_share_changes_while_they_work() -> None:
+    before = shared()
+    assert before, "the look finds nothing at all"
+    for seed, world in enumerate(worlds()):
+        for _ in script(world, seed):
+            pass
+    decode(json.dumps(SETTINGS))
+    after = shared()
+    assert {name: value for name, value in after.items() if value != before.get(name)} == {}
+
+
+def test_no_default_argument_can_keep_what_a_call_left() -> None:
+    kept = []
+    for module in modules():
+        for value in vars(module).values():
+            for part in [value, *(vars(value).values() if inspect.isclass(value) else ())]:
+                if inspect.isfunction(part):
+                    defaults = [*(part.__defaults__ or ()), *(part.__kwdefaults__ or {}).values()]
+                    kept += [part.__qualname__ for held in defaults if isinstance(held, CHANGES)]
+    assert kept == []
+
+
+@pytest.mark.parametrize("order", [[0, 1, 2], [2, 0, 1], [1], []])
+def test_places_follow_the_names_in_whatever_order_and_number_they_are_told(order: list[int]) -> None:
+    names, shares = ["dock", "dock-east", "do"], [11.0, 22.0, 33.0]
+    told = copy.deepcopy(SETTINGS)
+    told["realms"] = [{"name": names[n], "quota_per_s": shares[n]} for n in order]
+    told["lanes"] = [told["lanes"][n] | {"promise": 1000.0 * (n + 1)} for n in (2, 0, 1)]
+    facts, known = decode(told)
+    take_in = TakeIn(known, facts)
+    assert [facts.shares[take_in.customers[names[n]]] for n in order] == [shares[n] for n in order]
+    assert len(facts.shares) == len(order) == len(take_in.customers)
+    for n, lane in enumerate(SETTINGS["lanes"]):
+        assert facts.types[take_in.types[lane["name"]]].expected_time == 1000 * MS * (n + 1)
+
+
+def test_settings_read_twice_share_nothing_that_can_change() -> None:
+    one, names = decode(SETTINGS)
+    other, _ = decode(SETTINGS)
+    assert one == other and hash(one) == hash(other) and hash(names)  # tuples all the way down
+    with pytest.raises(AttributeError):
+        one.cores = 99
+    assert replace(one, cores=99).cores == 99 and one.cores == other.cores
--- /dev/null
+++ b/tests/test_random_moments.py
@@ -0,0 +1,207 @@
+"""Resets, half lines, slow peers, broken parties and signals, drawn from a seed, against the real command.
+
+After each step: each request has exactly one final answer, nothing runs twice, and at last the process ends
+by itself. A failing seed is in the name of its test, and draws the same again.
+"""
+
+import asyncio
+import copy
+import json
+import random
+import signal
+import socket
+from pathlib import Path
+
+import pytest
+
+from tests.rig import SETTINGS, Sidecar, reply
+from tests.street import WAIT, Street, live_in
+from tests.test_program import ident
+
+HARD = bytes([1] + [0] * 7)  # SO_LINGER: the close is a reset
+
+
+def settings() -> dict:
+    changed = copy.deepcopy(SETTINGS)
+    changed["lanes"][1] |= {"semantics": "keyed", "dedup_window": 20000.0}
+    for lane in changed["lanes"]:
+        lane |= {"promise": 2000.0, "deadline": 3000.0}
+    return changed
+
+
+class Play:
+    """The callers of one street; `begun` of the farm agent and these tables are what is judged."""
+
+    def __init__(self, street: Street, seed: int) -> None:
+        self.street, self.chance, self.ids = street, random.Random(seed), 0
+        self.answers: dict[str, int] = {}  # request -> the status of its one answer
+        self.unanswered: dict[str, str] = {}  # request -> why it may have none
+        self.keys: dict[str, list[str]] = {}  # key -> requests that carried it
+        self.results: dict[str, set[bytes]] = {}
+        self.leaving = False
+
+    def new(self) -> str:
+        self.ids += 1
+        return ident(self.ids)
+
+    async def _answer(self, reader: asyncio.StreamReader, request: str) -> tuple[int, bytes, bool] | None:
+        """Status, body and whether the connection goes on; None where it ended before the first byte."""
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError as ended:
+            assert not ended.partial, f"{request}: cut off in {ended.partial!r}"
+            return None
+        except ConnectionResetError:
+            return None
+        size = int(head.lower().partition(b"content-length:")[2].split()[0])
+        body = await reader.readexactly(size)  # a whole one, or the test fails
+        return int(head.split()[1]), body, b"Connection: close" not in head
+
+    async def honest(self) -> None:
+        """Some requests over one kept connection; what crosses its close is sent once more on a new one."""
+        connection = None
+        for _ in range(self.chance.randrange(1, 6)):
+            request, kind = self.new(), self.chance.choice(("look", "book", "pay"))
+            more = {}
+            if kind == "book" and self.chance.random() < 0.8:
+                key = f"k{self.chance.randrange(12)}"
+                self.keys.setdefault(key, []).append(request)
+                more["X_Txn_Key"] = key
+            data = Sidecar.ticket(request, kind, b"body", left=2500, **more)
+            for _ in range(2):
+                fresh = connection is None
+                if connection is None:
+                    side = socket.socket()
+                    try:
+                        side.connect(self.street.address)
+                    except OSError:
+                        assert self.leaving, f"{request}: refused in service"
+                        self.unanswered[request] = "refused"
+                        return
+                    side.send(data)  # at once: it lies there before anybody has accepted it
+                    connection = await asyncio.open_connection(sock=side)
+                else:
+                    connection[1].write(data)
+                reader, writer = connection
+                got = await self._answer(reader, request)
+                self.street.farm.answered(request)
+                if got is not None:
+                    assert request not in self.answers, f"{request}: a second answer"
+                    self.answers[request] = got[0]
+                    if got[0] == 200 and more:
+                        self.results.setdefault(more["X_Txn_Key"], set()).add(got[1])
+                    if not got[2]:
+                        assert await reader.read() == b"", f"{request}: bytes behind the last answer"
+                        writer.close()
+                        connection = None
+                    break
+                writer.close()
+                connection = None
+                assert not fresh, f"{request}: no answer on a new connection"
+            await asyncio.sleep(self.chance.random() * 0.05)
+        if connection is not None:
+            connection[1].close()
+
+    async def rude(self) -> None:
+        side = socket.socket()
+        side.setblocking(False)
+        loop, what = asyncio.get_running_loop(), self.chance.randrange(6)
+        whole = Sidecar.ticket("f" * 15 + f"{self.chance.randrange(16):x}", "look", b"x" * 50)
+        try:
+            await loop.sock_connect(side, self.street.address)
+            if what == 0:
+                await loop.sock_sendall(side, whole[: self.chance.randrange(1, len(whole))])
+            elif what == 1:
+                await loop.sock_sendall(side, self.chance.randbytes(3000))
+            elif what == 2:
+                for byte in whole[:60]:
+                    await loop.sock_sendall(side, bytes([byte]))
+            elif what == 3:
+                await loop.sock_sendall(side, b"GET /ping HTTP/1.1\r\n\r\n" * 20)
+            elif what == 4:
+                await loop.sock_sendall(side, whole)
+                side.shutdown(socket.SHUT_WR)
+            if self.chance.random() < 0.5:
+                side.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, HARD)
+        except OSError:
+            pass
+        side.close()
+
+    async def trouble(self) -> None:
+        what, street = self.chance.randrange(6), self.street
+        if what == 0:
+            street.farm.cut()
+        elif what == 1:
+            street.below.answers += [
+                self.chance.choice(("break", reply(500), reply(504), b"garbage\r\n\r\n"))
+            ]
+        elif what == 2:
+            street.control.answers += [self.chance.choice(("break", reply(500)))]
+        elif what == 3:
+            street.signal(signal.SIGHUP)
+        elif what == 4:
+            whole = json.dumps(street.told)
+            street.path.write_text(whole[: self.chance.randrange(len(whole))])
+            street.signal(signal.SIGHUP)
+            await asyncio.sleep(0.02)
+            street.path.write_text(whole)
+        else:
+            street.below.cut()
+
+    def judge(self) -> None:
+        farm = self.street.farm
+        for request, times in farm.begun.items():
+            once = request in farm.pays or any(request in tries for tries in self.keys.values())
+            assert times == 1 or not once, f"{request} ran {times} times"
+        for key, tries in self.keys.items():
+            assert sum(request in farm.begun for request in tries) <= 1, f"{key} ran more than once"
+            assert len(self.results.get(key, ())) <= 1, f"{key} was answered with two results"
+        for request, status in self.answers.items():
+            assert status in (200, 500, 503), (request, status)
+            assert status != 503 or request not in farm.begun, f"{request}: dismissed though it ran"
+        for request in self.unanswered:
+            assert request not in farm.begun, f"{request}: it ran, and nobody heard of it"
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_whatever_crosses_each_request_has_one_answer_and_the_end_comes_by_itself(
+    tmp_path: Path, seed: int
+) -> None:
+    async def scene(street: Street) -> None:
+        play = Play(street, seed)
+        await street.event("ready")
+        going: set[asyncio.Task] = set()
+
+        async def begin(what: asyncio.Task) -> None:
+            going.add(what)
+            what.add_done_callback(going.discard)
+            await asyncio.sleep(play.chance.random() * 0.02)
+
+        failed: list[BaseException] = []
+
+        async def kept(what: asyncio.Future) -> None:
+            try:
+                await what
+            except Exception as wrong:
+                failed.append(wrong)
+
+        for _ in range(70):
+            draw = play.chance.random()
+            what = play.honest if draw < 0.6 else play.rude if draw < 0.85 else play.trouble
+            await begin(asyncio.create_task(kept(what())))
+            assert not failed, failed
+            play.judge()
+        play.leaving = True
+        street.signal()
+        while street.process.returncode is None:
+            what = play.honest if play.chance.random() < 0.7 else play.rude
+            await begin(asyncio.create_task(kept(what())))
+            assert not failed, failed
+        async with asyncio.timeout(WAIT):
+            await asyncio.gather(*going)
+        assert not failed, failed
+        await street.ended()
+        play.judge()
+        assert len(play.answers) > 60
+
+    live_in(Street(tmp_path, settings(), stop=1200), scene)
