Test that the end waits for what is queued in the process

Need: skipping the drain's last quarter of a second turned no test red (found by taking it out). The test holds that span open for 11 s by a seam and reads only then; red with Listener.finish taken out, seen.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -252,6 +252,31 @@
     play_in(Town(), scene)
 
 
+def test_the_end_waits_for_an_answer_that_is_still_queued_in_the_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("crowwing.program.backend.LAST_CALL", 11.0)  # seconds: no stall of ours is as long
+
+    async def scene(town: Town) -> None:
+        town.farm.hold = True
+        side = plain(town.address, SMALL)
+        side.send(Sidecar.ticket(ident(1), body=bytes(2048)))
+        await town.until(lambda: ident(1) in town.farm.running)
+        (connection,) = town.backend.listener.connections
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL)
+        town.backend.leave()
+        town.farm.go_on(ident(1))
+        await town.until(lambda: connection.sender is not None)
+        await town.until(lambda: town.backend.listener.sock is None)
+        for _ in range(20):
+            assert not town.backend.front.ending, "it ends though an answer is queued"
+            await asyncio.sleep(0)
+        assert town.farm.result(ident(1)) in await rest_of(side)
+        await town.life
+
+    play_in(Town(stop=12000), scene)
+
+
 @pytest.mark.parametrize("slow", [False, True])
 def test_what_was_answered_reaches_its_caller_though_the_process_has_ended(
     tmp_path: Path, slow: bool
