Serve settings that start a cold backend at no speed, or with part of a core

Cause: found by drawing 400 sets of settings for the module (a trial): cold_from 0 divided by zero in Books.stalled (speed 0 at the first wake), a defect at each wake until the clock moves; family_info.cpus under 1 made cores 0, which steer() divides by; a number beyond any (1e999) was a traceback in decode(). Change: decode() takes the least speed as 0.01 and cores as 1 at least, and names a number that is none in its one line.

--- a/crowwing/premises.py
+++ b/crowwing/premises.py
@@ -14,6 +14,9 @@
 }
 
 
+LEAST_SPEED = 0.01  # share of its speed that a cold backend is taken to have: times are divided by it
+
+
 class BadPremises(ValueError):
     """The settings at start cannot be read."""
 
@@ -49,7 +52,7 @@
             shares=tuple(float(realm.get("quota_per_s", 0)) for realm in realms),
             over_share_credit=float(told.get("over_share_worth", 1)),
             fleet=int(told.get("servers", 1)),
-            cores=int(info["cpus"]),
+            cores=max(1, int(info["cpus"])),
             memory_kb=float(info["ram_kb"]),
             run_factor=float(info.get("run_factor", 1)),
             key_kb=float(info.get("key_kb", 0)),
@@ -58,7 +61,7 @@
             stay_away_most=us(caps.get("max_retry_after", 0)) if caps.get("retry_after") else 0,
             crowd=float(rules["fall_multiple"]),
             cold=bool(info.get("cold", False)),
-            cold_from=float(rules.get("cold_from", 1)),
+            cold_from=max(LEAST_SPEED, float(rules.get("cold_from", 1))),
             cold_for=us(rules.get("cold", 0)),
             calls_share=float(info.get("calls_out", 0)) if info.get("downstream") == "one_for_all" else 0.0,
             calls_over=us(info.get("calls_over", 0)),
@@ -78,5 +81,5 @@
         return facts, names
     except KeyError as missing:
         raise BadPremises(f"settings: missing or unknown {missing}") from None
-    except (ValueError, TypeError, AttributeError, RecursionError) as wrong:
+    except (ValueError, TypeError, AttributeError, RecursionError, OverflowError) as wrong:
         raise BadPremises(f"settings: {wrong}") from None
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -1,8 +1,12 @@
 """What a page allows is served by the real command; only what none allows is one line and exit 2."""
 
 import copy
+import json
 from pathlib import Path
 
+import pytest
+
+from crowwing.premises import BadPremises, decode
 from tests.rig import SETTINGS, Sidecar
 from tests.street import Street, live_in
 
@@ -38,3 +42,27 @@
         assert len(wrong) == 1 and wrong[0].endswith("'backend' is missing") and not street.lines
 
     live_in(Street(tmp_path, backend=None), scene)
+
+
+def test_a_backend_that_may_start_at_no_speed_at_all_and_part_of_a_core_serves_from_its_first_moment(
+    tmp_path: Path,
+) -> None:
+    async def scene(street: Street) -> None:
+        await street.event("ready")
+        for n in range(3):
+            assert (await (await Sidecar(street).open()).ask(Sidecar.ticket(ident(n))))[0] == 200
+        street.signal()
+        await street.ended()
+
+    told = settings(cpus=0.8)
+    told["invariants"] = told["invariants"] | {"cold_from": 0.0, "cold": 600000.0}
+    street = Street(tmp_path, told, stop=900)
+    street.farm.greet = b"greeting COLD 0\r\n"
+    live_in(street, scene)
+
+
+@pytest.mark.parametrize("odd", ["1e999", "NaN"])
+def test_numbers_that_are_none_are_one_line(odd: str) -> None:
+    text = json.dumps(SETTINGS).replace('"promise": 20000.0', f'"promise": {odd}')
+    with pytest.raises(BadPremises):
+        decode(text)
