Wait up to 5 s for an address that the last life of our name still holds

Signals were heard only after the address was had. Change: Backend._open tries every 50 ms for 5 s on EADDRINUSE alone, says address_taken once, and a notice to leave ends it; signals are heard before. New tests: the address freed, a notice while waiting, the next life of a name.

--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -1,6 +1,7 @@
 """One real backend: wires the parts, and sees it through its life from start to drain."""
 
 import asyncio
+import errno
 import gc
 import random
 import signal
@@ -29,6 +30,7 @@
 READ_AGAIN = 0.25  # seconds to the next reading of a configuration that could not be read
 # Seconds before the end: takes no more connections, and ends those on which nothing is owed; has gone.
 LAST_CALL, LAST_WORDS = 0.25, 0.06
+ADDRESS_PATIENCE, ADDRESS_AGAIN = 5.0, 0.05  # seconds: for an address that is taken, and between tries
 LET_GO = 0.05  # seconds for what is given up at the end
 
 
@@ -130,23 +132,22 @@
 
     async def run(self) -> None:
         """Until it has drained. OSError if the address cannot be had."""
-        self.listener.open(*self.posting.listen)
-        if self.fleet is not None:
-            await self.fleet.open()
+        self.loop.set_exception_handler(self._stray)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.leave)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        self.reload()  # a SIGHUP that came before went unheard
         if self.told_early:
             self.leave()
-        self.loop.set_exception_handler(self._stray)
+        await self._open()
+        if self.fleet is not None:
+            await self.fleet.open()
+        self.reload()  # a SIGHUP that came before went unheard
         duties = (self.listener.accept, self.desk.send.link.run, self.reporter.run, self._beat)
         if self.together is not None:
             duties = (*duties, self.together.run)
-        self.duties = [self.loop.create_task(self._keep(duty)) for duty in duties]
-        self.log.write(
-            "started", listen=":".join(map(str, self.posting.listen)), sockets=self.posting.sockets
-        )
+        self.duties += [self.loop.create_task(self._keep(duty)) for duty in duties]
+        if self.listener.sock is not None:
+            self.log.write("started", listen=self._where(), sockets=self.posting.sockets)
         gc.freeze()
         await self.over.wait()
         for duty in self.duties:
@@ -158,6 +159,24 @@
         self._tried(lambda: self.log.write("stopped"))
         self.listener.last_look()
 
+    def _where(self) -> str:
+        return ":".join(map(str, self.posting.listen))
+
+    async def _open(self) -> None:
+        """Guards against an end for an address that the last life of our name is still letting go. Could harm
+        where another keeps it: that is said only after some seconds. A notice to leave ends the waiting."""
+        until, said = self.loop.time() + ADDRESS_PATIENCE, False
+        while not self.front.draining:
+            try:
+                return self.listener.open(*self.posting.listen)
+            except OSError as wrong:
+                if wrong.errno != errno.EADDRINUSE or self.loop.time() > until:
+                    raise
+            if not said:
+                said = True
+                self.log.write("address_taken", listen=self._where())
+            await asyncio.sleep(ADDRESS_AGAIN)
+
     async def _keep(self, duty: Callable[[], Coroutine]) -> None:
         """A defect in a duty is logged, and it begins again."""
         while not self.over.is_set():
--- a/crowwing/transport/connection.py
+++ b/crowwing/transport/connection.py
@@ -130,7 +130,8 @@
                 return
             if self.began:  # half a request: its sender is told, and we come by here again
                 self.user.ended(False)
-                return
+                if self.shut or self.busy or self.sender is not None:
+                    return
         linger = self.proven or self.deaf  # a silent one is owed no more than the close
         self.shut = self.deaf = True
         with suppress(OSError):  # the far side was faster
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 from collections.abc import Callable
 from pathlib import Path
 
@@ -147,6 +148,61 @@
     live_in(Street(tmp_path, stop=1500), scene)
 
 
+# One life of a name and the next
+
+
+def test_an_address_still_held_by_the_last_life_is_waited_for(tmp_path: Path) -> None:
+    async def scene(street: Street) -> None:
+        await street.event("address_taken")
+        street.held.close()
+        await street.event("ready")
+        assert (await ask_one(street, 1))[0] == 200
+        street.signal()
+        await street.ended()
+
+    live_in(Taken(tmp_path, stop=900), scene)
+
+
+def test_a_notice_ends_the_waiting_for_an_address(tmp_path: Path) -> None:
+    async def scene(street: Street) -> None:
+        await street.event("address_taken")
+        street.signal()
+        await street.ended()
+        assert not any(line["event"] == "started" for line in street.lines)
+        street.held.close()
+
+    live_in(Taken(tmp_path), scene)
+
+
+class Taken(Street):
+    async def exec(self) -> None:
+        self.held = socket.create_server(self.address)
+        await super().exec()
+
+
+def test_the_next_life_of_a_name_is_ready_at_once_and_its_word_is_the_last_one_heard(tmp_path: Path) -> None:
+    async def scene(street: Street) -> None:
+        await street.event("ready")
+        assert (await ask_one(street, 1, X_Txn_Key="k"))[0] == 200
+        sides = [await Sidecar(street).open() for _ in range(5)]
+        for side in sides:
+            assert (await side.ask(b"GET /ping HTTP/1.1\r\n\r\n"))[0] == 200
+        street.signal()
+        await street.ended()
+        assert street.control.heard[-1][1] == b'{"condition":"NotReady"}'
+        street.lines.clear()
+        street.process._transport.close()
+        await street.exec()
+        await street.event("ready")
+        await street.until(lambda: street.control.heard[-1][1] == b'{"condition":"Ready"}')
+        assert (await ask_one(street, 2, X_Txn_Key="k"))[0] == 200
+        assert street.farm.begun == {f"{1:016x}": 1, f"{2:016x}": 1}
+        street.signal()
+        await street.ended()
+
+    live_in(Street(tmp_path, stop=900), scene)
+
+
 # Defects in what the process stands on: made up at a seam, and it goes on or ends all the same
 
 
