--- a/crowwing/emulator/fleetrig.py
+++ b/crowwing/emulator/fleetrig.py
@@ -119,7 +119,7 @@
             self.launch(name)
 
     def _files(self, name: str) -> tuple[Path, Path]:
-        posting = orjson.loads(EXAMPLE.read_bytes()) | {
+        configuration = orjson.loads(EXAMPLE.read_bytes()) | {
             "name": name, "listen": f"{self.host}:{free_port(socket.SOCK_STREAM, self.host)}",
             "agent": f"{self.host}:{free_port(socket.SOCK_STREAM, self.host)}",
             "seed": f"{self.seed:08x}{self.names.index(name):08x}",
@@ -135,19 +135,20 @@
             "fleet": {"listen": listen, "peers": peers} | self.fleet | self.operator_of.get(name, {}),
         }
         paths = self.folder / f"{name}.json", self.folder / f"{name}.operator.json"
-        paths[0].write_bytes(orjson.dumps(posting))
+        paths[0].write_bytes(orjson.dumps(configuration))
         paths[1].write_bytes(orjson.dumps(operator))
         return paths
 
     def launch(self, name: str, **operator: object) -> None:
         """Starts the member, or starts it again; its lines go on in the same log."""
-        posting, operator_file = self._files(name)
+        configuration, operator_file = self._files(name)
         if operator:
             told = orjson.loads(operator_file.read_bytes())
             told["fleet"] |= operator
             operator_file.write_bytes(orjson.dumps(told))
         environment = os.environ | {
-            "PROXY_CONFIG": str(posting), "CROWWING_OPERATOR": str(operator_file), "PYTHONPATH": str(ROOT),
+            "PROXY_CONFIG": str(configuration), "CROWWING_OPERATOR": str(operator_file),
+            "PYTHONPATH": str(ROOT),
         }  # fmt: skip
         with (self.folder / f"{name}.log").open("ab") as log:
             self.children[name] = subprocess.Popen(
--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -11,7 +11,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from crowwing.program.configuration import BadConfiguration, Posting
+from crowwing.program.configuration import BadConfiguration, Configuration
 from crowwing.program.front import Front
 from crowwing.program.log import Log
 from crowwing.program.reporter import Reporter
@@ -40,29 +40,29 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        posting: Posting,
+        configuration: Configuration,
         log: Log,
-        read: Callable[[], Posting],
+        read: Callable[[], Configuration],
         operator: "SimpleNamespace | None" = None,
         told_early: Sequence[int] = (),
     ) -> None:
         """`told_early`: the notices to leave that came before the loop hears them."""
         self.told_early = told_early
-        self.loop, self.posting, self.log, self.read = loop, posting, log, read
+        self.loop, self.configuration, self.log, self.read = loop, configuration, log, read
         records = operator.records if operator else None
         self.figures_every = records.figures_every_ms / 1000 if records else FIGURES
         self.unread: tuple[str, asyncio.TimerHandle] | None = None  # why, and the next try
-        facts = posting.facts
+        facts = configuration.facts
         self.book, self.pool = Book(log.write), BufferPool()
-        budget = DescriptorBudget(posting.sockets)
+        budget = DescriptorBudget(configuration.sockets)
         shortest = min(kind.expected_time for kind in facts.types) / 1e6
-        self.front = Front(loop, self.book, posting.names.deep_checks, shortest / 2)
+        self.front = Front(loop, self.book, configuration.names.deep_checks, shortest / 2)
         self.listener = Listener(loop, self.pool, budget.incoming, self.front.window)
         self.listener.idle = facts.idle_most / 1e6 or None
-        self.reporter = Reporter(loop, posting.control, self.pool, posting.name, self.book)
+        self.reporter = Reporter(loop, configuration.control, self.pool, configuration.name, self.book)
         self.desk = self.front.desk = Desk(
-            loop, facts, posting.names, posting.seed, posting.agent, posting.below, budget.below, self.pool,
-            self.book, self,
+            loop, facts, configuration.names, configuration.seed, configuration.agent, configuration.below,
+            budget.below, self.pool, self.book, self,
         )  # fmt: skip
         if operator is not None and operator.storm is not None:
             self.desk.lookout = self._lookout(operator.storm)
@@ -71,7 +71,7 @@
             from crowwing.fleet.link import Link  # only where a fleet is switched on
 
             self.fleet = Link(
-                loop, operator.fleet, posting.name, posting.seed, self.book.event, self.caught_up
+                loop, operator.fleet, configuration.name, configuration.seed, self.book.event, self.caught_up
             )
         self.together = None
         if self.fleet is not None and (
@@ -83,7 +83,7 @@
             from crowwing.program.together import Together
 
             self.together = Together(
-                self.fleet, self.desk, posting.names, operator.fleet, log.life, self.book
+                self.fleet, self.desk, configuration.names, operator.fleet, log.life, self.book
             )
         self.wants_in: bool | None = None  # the module's word, once it has spoken
         self.behind = self.fleet is not None  # the fleet's: not caught up
@@ -95,11 +95,11 @@
         from crowwing.routing.lookout import Lookout  # its libraries only where it is switched on
         from crowwing.storm.returns import Returns
 
-        facts, span = self.posting.facts, round(storm.window_s * 1e6)
+        facts, span = self.configuration.facts, round(storm.window_s * 1e6)
         now, types, most = self.desk.now, len(facts.types), storm.prints_most
         lookout = Lookout(now, self.book, types, storm.prints, span, most, storm.lowers_repeats)
         if storm.paces_returns:
-            chance = random.Random(f"{self.posting.seed}/returns")
+            chance = random.Random(f"{self.configuration.seed}/returns")
             lookout.returns = Returns(now(), facts.stay_away_most, chance)
         self.front.retry_after = storm.retry_after
         return lookout
@@ -147,7 +147,7 @@
             duties = (*duties, self.together.run)
         self.duties += [self.loop.create_task(self._keep(duty)) for duty in duties]
         if self.listener.sock is not None:
-            self.log.write("started", listen=self._where(), sockets=self.posting.sockets)
+            self.log.write("started", listen=self._where(), sockets=self.configuration.sockets)
         gc.freeze()
         await self.over.wait()
         for duty in self.duties:
@@ -160,7 +160,7 @@
         self.listener.last_look()
 
     def _where(self) -> str:
-        return ":".join(map(str, self.posting.listen))
+        return ":".join(map(str, self.configuration.listen))
 
     async def _open(self) -> None:
         """Guards against an end for an address that the last life of our name is still letting go. Could harm
@@ -168,7 +168,7 @@
         until, said = self.loop.time() + ADDRESS_PATIENCE, False
         while not self.front.draining:
             try:
-                return self.listener.open(*self.posting.listen)
+                return self.listener.open(*self.configuration.listen)
             except OSError as wrong:
                 if wrong.errno != errno.EADDRINUSE or self.loop.time() > until:
                     raise
@@ -198,17 +198,17 @@
         if before is not None:
             before[1].cancel()
         try:
-            posting, changed, fixed = self.posting.follow(self.read())
+            configuration, changed, fixed = self.configuration.follow(self.read())
         except BadConfiguration as wrong:
             if before is None or before[0] != str(wrong):
                 self.log.write("not_reloaded", why=str(wrong))
             self.unread = str(wrong), self.loop.call_later(READ_AGAIN, self.reload)
             return
-        self.posting = posting
+        self.configuration = configuration
         if changed or fixed:
             self.log.write("reloaded", changed=changed, cannot_change=fixed)
-        self.desk.move(self.posting.agent, self.posting.below)
-        self.reporter.move(self.posting.control)
+        self.desk.move(self.configuration.agent, self.configuration.below)
+        self.reporter.move(self.configuration.control)
 
     def leave(self) -> None:
         """The notice to leave; a second one changes nothing."""
@@ -216,9 +216,11 @@
             return
         self.front.draining = True
         # First of all: it ends by itself, whatever fails in the steps below.
-        self.duties.append(self.loop.create_task(self._drain(self.loop.time(), self.posting.stop / 1e6)))
+        self.duties.append(
+            self.loop.create_task(self._drain(self.loop.time(), self.configuration.stop / 1e6))
+        )
         self._tried(lambda: self.log.write("leaving", open=len(self.desk.slips)))
-        self._tried(lambda: self.desk.leave(self.desk.now() + self.posting.stop))
+        self._tried(lambda: self.desk.leave(self.desk.now() + self.configuration.stop))
         self._tried(self.listener.close_idle)
         if self.fleet is not None:
             self._tried(self.fleet.leave)
@@ -233,7 +235,7 @@
 
     async def _drain(self, began: float, stop: float) -> None:
         """Stays for what callers still send, until they have all gone or the end is near."""
-        grace, end = self.posting.facts.grace / 1e6, began + stop
+        grace, end = self.configuration.facts.grace / 1e6, began + stop
         while self.desk.manager is not None and self.loop.time() < end - LAST_CALL:
             answered = all(slip.answered for slip in self.desk.slips.values())
             if answered and self.loop.time() > began + grace and not self.listener.connections:
--- a/crowwing/program/configuration.py
+++ b/crowwing/program/configuration.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Posting:
+class Configuration:
     """Where this backend stands, and whom it speaks with."""
 
     name: str
@@ -31,7 +31,7 @@
     facts: Premises
     names: Names
 
-    def follow(self, told: "Posting") -> tuple["Posting", list[str], list[str]]:
+    def follow(self, told: "Configuration") -> tuple["Configuration", list[str], list[str]]:
         """This one with the parts of another that can change in service; what those are, and what cannot.
 
         BadConfiguration where the other is not this backend's at all: its addresses are another's.
@@ -44,7 +44,7 @@
         return replace(self, **{name: getattr(told, name) for name in changed}), changed, fixed
 
 
-def read(environment: Mapping[str, str]) -> Posting:
+def read(environment: Mapping[str, str]) -> Configuration:
     path = environment.get("PROXY_CONFIG")
     if not path:
         raise BadConfiguration("PROXY_CONFIG names no configuration")
@@ -59,7 +59,7 @@
         facts, names = decode(told["settings"])
         # No command tells the farm agent to go on without a call, whatever such an answer would be worth.
         facts = replace(facts, types=tuple(replace(kind, credit_without=0.0) for kind in facts.types))
-        posting = Posting(
+        configuration = Configuration(
             name=str(environment.get("PROXY_NAME") or told["name"]),
             own=str(told.get("name", environment.get("PROXY_NAME"))),
             listen=_address(environment.get("PROXY_LISTEN") or told["listen"]),
@@ -80,8 +80,8 @@
         raise BadConfiguration(f"{path}: {wrong}") from None
     except (ValueError, TypeError, AttributeError, OverflowError) as wrong:
         raise BadConfiguration(f"{path}: {wrong}") from None
-    _check(path, posting)
-    return posting
+    _check(path, configuration)
+    return configuration
 
 
 def _address(text: str) -> Address:
@@ -91,10 +91,10 @@
     return host, int(port)
 
 
-def _check(path: str, posting: Posting) -> None:
+def _check(path: str, configuration: Configuration) -> None:
     """What no page allows is said at the start, not found out by a broken rule."""
-    facts = posting.facts
-    if posting.stop <= 0:
+    facts = configuration.facts
+    if configuration.stop <= 0:
         raise BadConfiguration(f"{path}: stop_ms is not above 0")
     if not facts.types:
         raise BadConfiguration(f"{path}: no traffic types")
--- a/crowwing/program/main.py
+++ b/crowwing/program/main.py
@@ -54,18 +54,18 @@
 def main(told_early: Sequence[int] = ()) -> int:
     """`told_early`: notices to leave, as the first lines of __main__ hear them until the loop does."""
     try:
-        posting = read(os.environ)
+        configuration = read(os.environ)
         operator = _operator(os.environ)
-        _fleet(operator, posting.name)
+        _fleet(operator, configuration.name)
     except BadConfiguration as wrong:
         print(f"crowwing: {wrong}", file=sys.stderr)
         return 2
-    log = Log(posting.name)
+    log = Log(configuration.name)
     try:
         again = partial(read, os.environ)
-        uvloop.run(_serve(lambda loop: Backend(loop, posting, log, again, operator, told_early)))
+        uvloop.run(_serve(lambda loop: Backend(loop, configuration, log, again, operator, told_early)))
     except OSError as wrong:
-        where = wrong.filename or f"{posting.listen[0]}:{posting.listen[1]}"
+        where = wrong.filename or f"{configuration.listen[0]}:{configuration.listen[1]}"
         print(f"crowwing: {where}: {wrong.strerror}", file=sys.stderr)
         return 1
     return 0
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -15,7 +15,7 @@
 from crowwing.logic import LoadManager, Ticket
 from crowwing.premises import decode
 from crowwing.program.backend import Backend
-from crowwing.program.configuration import Posting
+from crowwing.program.configuration import Configuration
 
 MS = 1000
 
@@ -392,10 +392,16 @@
         self.links: dict[asyncio.Task, asyncio.StreamWriter] = {}  # of the stand-ins, for closing them
         facts, names = decode(self.settings)
         nowhere = ("127.0.0.1", 0)
-        self.posting = Posting("n1", "n1", *[nowhere] * 4, 7, self.stop, self.sockets, facts, names)
+        self.configuration = Configuration(
+            "n1", "n1", *[nowhere] * 4, 7, self.stop, self.sockets, facts, names
+        )
         await self.reopen()
         self.backend = Backend(
-            loop, self.posting, SimpleNamespace(write=self._write), lambda: self.posting, self.operator
+            loop,
+            self.configuration,
+            SimpleNamespace(write=self._write),
+            lambda: self.configuration,
+            self.operator,
         )
         self.life = loop.create_task(self.backend.run())
         await self.until(lambda: self.backend.desk.send.fenced or not self.farm.greet)
@@ -408,7 +414,7 @@
         places = [self.farm.serve, self.below.serve, self.control.serve]
         self.servers = [await asyncio.start_server(self._kept(serve), "127.0.0.1", 0) for serve in places]
         farm, below, control = (server.sockets[0].getsockname() for server in self.servers)
-        self.posting = replace(self.posting, agent=farm, below=below, control=control)
+        self.configuration = replace(self.configuration, agent=farm, below=below, control=control)
 
     def _write(self, what: str, **facts: object) -> None:
         self.lines.append({"event": what, **facts})
