--- a/crowwing/records/events.py
+++ b/crowwing/records/events.py
@@ -10,6 +10,7 @@
     "ready": "the module wants to be listed",
     "unready": "the module wants to be off the list",
     "agent_lost": "the farm agent's link broke",
+    "address_taken": "its address is still held, and it tries for some seconds",
     "agent_silent": "the farm agent answered no sample for too long",
     "agent_resent": "commands were sent again on a new link",
     "agent_refusal": "the farm agent did not carry a command out",
