--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -147,7 +147,7 @@
         granted: Counter[str] = Counter()
 
         def asked_by_all(label: str) -> bool:
-            """A claim whose homes answer too late (a busy machine) gives its grants back: it is asked again."""
+            """A claim whose homes answer too late (a busy machine) is given back: it is asked again."""
             for name in rig.names:
                 granted[label] += claim(name, label) == "ours"
             return granted[label] > 0
