--- a/tests/test_broken_replies.py
+++ b/tests/test_broken_replies.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.rig import SETTINGS, Town, play_in, reply
+from tests.rig import SETTINGS, FarmAgent, Town, play_in, reply
 from tests.test_program import ask_one, ident
 
 
@@ -232,3 +232,35 @@
         town.check()
 
     play_in(Town(), scene)
+
+
+def test_an_agent_that_moves_while_its_link_connects_hears_nothing_at_the_old_address() -> None:
+    async def scene(town: Town) -> None:
+        link, loop = town.backend.desk.send.link, town.backend.loop
+        moved: list[tuple] = []
+
+        class Moving:
+            """The loop as the link sees it: in the moment of a connection the agent has moved."""
+
+            def __getattr__(self, name: str) -> object:
+                return getattr(loop, name)
+
+            async def sock_connect(self, sock: object, address: tuple) -> None:
+                await loop.sock_connect(sock, address)
+                if not moved:
+                    moved.append(address)
+                    link.move(town.servers[0].sockets[0].getsockname())
+
+        silent = FarmAgent()
+        other = await asyncio.start_server(silent.serve, "127.0.0.1", 0)
+        link.loop = Moving()
+        asked = await held(town, 1)
+        link.move(other.sockets[0].getsockname())
+        await town.until(lambda: town.farm.links == 2 and town.backend.desk.send.fenced)
+        assert moved == [other.sockets[0].getsockname()] and silent.writer is None
+        town.farm.go_on(ident(1))
+        assert (await asked)[0] == 200 and town.farm.begun == {ident(1): 1}
+        other.close()
+        town.check()
+
+    play_in(Town(), scene)
