Test that our own first line ignores SIGHUP where no shell does

Need: with the ignoring in __main__ taken out no test was red, since 'run' has the shell ignore it as well. The test now also starts the command as 'make run' does; red without that line, seen.

--- a/tests/street.py
+++ b/tests/street.py
@@ -35,6 +35,8 @@
 class Street:
     """One process of the program; its log lines as they come; the parties around it."""
 
+    run = RUN
+
     def __init__(self, folder: Path, settings: dict = SETTINGS, stop: int = 3000, **changes: object) -> None:
         self.folder, self.settings, self.stop, self.changes = folder, settings, stop, changes
         self.farm = FarmAgent()
@@ -68,7 +70,7 @@
 
     async def exec(self) -> None:
         self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", RUN, cwd=ROOT, env=os.environ | {"PROXY_CONFIG": str(self.path)},
+            "/bin/sh", "-c", self.run, cwd=ROOT, env=os.environ | {"PROXY_CONFIG": str(self.path)},
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE, limit=1 << 20,
         )  # fmt: skip
         self.reading = asyncio.create_task(self._read())
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -11,7 +11,7 @@
 import pytest
 
 from tests.rig import SETTINGS, Sidecar, Town, play_in
-from tests.street import WAIT, Street, live_in, written
+from tests.street import RUN, WAIT, Street, live_in, written
 from tests.test_program import ask_one
 
 TERM, INT, HUP = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
@@ -49,7 +49,8 @@
     live_in(Held(tmp_path), scene)
 
 
-def test_a_sighup_before_the_loop_hears_signals_is_made_good_for(tmp_path: Path) -> None:
+@pytest.mark.parametrize("run", [RUN, RUN.partition("; ")[2]])  # as `make run` starts it, no shell ignores it
+def test_a_sighup_before_the_loop_hears_signals_is_made_good_for(tmp_path: Path, run: str) -> None:
     async def scene(street: Held) -> None:
         street.signal(HUP)
         street.go_on()
@@ -58,7 +59,9 @@
         street.signal()
         await street.ended()
 
-    live_in(Held(tmp_path), scene)
+    street = Held(tmp_path)
+    street.run = run
+    live_in(street, scene)
 
 
 def test_a_sighup_before_a_line_of_ours_has_run_does_not_end_it(tmp_path: Path) -> None:
