Split the stand-ins out of tests/rig.py, and begin a keyed run in one place

Change: tests/parties.py holds the farm agent and the HTTP stand-in; begun() of test_keys.py. No assertion is touched.

--- a/tests/street.py
+++ b/tests/street.py
@@ -11,7 +11,8 @@
 
 import uvloop
 
-from tests.rig import SETTINGS, FarmAgent, HttpStandIn, reply
+from tests.parties import FarmAgent, HttpStandIn, reply
+from tests.rig import SETTINGS
 
 ROOT = Path(__file__).parent.parent
 RUN = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
--- a/tests/test_broken_replies.py
+++ b/tests/test_broken_replies.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.rig import SETTINGS, FarmAgent, Town, play_in, reply
+from tests.parties import FarmAgent, reply
+from tests.rig import SETTINGS, Town, play_in
 from tests.test_program import ask_one, ident
 
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -13,7 +13,8 @@
 from crowwing.routing.repeats import Repeats, work_of
 from crowwing.routing.slip import Slip
 from crowwing.routing.take_in import NoTicket
-from tests.rig import MS, SETTINGS, Sidecar, Town, play_in, reply
+from tests.parties import reply
+from tests.rig import MS, SETTINGS, Sidecar, Town, play_in
 from tests.street import Street, live_in
 from tests.test_program import ask_one, ident
 
@@ -36,15 +37,21 @@
     await town.until(lambda: ident(n) in town.farm.running)
 
 
+async def begun(town: Town, n: int, **changes: object) -> asyncio.Task:
+    """A ticket with a key whose run is on, and stays so until the test ends it."""
+    town.farm.hold = True
+    asked = again(town, n, **changes)
+    await running(town, n)
+    return asked
+
+
 def runs(town: Town) -> int:
     return sum(town.farm.begun.values())
 
 
 def test_a_repeat_of_what_runs_waits_for_its_result_and_one_of_what_was_answered_has_it_at_once() -> None:
     async def scene(town: Town) -> None:
-        town.farm.hold = True
-        first = again(town, 1)
-        await running(town, 1)
+        first = await begun(town, 1)
         second = again(town, 2)
         await town.until(lambda: town.counts["had"] == 2)
         town.farm.go_on(ident(1))
@@ -120,9 +127,7 @@
 
 def test_a_window_that_ends_while_the_run_is_on_starts_no_second_run_beside_it() -> None:
     async def scene(town: Town) -> None:
-        town.farm.hold = True
-        first = again(town, 1)
-        await running(town, 1)
+        first = await begun(town, 1)
         over = town.backend.desk.repeats.ids[ident(1)].until
         await town.until(
             lambda: town.backend.desk.now() > over + 100 * MS and not town.backend.desk.manager.kept
@@ -138,9 +143,7 @@
 
 def test_a_run_that_failed_is_not_run_again_and_one_that_never_was_may_be() -> None:
     async def scene(town: Town) -> None:
-        town.farm.hold = True
-        first = again(town, 1)
-        await running(town, 1)
+        first = await begun(town, 1)
         second = again(town, 2)
         await town.until(lambda: town.counts["had"] == 2)
         town.farm.end(ident(1), "ERROR")
@@ -160,9 +163,7 @@
 
 def test_a_repeat_whose_own_time_is_up_is_answered_while_the_run_goes_on() -> None:
     async def scene(town: Town) -> None:
-        town.farm.hold = True
-        first = again(town, 1)
-        await running(town, 1)
+        first = await begun(town, 1)
         assert (await again(town, 2, left=200))[0] == 500
         town.farm.go_on(ident(1))
         assert (await first)[0] == 200 and runs(town) == 1
@@ -236,9 +237,7 @@
 
 def test_a_caller_that_goes_while_its_repeat_waits_leaves_the_first_alone() -> None:
     async def scene(town: Town) -> None:
-        town.farm.hold = True
-        first = again(town, 1)
-        await running(town, 1)
+        first = await begun(town, 1)
         side = await Sidecar(town).open()
         side.writer.write(Sidecar.ticket(ident(2), X_Txn_Key="k1"))
         await town.until(lambda: town.counts["had"] == 2)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -7,7 +7,8 @@
 from crowwing.contract import Outcome
 from crowwing.protocol import agent, below, control, sidecar
 from crowwing.protocol.reply import Reply, ReplyReader
-from tests.rig import Sidecar, reply
+from tests.parties import reply
+from tests.rig import Sidecar
 
 TICKET = Sidecar.ticket(
     "9b1f03aa5c7e2d41", "look", b"any \r\n\x00 bytes", X_Row="7f3a", X_Ingress_Time="1764576000123"
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,8 @@
 import pytest
 
 from crowwing.program.log import Log
-from tests.rig import SETTINGS, Sidecar, Town, play_in, reply
+from tests.parties import reply
+from tests.rig import SETTINGS, Sidecar, Town, play_in
 
 
 def ident(n: int) -> str:
--- a/tests/test_program_life.py
+++ b/tests/test_program_life.py
@@ -12,7 +12,8 @@
 
 from crowwing.contract import Step
 from crowwing.program.configuration import BadConfiguration
-from tests.rig import SETTINGS, Sidecar, Town, play_in, reply
+from tests.parties import reply
+from tests.rig import SETTINGS, Sidecar, Town, play_in
 from tests.test_program import ask_one, ident
 
 
--- a/tests/test_random_moments.py
+++ b/tests/test_random_moments.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from tests.rig import SETTINGS, Sidecar, reply
+from tests.parties import reply
+from tests.rig import SETTINGS, Sidecar
 from tests.street import WAIT, Street, live_in
 from tests.test_program import ident
 
