Put the fleet's files on shelves and the emulator's into models, wires and fleet

Need: the issue builds cells into crowwing/fleet/ and hollow members into crowwing/emulator/, whose files lay in one folder each. Change: names only, repo-wide: fleet/{membership,state,uses,wires}/, emulator/{models,wires,fleet}/.

--- a/benchmarks/fleet_state.py
+++ b/benchmarks/fleet_state.py
@@ -11,11 +11,11 @@
 import sys
 import time
 
-from crowwing.fleet.catchup import Patience
-from crowwing.fleet.copies import Join, Space
 from crowwing.fleet.member import Manner
-from crowwing.fleet.spread import Pace
-from crowwing.fleet.swim import DEAD, Timing
+from crowwing.fleet.membership.swim import DEAD, Timing
+from crowwing.fleet.state.catchup import Patience
+from crowwing.fleet.state.copies import Join, Space
+from crowwing.fleet.state.spread import Pace
 from crowwing.fleet.world import StateWorld
 
 S = 1_000_000
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -9,7 +9,7 @@
 import argparse
 import statistics
 
-from crowwing.fleet.swim import DEAD, Timing
+from crowwing.fleet.membership.swim import DEAD, Timing
 from crowwing.fleet.world import World
 
 S = 1_000_000
--- a/crowwing/cli/fleet.py
+++ b/crowwing/cli/fleet.py
@@ -14,7 +14,7 @@
 from rich.table import Table
 
 from crowwing.cli.say import failed, wrong_use
-from crowwing.fleet.link import BadFleet, address
+from crowwing.fleet.wires.link import BadFleet, address
 
 app = typer.Typer(no_args_is_help=True, help="A fleet's members and what they keep together.")
 Where = Annotated[str, typer.Argument(help="The fleet socket of a running backend, a.b.c.d:port.")]
@@ -161,7 +161,7 @@
     as_json: AsJson = False,
 ) -> None:
     """Plays a seeded script of faults on real backends, and checks what they promised."""
-    from crowwing.emulator import fleetplay
+    from crowwing.emulator.fleet import play as fleetplay
 
     _played(lambda: fleetplay.Play(out, fleetplay.plan(seed, size, seconds)).run(), out, as_json)
 
@@ -173,7 +173,7 @@
     as_json: AsJson = False,
 ) -> None:
     """Plays the asks and faults of an earlier run once more."""
-    from crowwing.emulator import fleetplay
+    from crowwing.emulator.fleet import play as fleetplay
 
     _played(lambda: fleetplay.replay(folder, out), out, as_json)
 
--- a/crowwing/emulator/clock.py
+++ b/crowwing/emulator/clock.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from crowwing.emulator.sharing import NEVER
+from crowwing.emulator.models.sharing import NEVER
 
 
 def now() -> int:
--- a/crowwing/emulator/fleetplay.py
+++ b/crowwing/emulator/fleet/play.py
@@ -15,8 +15,8 @@
 
 import orjson
 
-from crowwing.emulator import fleetcheck
-from crowwing.emulator.fleetrig import HOST, FleetRig
+from crowwing.emulator.fleet import check as fleetcheck
+from crowwing.emulator.fleet.rig import HOST, FleetRig
 
 FAST = {
     "period_ms": 200, "probe_timeout_ms": 60, "sync_every_ms": 250, "catch_up_most_ms": 3000,
--- a/crowwing/emulator/fleetrig.py
+++ b/crowwing/emulator/fleet/rig.py
@@ -17,8 +17,8 @@
 
 import orjson
 
+from crowwing.emulator.fleet.relay import Relay, script
 from crowwing.emulator.processes import ROOT, _end_with_parent
-from crowwing.emulator.relay import Relay, script
 
 HOST = "127.0.0.1"
 EXAMPLE = ROOT / "deploy" / "example.json"
--- /dev/null
+++ b/crowwing/emulator/models/__init__.py
@@ -0,0 +1,1 @@
+"""What a machine, what lies below, and callers do: pure."""
--- a/crowwing/emulator/dependency.py
+++ b/crowwing/emulator/models/dependency.py
@@ -1,7 +1,7 @@
 """What lies below: slots that all backends share, slower when crowded, dead past its limit. Pure."""
 
+from crowwing.emulator.models.sharing import NEVER, Mean, Sharing, Warming
 from crowwing.emulator.plan import BelowFacts
-from crowwing.emulator.sharing import NEVER, Mean, Sharing, Warming
 
 
 class Dependency:
--- a/crowwing/emulator/machine.py
+++ b/crowwing/emulator/models/machine.py
@@ -10,8 +10,8 @@
 from collections import deque
 from typing import NamedTuple
 
+from crowwing.emulator.models.sharing import NEVER, Mean, Sharing, Warming
 from crowwing.emulator.plan import MachineFacts
-from crowwing.emulator.sharing import NEVER, Mean, Sharing, Warming
 
 BOOKED_AFTER = 100_000  # microseconds after it is written from which a ticket counts against the memory
 
--- a/crowwing/emulator/stage.py
+++ b/crowwing/emulator/stage.py
@@ -13,15 +13,16 @@
 import msgspec
 import orjson
 
-from crowwing.emulator import clock, faults, traffic
-from crowwing.emulator.choice import Sidecar
-from crowwing.emulator.dependency import Dependency
-from crowwing.emulator.node import Node, Work
+from crowwing.emulator import clock, faults
+from crowwing.emulator.models import traffic
+from crowwing.emulator.models.choice import Sidecar
+from crowwing.emulator.models.dependency import Dependency
 from crowwing.emulator.plan import Plan
 from crowwing.emulator.roster import Roster
 from crowwing.emulator.rules import owed
 from crowwing.emulator.truth import Life, Ticket, Truth, Try
-from crowwing.emulator.wires import Pool
+from crowwing.emulator.wires.node import Node, Work
+from crowwing.emulator.wires.sidecars import Pool
 
 READY = 15.0  # seconds in which every backend has to answer a health check
 TICK = 0.02  # seconds between looks at processes, roster and our own lateness
--- /dev/null
+++ b/crowwing/emulator/wires/__init__.py
@@ -0,0 +1,1 @@
+"""The stand-ins on sockets."""
--- a/crowwing/emulator/farm.py
+++ b/crowwing/emulator/wires/farm.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from crowwing.emulator import clock
-from crowwing.emulator.machine import Machine
+from crowwing.emulator.models.machine import Machine
 from crowwing.emulator.truth import Try
 
 KEPT = 4000
--- a/crowwing/emulator/node.py
+++ b/crowwing/emulator/wires/node.py
@@ -7,12 +7,13 @@
 from pathlib import Path
 from typing import Protocol
 
-from crowwing.emulator import clock, farm, peers, processes
-from crowwing.emulator.dependency import Dependency
-from crowwing.emulator.machine import Machine
+from crowwing.emulator import clock, processes
+from crowwing.emulator.models.dependency import Dependency
+from crowwing.emulator.models.machine import Machine
 from crowwing.emulator.plan import Plan
 from crowwing.emulator.roster import Roster
 from crowwing.emulator.truth import Life, Truth, Try
+from crowwing.emulator.wires import farm, peers
 
 BACK_AFTER = 2.0  # seconds to the next life of one that fell over or crashed
 
--- a/crowwing/fleet/member.py
+++ b/crowwing/fleet/member.py
@@ -10,12 +10,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from crowwing.fleet.catchup import CatchUp, Patience
-from crowwing.fleet.copies import Copies, Row, Space
-from crowwing.fleet.labels import Labels
-from crowwing.fleet.loans import Loans
-from crowwing.fleet.spread import Pace, Spread
-from crowwing.fleet.swim import Membership, Message, Timing
+from crowwing.fleet.membership.swim import Membership, Message, Timing
+from crowwing.fleet.state.catchup import CatchUp, Patience
+from crowwing.fleet.state.copies import Copies, Row, Space
+from crowwing.fleet.state.spread import Pace, Spread
+from crowwing.fleet.uses.labels import Labels
+from crowwing.fleet.uses.loans import Loans
 
 # Kinds of message from here on are the state's, of loans, of labels; those under all of them the
 # membership's.
--- /dev/null
+++ b/crowwing/fleet/state/__init__.py
@@ -0,0 +1,1 @@
+"""What the fleet keeps together, how it spreads and who has caught up."""
--- a/crowwing/fleet/copies.py
+++ b/crowwing/fleet/state/copies.py
@@ -29,7 +29,7 @@
 import orjson
 import xxhash
 
-from crowwing.fleet.stamp import Hybrid, Stamp, TooFarAhead
+from crowwing.fleet.state.stamp import Hybrid, Stamp, TooFarAhead
 
 LEAVES, GROUPS = 256, 16
 A_GROUP = LEAVES // GROUPS
--- a/crowwing/fleet/spread.py
+++ b/crowwing/fleet/state/spread.py
@@ -26,7 +26,7 @@
 
 import orjson
 
-from crowwing.fleet.copies import A_GROUP, GROUPS, LEAVES, Copies, Row, Value
+from crowwing.fleet.state.copies import A_GROUP, GROUPS, LEAVES, Copies, Row, Value
 
 Message = dict
 
--- /dev/null
+++ b/crowwing/fleet/uses/__init__.py
@@ -0,0 +1,1 @@
+"""What is made of the state: loans, quotas, labels, lessons, prints."""
--- /dev/null
+++ b/crowwing/fleet/wires/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet on sockets and on disk."""
--- a/crowwing/fleet/asked.py
+++ b/crowwing/fleet/wires/asked.py
@@ -10,13 +10,13 @@
 
 import orjson
 
-from crowwing.fleet.copies import NotKept
-from crowwing.fleet.labels import Claimed
-from crowwing.fleet.spaces import OPERATORS
-from crowwing.fleet.spread import Update
+from crowwing.fleet.state.copies import NotKept
+from crowwing.fleet.state.spaces import OPERATORS
+from crowwing.fleet.state.spread import Update
+from crowwing.fleet.uses.labels import Claimed
 
 if TYPE_CHECKING:
-    from crowwing.fleet.link import Link
+    from crowwing.fleet.wires.link import Link
 
 PAGE_MOST = 6000  # bytes of rows in one answer
 WAIT_MOST = 30_000  # ms
--- a/crowwing/fleet/link.py
+++ b/crowwing/fleet/wires/link.py
@@ -17,13 +17,13 @@
 
 import orjson
 
-from crowwing.fleet import whole
-from crowwing.fleet.asked import Asked
-from crowwing.fleet.catchup import Patience
 from crowwing.fleet.member import Manner, Member
-from crowwing.fleet.spaces import SPACES
-from crowwing.fleet.spread import Pace
-from crowwing.fleet.swim import Timing
+from crowwing.fleet.membership.swim import Timing
+from crowwing.fleet.state.catchup import Patience
+from crowwing.fleet.state.spaces import SPACES
+from crowwing.fleet.state.spread import Pace
+from crowwing.fleet.wires import whole
+from crowwing.fleet.wires.asked import Asked
 
 DATAGRAM_MOST = 8192  # bytes; a larger one is no message of ours
 FETCH_WITHIN = 10.0  # seconds for a whole copy
@@ -119,7 +119,7 @@
         self.server = whole.Server(self.member.spread.missing, self.addresses.__contains__)
         self.disk = None
         if (place := folder(fleet)) is not None:
-            from crowwing.fleet.disk import Disk
+            from crowwing.fleet.wires.disk import Disk
 
             self.disk = Disk(place, me, fleet.snapshot_every_ms / 1000, event)
         self.transport: asyncio.DatagramTransport | None = None
--- a/crowwing/fleet/world.py
+++ b/crowwing/fleet/world.py
@@ -12,9 +12,9 @@
 
 import orjson
 
-from crowwing.fleet.copies import Row, Space
 from crowwing.fleet.member import Manner, Member
-from crowwing.fleet.swim import DEAD, Membership, Timing
+from crowwing.fleet.membership.swim import DEAD, Membership, Timing
+from crowwing.fleet.state.copies import Row, Space
 
 
 class World:
--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -68,7 +68,7 @@
             self.desk.lookout = self._lookout(operator.storm)
         self.fleet = None
         if operator is not None and getattr(operator, "fleet", None):  # UNSET and None alike are off
-            from crowwing.fleet.link import Link  # only where a fleet is switched on
+            from crowwing.fleet.wires.link import Link  # only where a fleet is switched on
 
             self.fleet = Link(
                 loop, operator.fleet, configuration.name, configuration.seed, self.book.event, self.caught_up
--- a/crowwing/program/together.py
+++ b/crowwing/program/together.py
@@ -13,16 +13,16 @@
 from typing import TYPE_CHECKING
 
 from crowwing.contract import Names
-from crowwing.fleet import lesson, quota
-from crowwing.fleet.copies import NotKept
-from crowwing.fleet.loans import wanted
-from crowwing.fleet.turned import Turned
+from crowwing.fleet.state.copies import NotKept
+from crowwing.fleet.uses import lesson, quota
+from crowwing.fleet.uses.loans import wanted
+from crowwing.fleet.uses.turned import Turned
 from crowwing.logic import ENOUGH, LoadManager
 from crowwing.routing.book import Book
 from crowwing.routing.desk import Desk
 
 if TYPE_CHECKING:
-    from crowwing.fleet.link import Link
+    from crowwing.fleet.wires.link import Link
 
 EVERY = 0.25  # seconds between two looks
 MEMORY = 8  # looks over which the use of calls is averaged
--- a/tests/test_emulator_models.py
+++ b/tests/test_emulator_models.py
@@ -5,10 +5,12 @@
 
 import pytest
 
-from crowwing.emulator import credit, faults, rules, traffic
-from crowwing.emulator.choice import Sidecar
-from crowwing.emulator.dependency import Dependency
-from crowwing.emulator.machine import Machine
+from crowwing.emulator import credit, faults, rules
+from crowwing.emulator.models import traffic
+from crowwing.emulator.models.choice import Sidecar
+from crowwing.emulator.models.dependency import Dependency
+from crowwing.emulator.models.machine import Machine
+from crowwing.emulator.models.sharing import NEVER, Mean, Sharing, Warming
 from crowwing.emulator.plan import (
     BelowFacts,
     Fault,
@@ -19,7 +21,6 @@
     TypeFacts,
 )
 from crowwing.emulator.roster import Roster
-from crowwing.emulator.sharing import NEVER, Mean, Sharing, Warming
 from crowwing.emulator.truth import Life, Ticket, Truth, Try
 
 MS, S = 1000, 1_000_000
--- a/tests/test_fleet_copies.py
+++ b/tests/test_fleet_copies.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from crowwing.fleet.copies import VALUE_MOST, Copies, Join, NotKept, Space
-from crowwing.fleet.stamp import Hybrid, TooFarAhead
+from crowwing.fleet.state.copies import VALUE_MOST, Copies, Join, NotKept, Space
+from crowwing.fleet.state.stamp import Hybrid, TooFarAhead
 
 S = 1_000_000
 SPACES = {
--- a/tests/test_fleet_decides.py
+++ b/tests/test_fleet_decides.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from crowwing.fleet import lesson, quota
-from crowwing.fleet.copies import Copies
-from crowwing.fleet.labels import Claimed, Labels, homes
-from crowwing.fleet.loans import Loans, Terms, wanted
-from crowwing.fleet.spaces import SPACES
-from crowwing.fleet.turned import PRINTS, Turned
+from crowwing.fleet.state.copies import Copies
+from crowwing.fleet.state.spaces import SPACES
+from crowwing.fleet.uses import lesson, quota
+from crowwing.fleet.uses.labels import Claimed, Labels, homes
+from crowwing.fleet.uses.loans import Loans, Terms, wanted
+from crowwing.fleet.uses.turned import PRINTS, Turned
 
 S = 1_000_000
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -11,7 +11,7 @@
 import orjson
 import pytest
 
-from crowwing.emulator.fleetrig import FleetRig, free_port
+from crowwing.emulator.fleet.rig import FleetRig, free_port
 from crowwing.emulator.processes import ROOT
 
 FAST = {"period_ms": 200, "probe_timeout_ms": 60}
--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -13,8 +13,9 @@
 import orjson
 import pytest
 
-from crowwing.emulator import fleetcheck, fleetplay
-from crowwing.emulator.fleetrig import FleetRig
+from crowwing.emulator.fleet import check as fleetcheck
+from crowwing.emulator.fleet import play as fleetplay
+from crowwing.emulator.fleet.rig import FleetRig
 from crowwing.emulator.processes import ROOT
 from crowwing.memory import snapshot
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from crowwing.fleet.catchup import CatchUp, Patience
-from crowwing.fleet.copies import Join, Space
 from crowwing.fleet.member import Manner, Member
-from crowwing.fleet.spread import Pace, Update
-from crowwing.fleet.swim import Timing
+from crowwing.fleet.membership.swim import Timing
+from crowwing.fleet.state.catchup import CatchUp, Patience
+from crowwing.fleet.state.copies import Join, Space
+from crowwing.fleet.state.spread import Pace, Update
 from crowwing.fleet.world import StateWorld
 
 S = 1_000_000
--- a/tests/test_fleet_swim.py
+++ b/tests/test_fleet_swim.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from crowwing.fleet.swim import ALIVE, DEAD, LEFT, SUSPECT, Membership, Timing
+from crowwing.fleet.membership.swim import ALIVE, DEAD, LEFT, SUSPECT, Membership, Timing
 from crowwing.fleet.world import World
 
 S = 1_000_000
