--- a/crowwing/program/main.py
+++ b/crowwing/program/main.py
@@ -36,7 +36,7 @@
     written: one line, before anything."""
     if operator is None or not getattr(operator, "fleet", None):  # UNSET and None alike are off
         return
-    from crowwing.fleet.wires.link import BadFleet, folder, peers  # only where a fleet is switched on
+    from crowwing.fleet.wires.settings import BadFleet, folder, peers  # only where a fleet is switched on
 
     try:
         peers(operator.fleet, me)
