Let settings name regions and zones, and refuse what a fleet's size does not carry

Change: fleet.region, fleet.zone, fleet.cell_most (8 to 128, default 64), peers' region and zone; `places` and `check_size` in fleet/wires/settings.py, called by program/main.py before anything is opened. Bounds: `use` and `turned` are counted against seven eighths of their space, where puts are refused; 1,000 lenders in a flat fleet since a socket's usual buffer held 256 answers (measured, 70 to 150 bytes) and a start has eight rounds to hear all. The operator file's bound goes from 256 kB to 1,024 kB: 5,200 members take 500 kB, 781 kB with each field on a line.

--- a/crowwing/fleet/wires/settings.py
+++ b/crowwing/fleet/wires/settings.py
@@ -4,13 +4,25 @@
 """
 
 import ipaddress
+from collections import Counter
 from pathlib import Path
 from types import SimpleNamespace
 
 from crowwing.fleet.member import Manner
 from crowwing.fleet.membership.swim import Timing
 from crowwing.fleet.state.catchup import Patience
+from crowwing.fleet.state.copies import ROOM
+from crowwing.fleet.state.spaces import SPACES
 from crowwing.fleet.state.spread import Pace
+from crowwing.fleet.uses import quota, turned
+
+Place = tuple[str, str]  # region, zone
+
+PLACE_MOST = 40  # bytes of a region's or zone's name: a cell is named after both, in keys of 160
+# Members of a flat fleet that may lend each other calls: whoever starts asks all others, eight times in two
+# seconds, until they have answered. The usual buffer of a socket holds 256 answers, so in the worst case, all
+# of a round at once, 1,000 need four of the eight rounds; 2,000 would need all of them.
+LENDERS_MOST = 1000
 
 
 class BadFleet(ValueError):
@@ -47,6 +59,56 @@
     return found
 
 
+def places(fleet: SimpleNamespace, me: str) -> dict[str, Place] | None:
+    """Where each member stands, this one among them; None where none is named: the fleet is flat. BadFleet
+    where some are named and others are not, or a name cannot be one."""
+    told = [("$.fleet", me, fleet.region or None, fleet.zone or None)]
+    for number, peer in enumerate(fleet.peers):
+        told.append((f"$.fleet.peers[{number}]", peer["name"], peer.get("region"), peer.get("zone")))
+    if not any(region or zone for _, _, region, zone in told):
+        return None
+    found, alike = {}, {}  # one tuple a place, not one a member
+    for path, name, region, zone in told:
+        _check_place(f"{path}.region", region)
+        _check_place(f"{path}.zone", zone)
+        found[name] = alike.setdefault((region, zone), (region, zone))
+    return found
+
+
+def _check_place(path: str, name: str | None) -> None:
+    if not name or name.isspace():
+        how = "missing" if name is None else "empty"
+        raise BadFleet(f"{path}: is {how}; name region and zone for every member or for none")
+    if "/" in name:
+        raise BadFleet(f"{path}: {name!r} has a slash, which stands between the parts of a cell's name")
+    if len(name.encode()) > PLACE_MOST:
+        raise BadFleet(f"{path}: is over {PLACE_MOST} bytes")
+
+
+def check_size(fleet: SimpleNamespace, me: str, customers: int) -> None:
+    """BadFleet where something is switched on that a fleet of this size does not carry. The same on every
+    member: in cells the largest one counts that settings allow, not this member's own."""
+    size, mend = len(fleet.peers) + 1, "name region and zone for every member: cells keep it apart"
+    if (at := places(fleet, me)) is None:
+        if fleet.lends_calls and size > LENDERS_MOST:
+            over = f"$.fleet.lends_calls: {size} members, of {LENDERS_MOST} at most"
+            raise BadFleet(f"{over}; {mend}, or leave it off")
+    else:
+        size, mend = min(fleet.cell_most, max(Counter(at.values()).values())), "lower cell_most"
+    if fleet.shares_quota:
+        counted = f"{customers} customers x {size} members x {quota.WINDOWS + 2} windows"
+        _check_room("use", customers * size * (quota.WINDOWS + 2), "$.fleet.shares_quota", counted, mend)
+    if fleet.shares_prints:
+        counted = f"{size} members x {turned.RING} places"
+        _check_room("turned", size * turned.RING, "$.fleet.shares_prints", counted, mend)
+
+
+def _check_room(space: str, entries: int, path: str, counted: str, mend: str) -> None:
+    """What is put is refused from `ROOM` of a space on."""
+    if entries > (room := int(SPACES[space].most * ROOM)):
+        raise BadFleet(f"{path}: {counted} are over {room} entries; {mend}, or leave it off")
+
+
 def timing(fleet: SimpleNamespace) -> Timing:
     return Timing(
         period=fleet.period_ms * 1000, probe_timeout=fleet.probe_timeout_ms * 1000, indirect=fleet.indirect,
--- a/crowwing/program/main.py
+++ b/crowwing/program/main.py
@@ -10,7 +10,7 @@
 import uvloop
 
 from crowwing.program.backend import Backend
-from crowwing.program.configuration import BadConfiguration, read
+from crowwing.program.configuration import BadConfiguration, Configuration, read
 from crowwing.program.log import Log
 
 if TYPE_CHECKING:
@@ -31,15 +31,17 @@
         raise BadConfiguration(f"{first} (and {len(more)} more)" if more else first) from None
 
 
-def _fleet(operator: "SimpleNamespace | None", me: str) -> None:
+def _fleet(operator: "SimpleNamespace | None", configuration: Configuration) -> None:
     """Peers naming this backend, an address that is no IPv4, timings that disagree, a folder that cannot be
-    written: one line, before anything."""
+    written, regions named for some, a use that this size does not carry: one line, before anything."""
     if operator is None or not getattr(operator, "fleet", None):  # UNSET and None alike are off
         return
-    from crowwing.fleet.wires.settings import BadFleet, folder, peers  # only where a fleet is switched on
+    # only where a fleet is switched on
+    from crowwing.fleet.wires.settings import BadFleet, check_size, folder, peers
 
     try:
-        peers(operator.fleet, me)
+        peers(operator.fleet, configuration.name)
+        check_size(operator.fleet, configuration.name, len(configuration.names.customers))
         folder(operator.fleet)
         if operator.fleet.shares_prints and operator.storm is None:
             raise BadFleet("$.fleet.shares_prints: there is no storm section whose prints could be shared")
@@ -56,7 +58,7 @@
     try:
         configuration = read(os.environ)
         operator = _operator(os.environ)
-        _fleet(operator, configuration.name)
+        _fleet(operator, configuration)
     except BadConfiguration as wrong:
         print(f"crowwing: {wrong}", file=sys.stderr)
         return 2
--- a/crowwing/settings/operator.py
+++ b/crowwing/settings/operator.py
@@ -54,6 +54,8 @@
 
     name: Annotated[str, Meta(min_length=1, description="Its name, as the platform gives it (PROXY_NAME).")]
     address: Annotated[str, Meta(min_length=1, description="Its fleet socket, `a.b.c.d:port`, IPv4.")]
+    region: Annotated[str, Meta(description="Where it stands; all members name theirs, or none does.")] = ""
+    zone: Annotated[str, Meta(description="Its failure domain within the region; with `region`.")] = ""
 
 
 class Fleet(Section):
@@ -61,6 +63,13 @@
 
     listen: Annotated[str, Meta(min_length=1, description="This backend's UDP socket, `a.b.c.d:port`, IPv4.")]
     peers: Annotated[tuple[Peer, ...], Meta(min_length=1, description="Every other member, by name.")]
+    region: Annotated[
+        str, Meta(description="Where this backend stands; named for all members: the fleet runs in cells.")
+    ] = ""
+    zone: Annotated[str, Meta(description="Its failure domain within the region; with `region`.")] = ""
+    cell_most: Annotated[
+        int, Meta(ge=8, le=128, description="Members of a cell at most; the same on every member.")
+    ] = 64
     period_ms: Annotated[int, Meta(ge=20, le=60_000, description="One probe a period (SWIM).")] = 1000
     probe_timeout_ms: Annotated[
         int,
--- a/crowwing/settings/plain.py
+++ b/crowwing/settings/plain.py
@@ -13,7 +13,9 @@
 import orjson
 
 SCHEMA = Path(__file__).with_name("operator.schema.json")
-SIZE_MOST = 1 << 18  # bytes; guards against a log or a dump named by mistake, read whole at every start
+# Bytes. Guards against a log or a dump named by mistake, read whole at every start. 5,200 members named with
+# address, region and zone are 0.5 MB, 0.8 MB where each field has its line (docs/measurements/operator.md).
+SIZE_MOST = 1 << 20
 KINDS = {
     "integer": int,
     "number": (int, float),
