Look for the fleet's events on its shelves too

Need: tests/test_emulate.py's table of events was red since the fleet's files moved onto shelves: it looked in one folder only. Change: rglob where glob was; what the check compares is as before, and now whole again. Result: red before (snapshot_read and three others missing), green with it.

--- a/tests/test_emulate.py
+++ b/tests/test_emulate.py
@@ -179,7 +179,7 @@
 
 def test_the_table_of_events_is_that_of_the_code_and_of_the_on_call_page() -> None:
     sources = [*(ROOT / "crowwing" / "program").glob("*.py"), *(ROOT / "crowwing" / "routing").glob("*.py")]
-    sources += (ROOT / "crowwing" / "fleet").glob("*.py")
+    sources += (ROOT / "crowwing" / "fleet").rglob("*.py")  # on its shelves too
     text = "\n".join(path.read_text() for path in sources)
     named = set(re.findall(r'(?:\.event|\.write|\.events\.append)\(+\s*"(\w+)"', text))
     named |= {
