Bound what a member that catches up asks of all, not of each

Cause: CatchUp.fetch bounded each member by `again` and two at once, never the sum: with N peers that do not answer, the next was asked as soon as one had refused, and each ended fetch looked through all members several times (fetch, wake_at). Change: a fetch that failed makes all further ones wait, twice as long each time up to 16 times `again`, until one succeeds; those that never failed come first. A member alone by its settings has nobody to ask and is ready.

--- a/crowwing/fleet/state/catchup.py
+++ b/crowwing/fleet/state/catchup.py
@@ -9,8 +9,13 @@
 Catching up begins with a start, and with a return: this member was out of reach of a majority and now hears
 from members that never were. Where no member was whole (a cut into three, all restarted at once), nobody is
 behind anybody, and nobody leaves the list: guards against a fleet that heals and is gone for that.
+
+A fetch that fails makes all further ones wait, longer each time, until one succeeds: what a member asks of a
+fleet that does not answer is bounded for the member, whatever the fleet's size. Guards against a backend
+restarted behind a cut, which spent a whole core on connections refused by a thousand members in turn.
 """
 
+import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -20,7 +25,8 @@
     """Times in µs."""
 
     most: int = 5_000_000  # not ready for longer than this, caught up or not
-    again: int = 500_000  # a fetch that failed is tried again after
+    again: int = 500_000  # after a fetch that failed, the next; twice as long after each further one
+    again_most: int = 16  # times `again` at most
     away: int = 3_000_000  # out of reach of a majority for this long counts as away
     at_once: int = 2  # fetches that are out together
 
@@ -28,15 +34,20 @@
 class CatchUp:
     """One member's; feed it what is reached, fetched and said, and ask `fetch` at every turn."""
 
-    def __init__(self, size: int, now: int, patience: Patience) -> None:
+    def __init__(self, size: int, now: int, patience: Patience, keepers: int | None = None) -> None:
+        """`size` members, this one too; `keepers` of them, all where none are told, hold what is
+        acknowledged. `fetch` is only to be told of those.
+        """
         self.patience = patience
-        self.others = (size + 1) // 2  # to fetch from
+        keepers = size if keepers is None else keepers
+        self.others = 0 if size == 1 else (keepers + 1) // 2  # to fetch from
         self.near = size // 2  # with this member, a majority of all
         self.began: int | None = now  # of catching up; None: caught up
         self.waited = False  # long enough for this catching up: ready, though behind
         self.met: set[str] = set()  # fetched from since then; emptied by the next catching up
         self.out: dict[str, int] = {}  # fetches that are out -> when they began; emptied by their ends
-        self.not_before: dict[str, int] = {}  # one entry a member
+        self.failed: dict[str, int] = {}  # when it last failed; emptied by the next catching up
+        self.pause, self.paused_until = patience.again, now  # after the next failure; from the last one
         self.alone_since: int | None = None  # out of reach of a majority; None: in reach
         self.back_since: int | None = None  # in reach again after having been away, and no whole member met
         self.was_away = False
@@ -44,6 +55,9 @@
         self.took: list[
             tuple[int, bool]
         ] = []  # of the last few: how long not ready, and whether it then was whole
+        if not self.others:  # alone by its settings: nobody holds what it lacks
+            self._note(now, whole=True)
+            self.began = None
 
     @property
     def ready(self) -> bool:
@@ -74,13 +88,14 @@
 
     def heard_whole(self, now: int) -> None:
         """A member that is whole spoke to us."""
-        if self.was_away and self.alone_since is None and self.began is None:
+        if self.was_away and self.alone_since is None and self.began is None and self.others:
             self._begin(now)
 
     def _begin(self, now: int) -> None:
         self.began, self.waited = now, False
         self.met.clear()
-        self.not_before.clear()
+        self.failed.clear()
+        self.pause, self.paused_until = self.patience.again, now
 
     def fetch(self, now: int, alive: Iterable[str]) -> list[str]:
         """Whom to fetch from now; also ends the waiting that has had its time."""
@@ -90,21 +105,25 @@
             self.waited = True
             self._note(now, whole=False)
         free = self.patience.at_once - len(self.out)
-        names = [
-            name
-            for name in alive
-            if name not in self.met and name not in self.out and now >= self.not_before.get(name, now)
-        ]
-        for name in names[: max(0, free)]:
+        if free <= 0 or now < self.paused_until:
+            return []
+        able = [name for name in alive if name not in self.met and name not in self.out]
+        # Those that never failed in the order told, then the ones whose failure lies furthest back.
+        names = heapq.nsmallest(free, able, key=lambda name: self.failed.get(name, -1))
+        for name in names:
             self.out[name] = now
-        return names[: max(0, free)]
+        return names
 
     def fetched(self, now: int, name: str, good: bool) -> None:
         """A fetch ended. What was begun before this catching up says nothing of it."""
         began = self.out.pop(name, None)
         if not good:
-            self.not_before[name] = now + self.patience.again
-        elif self.began is not None and began is not None and began >= self.began:
+            self.failed[name] = now
+            self.paused_until = max(self.paused_until, now + self.pause)
+            self.pause = min(2 * self.pause, self.patience.again_most * self.patience.again)
+            return
+        self.pause = self.patience.again
+        if self.began is not None and began is not None and began >= self.began:
             self.met.add(name)
             if len(self.met) >= self.others:
                 if not self.waited:
@@ -119,5 +138,7 @@
         """The next moment at which `fetch` may have something to say."""
         if self.began is None:
             return None
-        later = [at for at in self.not_before.values() if at > now]
-        return min([self.began + self.patience.most, *later]) if not self.waited else min(later, default=None)
+        moments = [] if self.waited else [self.began + self.patience.most]
+        if len(self.out) < self.patience.at_once and self.paused_until > now:
+            moments.append(self.paused_until)
+        return min(moments, default=None)
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -197,6 +197,47 @@
     assert decider.ready and decider.whole
 
 
+@pytest.mark.parametrize("peers", [4, 100, 1000])
+def test_attempts_are_bounded_for_the_member_whatever_the_fleets_size(peers: int) -> None:
+    """Nobody answers: what is asked in a minute is the same, and what each turn costs hardly grows."""
+    patience, names = Patience(), [f"m{n}" for n in range(peers)]
+    decider, now, attempts = CatchUp(peers + 1, 0, patience), 0, []
+    while now < 60 * S:
+        asked = decider.fetch(now, names)
+        attempts += [(now, name) for name in asked]
+        for name in asked:
+            decider.fetched(now + 500, name, False)  # refused at once
+        now = max(now + 1000, decider.wake_at(now) or now + 60 * S)
+    assert decider.ready and not decider.whole, "it serves meanwhile"
+    assert 10 <= len(attempts) <= 2 * (5 + 60 / 8), f"{len(attempts)} attempts"
+    assert len({name for _, name in attempts}) == min(peers, len(attempts)), "others get their turn"
+    gaps = [b - a for (a, _), (b, _) in zip(attempts, attempts[2:], strict=False)]
+    assert min(gaps) >= patience.again and max(gaps) <= 16 * patience.again + 2000
+
+
+def test_a_fetch_that_succeeds_ends_the_waiting_after_failures() -> None:
+    decider = CatchUp(9, 0, Patience(most=60 * S, again=S, away=S))
+    names, now = list("abcdefgh"), 0
+    for _ in range(4):
+        for name in decider.fetch(now, names):
+            decider.fetched(now, name, False)
+        now = decider.paused_until
+    first, second = decider.fetch(now, names)
+    decider.fetched(now, first, True)
+    decider.fetched(now, second, False)
+    assert decider.fetch(now + S - 1, names) == [], "one failure waits as the first did"
+    for _ in range(2):
+        now += S
+        for name in decider.fetch(now, names):
+            decider.fetched(now, name, True)
+    assert decider.ready and decider.whole
+
+
+def test_one_named_alone_has_nothing_to_wait_for() -> None:
+    decider = CatchUp(1, 0, Patience())
+    assert decider.ready and decider.whole and decider.fetch(0, []) == []
+
+
 class Fleet(RuleBasedStateMachine):
     """Five members under any order of puts, cuts, kills with and without disk, loss and pauses. A member
     without its memory is given time to catch up before another loses its own: that is what an
