--- /dev/null
+++ b/crowwing/fleet/membership/reach.py
@@ -0,0 +1,150 @@
+"""Which other cells are in reach, as the speakers of one cell see it. Pure.
+
+SWIM once more, its members being cells (swim.py; the idea of a second tier: Consul's WAN pool, Serf). A cell
+is whoever of its members is asked: each of them answers for it and refutes its death, so a cell is out of
+reach only if nobody of it answers, and a killed speaker is one probe lost. Only speakers probe. A cell's
+incarnation is the highest that any of its members has told; two that raise it alike, or a speaker that has
+none yet, do no harm.
+
+Changed against swim.py's use among members: a death heard of is only a suspicion (one deaf speaker would else
+bury every cell for all), a probe that goes unanswered is sent once more to another of the cell, and whoever
+refutes its death to one that answered it says so at once, so that after a cut both sides know each other by
+three messages.
+
+Which member speaks for another cell is learned by hearing from it; until then, and after silence, those of
+the roster in turn. Every table here holds at most one entry a cell, or one a probe carried for others, which
+ends by itself.
+"""
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+from crowwing.fleet.membership.cells import Layout
+from crowwing.fleet.membership.swim import ALIVE, DEAD, GONE, Kind, Membership, Message, Timing
+
+Told = (
+    list  # of a cell by its speakers: [alive, of how many, since when (Unix ms), digest of what is for all]
+)
+
+
+def among_cells(timing: Timing) -> Timing:
+    """The pace among cells: as among members, but more news on a message (a whole region may be cut off at
+    once) and those held dead probed sooner."""
+    return replace(timing, news_most=24, revive_every=max(1, timing.revive_every // 2), hearsay=False)
+
+
+class Reach:
+    """One member's part; `turn` at `wake_at` or sooner, with whether it speaks now."""
+
+    def __init__(self, me: str, layout: Layout, now: int, chance: random.Random, timing: Timing) -> None:
+        self.me, self.layout, self.chance = me, layout, chance
+        self.cell = layout.cell_of[me]
+        others = [cell for cell in layout.rosters if cell != self.cell]
+        self.swim = Membership(self.cell, others, now, chance, among_cells(timing))
+        # Guards against taking another speaker's answer for one of ours: both speak for the same cell.
+        self.swim.seq = chance.randrange(1 << 30)
+        self.speaks = False
+        self.contacts: dict[str, str] = {}  # who spoke last for a cell
+        self.silent: Counter[str] = Counter()  # how many of its roster in turn did not answer
+        self.askers: dict[tuple[str, int], str] = {}  # of probes carried for others; emptied by ack or nack
+        self.told: dict[str, Told] = {}  # what each cell says of itself
+        self.outbox: list[tuple[str, Message]] = []
+
+    def out(self) -> frozenset[str]:
+        """The cells out of reach, as this member sees it while it speaks."""
+        return frozenset(cell for cell, seen in self.swim.members.items() if seen.state in GONE)
+
+    def within(self, count: int) -> list[str]:
+        """Members of so many other cells in reach, drawn by chance: one that speaks for each."""
+        cells = self.swim.alive()
+        return [self._contact(cell) for cell in self.chance.sample(cells, min(count, len(cells)))]
+
+    def wake_at(self) -> int | None:
+        if self.speaks:
+            return self.swim.wake_at()
+        return min((until for _, _, until in self.swim.relayed.values()), default=None)
+
+    # Time
+
+    def turn(self, now: int, speaks: bool, out: frozenset[str], row: Told | None = None) -> None:
+        """`out`: what this cell's speakers have said so far, which one that begins to speak starts from;
+        `row`: what to say of our cell."""
+        if speaks and not self.speaks:
+            self._begin(now, out)
+        elif self.speaks and not speaks:
+            self.swim.probe = None
+        self.speaks = speaks
+        if speaks:
+            probe = self.swim.probe
+            direct = probe is not None and probe.helpers is None
+            self.swim.turn(now)
+            if probe is not None and self.swim.probe is not probe:
+                self._unanswered(probe.target)
+            elif direct and probe.helpers is not None:
+                self._unanswered(probe.target)
+                self.swim.ping(probe.target, probe.seq)  # to another of that cell
+        else:
+            self.swim.end_relays(now)
+        self._carry(row)
+
+    def _begin(self, now: int, out: frozenset[str]) -> None:
+        """What was believed while others spoke was heard in passing: not what the cells now are."""
+        swim = self.swim
+        for cell, seen in swim.members.items():
+            seen.state, seen.since = (DEAD if cell in out else ALIVE), now
+            seen.origins.clear()
+        swim.probe, swim.looked = None, now
+        swim.period_at = now - self.chance.randrange(swim.timing.period)  # speakers do not probe in step
+        swim.rumours.clear()
+        swim.round.clear()
+
+    def _contact(self, cell: str) -> str:
+        roster = self.layout.rosters[cell]
+        return self.contacts.get(cell) or roster[self.silent[cell] % len(roster)]
+
+    def _unanswered(self, cell: str) -> None:
+        self.contacts.pop(cell, None)
+        self.silent[cell] += 1
+
+    # Messages
+
+    def heard(self, now: int, message: Message, row: Told | None = None) -> None:
+        """KeyError, TypeError or ValueError for what is no message of another cell; it changes nothing."""
+        sender = message["from"]
+        cell, kind = self.layout.cell_of[sender], Kind(message["k"])
+        if cell == self.cell:
+            raise ValueError(f"{sender}: is of our own cell")
+        row_told = message.get("row")
+        if row_told is not None:
+            alive, of, since, digest = row_told
+            row_told = [int(alive), int(of), int(since), str(digest)[:16]]
+        before = self.swim.incarnation
+        self.swim.heard(now, message | {"from": cell})
+        self.contacts[cell] = sender
+        self.silent.pop(cell, None)
+        if row_told is not None:
+            self.told[cell] = row_told
+        if kind == Kind.PING_REQ:
+            self.askers[(cell, message["seq"])] = sender
+        elif kind == Kind.ACK and self.swim.incarnation > before:
+            self.swim.ping(cell)
+        self._carry(row, sender)
+
+    def _carry(self, row: Told | None, sender: str | None = None) -> None:
+        """From cells to members: an answer to who asked, the rest to who speaks for the cell."""
+        for cell, message in self.swim.outbox:
+            to = None
+            if message["k"] in (Kind.ACK, Kind.NACK):
+                to = self.askers.pop((cell, message["seq"]), None)
+            if to is None and sender is not None and self.layout.cell_of[sender] == cell:
+                to = sender
+            told = message | {"from": self.me, "cell": 1}
+            if row is not None:
+                told["row"] = row
+            self.outbox.append((to or self._contact(cell), told))
+        self.swim.outbox.clear()
+        self.swim.changes.clear()
+        if not self.speaks:  # rumours are the speakers' work; but a refutation is anyone's
+            own = self.swim.rumours.get(self.cell)
+            self.swim.rumours = {} if own is None else {self.cell: own}
--- a/crowwing/fleet/membership/swim.py
+++ b/crowwing/fleet/membership/swim.py
@@ -83,6 +83,7 @@
     retransmit: float = 3.0  # a rumour goes out this many times log10 of the fleet, at least once
     news_most: int = 8  # rumours on one message; bounds a datagram
     revive_every: int = 8  # periods between probes of a member held dead
+    hearsay: bool = True  # a death is believed as told; else as a suspicion that one's own probes may lift
 
 
 class Membership:
@@ -146,10 +147,7 @@
             for member in self.members.values():
                 member.since = now if member.state == SUSPECT else member.since
         self.looked = now
-        for seq, (asker, its_seq, until) in list(self.relayed.items()):
-            if now >= until:
-                del self.relayed[seq]
-                self._send(asker, Kind.NACK, seq=its_seq)
+        self.end_relays(now)
         for member in list(self.members.values()):
             if member.state == SUSPECT and now >= member.since + self._suspicion(member):
                 self._become(member, DEAD, member.incarnation, self.me, now)
@@ -163,6 +161,13 @@
         if now >= self.period_at + self.scaled(timing.period):
             self._end_period(now)
 
+    def end_relays(self, now: int) -> None:
+        """Whoever asked us to probe hears that it went unanswered."""
+        for seq, (asker, its_seq, until) in list(self.relayed.items()):
+            if now >= until:
+                del self.relayed[seq]
+                self._send(asker, Kind.NACK, seq=its_seq)
+
     def _end_period(self, now: int) -> None:
         if self.probe is not None:  # no ack within the period: suspected, and our own health is less sure
             target = self.members[self.probe.target]
@@ -221,8 +226,13 @@
         self.leaving = True
         self._rumour(self.me, LEFT, self.incarnation, self.me)
         for name in self.alive():
+            self.ping(name)
+
+    def ping(self, name: str, seq: int | None = None) -> None:
+        """Beside the probes of the periods; with `seq`, as another of the probe that has it."""
+        if seq is None:
             self.seq += 1
-            self._send(name, Kind.PING, seq=self.seq)
+        self._send(name, Kind.PING, seq=self.seq if seq is None else seq)
 
     def _acked(self, sender: str, seq: int) -> None:
         if seq in self.relayed:
@@ -251,6 +261,8 @@
         member = self.members.get(name)
         if member is None:
             return
+        if state == DEAD and member.state not in GONE and not self.timing.hearsay:
+            state = SUSPECT
         if incarnation > member.incarnation or (
             incarnation == member.incarnation and RANK[state] > RANK[member.state]
         ):
--- a/crowwing/fleet/state/copies.py
+++ b/crowwing/fleet/state/copies.py
@@ -46,11 +46,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Space:
-    """What one kind of state may take: entries, and the longest life of one, µs."""
+    """What one kind of state may take: entries, and the longest life of one, µs. `wide`: for all members,
+    where a fleet is in cells; else for those of a cell."""
 
     join: Join
     most: int
     longest: int
+    wide: bool = False
 
 
 class Entry(NamedTuple):
@@ -76,8 +78,11 @@
     """One member's copy. `turn` runs entries out; `changes` counts what was taken, for whoever writes it
     down."""
 
-    def __init__(self, me: str, spaces: dict[str, Space], drift_most: int) -> None:
-        self.me, self.spaces, self.clock = me, spaces, Hybrid(me, drift_most)
+    def __init__(
+        self, me: str, spaces: dict[str, Space], drift_most: int, clock: Hybrid | None = None
+    ) -> None:
+        """`clock`: shared with this member's other copy, where it has two."""
+        self.me, self.spaces, self.clock = me, spaces, clock or Hybrid(me, drift_most)
         self.entries: dict[str, Entry] = {}  # emptied by each entry's `until`, bounded by each space's `most`
         self.held: Counter[str] = Counter()  # entries by space
         self.leaves = [0] * LEAVES
@@ -85,7 +90,8 @@
         self.ends: dict[str, list[tuple[int, str]]] = {
             name: [] for name in spaces
         }  # heaps; stale ones lazily
-        self.changes = 0
+        self.changes = self.version = 0  # what was taken; any change, running out too
+        self.summed: tuple[int, int] = (-1, 0)  # the root, and of which version it is
         self.refused: Counter[str] = Counter()
 
     # Looking
@@ -99,6 +105,11 @@
         return ((key, entry) for key, entry in self.entries.items() if key.startswith(prefix))
 
     def root(self) -> int:
+        if self.summed[0] != self.version:
+            self.summed = self.version, self._root()
+        return self.summed[1]
+
+    def _root(self) -> int:
         return xxhash.xxh64_intdigest(b"".join(leaf.to_bytes(8, "little") for leaf in self.leaves))
 
     def groups(self) -> list[int]:
@@ -250,6 +261,7 @@
 
     def _add(self, key: str, entry: Entry) -> None:
         leaf = leaf_of(key)
+        self.version += 1
         self.entries[key] = entry
         self.keys.setdefault(leaf, set()).add(key)
         self.leaves[leaf] ^= self._hash(key, entry)
@@ -257,6 +269,7 @@
 
     def _drop(self, key: str) -> None:
         leaf, entry = leaf_of(key), self.entries.pop(key)
+        self.version += 1
         self.keys[leaf].discard(key)
         if not self.keys[leaf]:
             del self.keys[leaf]
--- a/crowwing/fleet/state/spread.py
+++ b/crowwing/fleet/state/spread.py
@@ -14,13 +14,19 @@
   among them) has said that it holds it, or `wait` is over: then it is kept and spreads, and its caller is
   told how many hold it.
 
+Where a fleet is in cells, its members have less to say to more of them (`Reached`): what is news goes at once
+to `fan` members drawn by chance and, from a speaker of a state that is for all, to one member each of some
+other cells (rumours pushed and dropped: Eugster, Guerraoui, Kermarrec, Massoulié, "Epidemic Information
+Dissemination in Distributed Systems", Computer 2004); it rides less; copies are compared by one sum first;
+and a few keepers by rule hold what is acknowledged, not a majority of all.
+
 Times in µs and chance are handed in: `now` only goes forward and times what is waited for, `wall` goes into
 stamps. What is to be sent gathers in `outbox` as (member, message).
 """
 
 import math
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -49,6 +55,18 @@
     retransmit: float = 3.0  # a change rides this many times log10 of the fleet
     far_leaves: int = 3 * LEAVES // 4  # this many leaves differ, and
     far_entries: int = 400  # so many entries there: fetched as a whole
+    fan: int = 4  # in cells: members of the cell that are given news at once
+    cells_at_once: int = 3  # in cells: other cells that a speaker gives news at once
+    rides_in_cells: int = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Reached:
+    """In a fleet in cells: whose word counts, and who is told."""
+
+    keepers: frozenset[str]  # of this member's cell, perhaps this one too
+    known: Container[str]  # from whom messages of this state are taken
+    beyond: Callable[[int], list[str]] | None = None  # a speaker's: members of so many other cells; else none
 
 
 @dataclass(slots=True)
@@ -66,12 +84,20 @@
     """One member's part; `heard` for each message of its kinds, `turn` at `wake_at` or sooner."""
 
     def __init__(
-        self, me: str, peers: Sequence[str], copies: Copies, now: int, chance: random.Random, pace: Pace
-    ) -> None:
-        self.me, self.peers, self.copies, self.chance, self.pace = me, list(peers), copies, chance, pace
-        self.majority = (len(self.peers) + 1) // 2 + 1  # of all members that settings name, this one too
+        self, me: str, peers: Sequence[str], copies: Copies, now: int, chance: random.Random, pace: Pace,
+        reached: Reached | None = None,
+    ) -> None:  # fmt: skip
+        """`peers`: all other members, or those of the cell where `reached` is told."""
+        self.me, self.copies, self.chance, self.pace, self.reached = me, copies, chance, pace, reached
+        self.peers = frozenset(peers)
+        self.known: Container[str] = self.peers if reached is None else reached.known
+        self.keepers = frozenset((me, *peers)) if reached is None else reached.keepers
+        self.majority = len(self.keepers) // 2 + 1  # of all that keep what is acknowledged, this one too
+        self.fresh: dict[str, None] = {}  # keys whose news is to go out at once; emptied by each turn
         self.hot: dict[str, int] = {}  # a key that changed -> times sent; emptied as sent often enough
         self.rides = max(1, math.ceil(pace.retransmit * math.log10(len(self.peers) + 2)))
+        if reached is not None:
+            self.rides = pace.rides_in_cells
         self.updates: dict[int, Update] = {}  # by number; emptied by a majority or their time
         self.number = 0
         self.sync_at = now + chance.randrange(pace.sync_every)
@@ -100,12 +126,16 @@
         self._settle(now)
         return update
 
+    def holders(self, update: Update) -> int:
+        """How many that count are known to hold it."""
+        return len(update.held) + (self.me in self.keepers)
+
     def is_held(self, update: Update) -> bool:
-        return len(update.held) + 1 >= self.majority
+        return self.holders(update) >= self.majority
 
     def _give_again(self, number: int, update: Update, to: Iterable[str]) -> None:
         for name in to:
-            if name not in update.held:
+            if name in self.keepers and name not in update.held:
                 self._send(name, Word.GIVE, rows=[update.row], ack=number)
 
     def _settle(self, now: int) -> None:
@@ -119,6 +149,8 @@
     def changed(self, keys: Iterable[str]) -> None:
         for key in keys:
             self.hot[key] = 0
+            if self.reached is not None:
+                self.fresh[key] = None
 
     def ride(self) -> list[Row]:
         """What goes with a message of the membership now."""
@@ -150,13 +182,37 @@
                 update.again = now + self.pace.again
                 self._give_again(number, update, alive)
         self._settle(now)
+        self._push(alive)
         if now >= self.sync_at:
             # Within a tenth by chance: members started together do not compare in step.
             self.sync_at = now + round(self.pace.sync_every * (0.9 + 0.2 * self.chance.random()))
             if alive:
                 self.compare(self.chance.choice(list(alive)))
+            for name in self._beyond(1):
+                self.compare(name)
+
+    def _beyond(self, cells: int) -> list[str]:
+        return [] if self.reached is None or self.reached.beyond is None else self.reached.beyond(cells)
+
+    def _push(self, alive: Sequence[str]) -> None:
+        """News goes out at once, once."""
+        keys = [key for key in self.fresh if key in self.copies.entries]
+        self.fresh.clear()
+        if not keys:
+            return
+        to = self.chance.sample(list(alive), min(self.pace.fan, len(alive)))
+        batches = list(self._batches(self.copies.row(key) for key in keys))
+        for name in [*to, *self._beyond(self.pace.cells_at_once)]:
+            for rows in batches:
+                self._send(name, Word.GIVE, rows=rows)
 
     def compare(self, to: str) -> None:
+        if self.reached is None:
+            self._send_sums(to)
+        else:
+            self._send(to, Word.SUMS, root=self.copies.root())
+
+    def _send_sums(self, to: str) -> None:
         self._send(to, Word.SUMS, groups=self.copies.groups(), n=len(self.copies.entries))
 
     # Messages
@@ -164,9 +220,12 @@
     def heard(self, now: int, wall: int, message: Message) -> None:
         """ValueError, KeyError or TypeError for one that is not whole; it changes nothing."""
         sender, word = message["from"], Word(message["k"])
-        if sender not in self.peers:
+        if sender not in self.known:
             raise ValueError(f"{sender}: no member of this fleet")
-        if word is Word.SUMS:
+        if word is Word.SUMS and "root" in message:
+            if int(message["root"]) != self.copies.root():
+                self._send_sums(sender)
+        elif word is Word.SUMS:
             self._sums(sender, [int(one) for one in message["groups"]])
         elif word is Word.DIFFERS:
             theirs = {int(leaf): int(one) for leaf, one in message["leaves"]}
@@ -185,7 +244,7 @@
                 self._send(sender, Word.GOT, ack=int(message["ack"]))
         elif word is Word.GOT:
             update = self.updates.get(int(message["ack"]))
-            if update is not None:
+            if update is not None and sender in self.keepers:
                 update.held.add(sender)
                 self._settle(now)
 
@@ -211,18 +270,23 @@
         self._send(sender, Word.WANTS, leaves=differ)
 
     def _give(self, to: str, leaves: Iterable[int]) -> None:
+        for rows in self._batches(self.copies.rows(leaves), self.pace.give_most):
+            self._send(to, Word.GIVE, rows=rows)
+
+    def _batches(self, every: Iterable[Row], most: int | None = None) -> Iterator[list[Row]]:
+        """Rows as they go into datagrams, up to `most` bytes of them in all."""
         rows, size, whole = [], 0, 0
-        for row in self.copies.rows(leaves):
+        for row in every:
             more = len(orjson.dumps(row)) + 1
             if rows and size + more > self.pace.gift_most:
-                self._send(to, Word.GIVE, rows=rows)
+                yield rows
                 rows, size = [], 0
-            if whole + more > self.pace.give_most:
+            if most is not None and whole + more > most:
                 break
             rows.append(row)
             size, whole = size + more, whole + more
         if rows:
-            self._send(to, Word.GIVE, rows=rows)
+            yield rows
 
     def _send(self, to: str, word: Word, **fields: object) -> None:
         self.sent += len(fields.get("rows", ()))  # type: ignore[arg-type]
