--- a/crowwing/fleet/member.py
+++ b/crowwing/fleet/member.py
@@ -113,6 +113,10 @@
         """All that is kept here."""
         return [row for kept in self.keeping for row in kept.copies.every()]
 
+    def changes(self) -> int:
+        """Counts what was taken, for whoever writes it down."""
+        return sum(kept.copies.changes for kept in self.keeping)
+
     def merge(self, wall: int, rows: Iterable[Row]) -> list[str]:
         """Takes what a disk held; the keys whose entry changed. What was read does not spread."""
         changed, apart = [], self._apart(rows)
--- a/crowwing/fleet/membership/reach.py
+++ b/crowwing/fleet/membership/reach.py
@@ -9,9 +9,10 @@
 Changed against swim.py's use among members: a death heard of is only a suspicion (one deaf speaker would else
 bury every cell for all), a probe that goes unanswered is sent once more to another of the cell, and whoever
 refutes its death to one that answered it says so at once, so that after a cut both sides know each other by
-three messages.
+three messages. One cell that comes back is a sign for others: a speaker that hears it asks all that it
+holds out of reach, once in `SWEEP_EVERY`.
 
-Which member speaks for another cell is learned by hearing from it; until then, and after silence, those of
+Which members speak for another cell is learned by hearing from them; until then, and after silence, those of
 the roster in turn. Every table here holds at most one entry a cell, or one a probe carried for others, which
 ends by itself.
 """
@@ -23,6 +24,9 @@
 from crowwing.fleet.membership.cells import Layout
 from crowwing.fleet.membership.swim import ALIVE, DEAD, GONE, Kind, Membership, Message, Timing
 
+SWEEP_EVERY = 2_000_000  # µs
+CONTACTS = 3  # of one cell
+
 Told = (
     list  # of a cell by its speakers: [alive, of how many, since when (Unix ms), digest of what is for all]
 )
@@ -31,7 +35,7 @@
 def among_cells(timing: Timing) -> Timing:
     """The pace among cells: as among members, but more news on a message (a whole region may be cut off at
     once) and those held dead probed sooner."""
-    return replace(timing, news_most=24, revive_every=max(1, timing.revive_every // 2), hearsay=False)
+    return replace(timing, news_most=12, revive_every=max(2, timing.revive_every // 4), hearsay=False)
 
 
 class Reach:
@@ -45,7 +49,8 @@
         # Guards against taking another speaker's answer for one of ours: both speak for the same cell.
         self.swim.seq = chance.randrange(1 << 30)
         self.speaks = False
-        self.contacts: dict[str, str] = {}  # who spoke last for a cell
+        self.contacts: dict[str, list[str]] = {}  # who of late spoke for a cell, `CONTACTS` at most
+        self.sweep_at = now
         self.silent: Counter[str] = Counter()  # how many of its roster in turn did not answer
         self.askers: dict[tuple[str, int], str] = {}  # of probes carried for others; emptied by ack or nack
         self.told: dict[str, Told] = {}  # what each cell says of itself
@@ -101,12 +106,21 @@
 
     def _contact(self, cell: str) -> str:
         roster = self.layout.rosters[cell]
-        return self.contacts.get(cell) or roster[self.silent[cell] % len(roster)]
+        if known := self.contacts.get(cell):
+            return self.chance.choice(known)
+        return roster[self.silent[cell] % len(roster)]
 
     def _unanswered(self, cell: str) -> None:
+        """Whoever was asked: it is not known which of the contacts it was, nor whether the others answer."""
         self.contacts.pop(cell, None)
         self.silent[cell] += 1
 
+    def _sweep(self, now: int) -> None:
+        if self.speaks and now >= self.sweep_at:
+            self.sweep_at = now + SWEEP_EVERY
+            for cell in sorted(self.out()):
+                self.swim.ping(cell)
+
     # Messages
 
     def heard(self, now: int, message: Message, row: Told | None = None) -> None:
@@ -119,10 +133,16 @@
         if row_told is not None:
             alive, of, since, digest = row_told
             row_told = [int(alive), int(of), int(since), str(digest)[:16]]
-        before = self.swim.incarnation
+        before, seen = self.swim.incarnation, self.swim.members[cell]
+        gone = seen.state in GONE
         self.swim.heard(now, message | {"from": cell})
-        self.contacts[cell] = sender
+        contacts = self.contacts.setdefault(cell, [])
+        if sender not in contacts:
+            contacts.append(sender)
+            del contacts[:-CONTACTS]
         self.silent.pop(cell, None)
+        if gone and seen.state not in GONE:
+            self._sweep(now)
         if row_told is not None:
             self.told[cell] = row_told
         if kind == Kind.PING_REQ:
--- a/crowwing/fleet/wires/asked.py
+++ b/crowwing/fleet/wires/asked.py
@@ -5,11 +5,13 @@
 which (`acked`, `held`). A datagram that is none of these is counted by the link, never a crash.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import orjson
 
+from crowwing.fleet.member import LABELS_MEMBERS_MOST
 from crowwing.fleet.state.copies import NotKept
 from crowwing.fleet.state.spaces import OPERATORS
 from crowwing.fleet.state.spread import Update
@@ -39,7 +41,9 @@
             self._claim(told, reply)
         elif kind in ("over", "never_ran"):
             labels, label = self.link.member.labels, str(told["label"])
-            if kind == "over":
+            if labels is None:
+                pass  # nothing was granted in a fleet of this size
+            elif kind == "over":
                 labels.over(self.link.now(), label, told.get("answer"))
             else:
                 labels.never_ran(self.link.now(), label)
@@ -51,6 +55,9 @@
     def _claim(self, told: dict, reply: Callable[[dict], None]) -> None:
         """What a front with labelled traffic types asks before it runs one."""
         n, window = told.get("n"), int(told.get("window_ms", 60_000)) * 1000
+        if self.link.member.labels is None:
+            reply({"n": n, "why": f"labels are claimed in fleets of up to {LABELS_MEMBERS_MOST} members"})
+            return
 
         def tell(what: Claimed, answer: str | None) -> None:
             reply({"n": n, "claimed": what.value, "answer": answer})
@@ -67,28 +74,43 @@
             "me": m.me, "incarnation": m.incarnation, "health": m.health, "at": link.now(),
             "members": [{"name": n, "state": s, "incarnation": i, "since": t} for n, s, i, t in m.view()],
             "dropped": dict(link.dropped), "ready": link.member.ready, "whole": link.member.catch_up.whole,
-            "sent_bytes": link.sent_bytes,
+            "sent_bytes": link.sent_bytes, **self._cells(),
+        }  # fmt: skip
+
+    def _cells(self) -> dict:
+        """Of a fleet in cells: who speaks for ours, and what is known of the others, by name."""
+        member = self.link.member
+        if member.reach is None:
+            return {}
+        return {
+            "cell": member.reach.cell, "speakers": list(member.speakers), "out": sorted(member.out()),
+            "cells": {cell: member.reach.told.get(cell) for cell in sorted(member.layout.rosters)},
         }  # fmt: skip
 
     def _state(self, prefix: str, after: str) -> dict:
-        copies, catch_up = self.link.member.copies, self.link.member.catch_up
-        keys = sorted(key for key, _ in copies.under(prefix) if key > after)
+        member, catch_up = self.link.member, self.link.member.catch_up
+        kept = [one.copies for one in member.keeping]
+        found = sorted((key, one) for one in kept for key, _ in one.under(prefix) if key > after)
         rows, size = [], 0
-        for key in keys:
-            row = copies.row(key)
+        for key, one in found:
+            row = one.row(key)
             size += len(orjson.dumps(row)) + 1
             if rows and size > PAGE_MOST:
                 break
             rows.append(row)
+        root = 0
+        for one in kept:
+            root ^= one.root()
         return {
-            "me": copies.me, "rows": rows, "more": len(rows) < len(keys), "entries": len(copies.entries),
-            "held": {name: held for name, held in copies.held.items() if held},
-            "root": f"{copies.root():016x}",
-            "refused": dict(copies.refused), "ready": catch_up.ready,
+            "me": member.me, "rows": rows, "more": len(rows) < len(found),
+            "entries": sum(len(one.entries) for one in kept),
+            "held": {name: held for one in kept for name, held in one.held.items() if held},
+            "root": f"{root:016x}",
+            "refused": dict(sum((one.refused for one in kept), Counter())), "ready": catch_up.ready,
             "caught_up": [
                 {"took_ms": round(took / 1000, 1), "whole": whole} for took, whole in catch_up.took
             ],
-            "time": copies.clock.time(self.link.wall()),
+            "time": member.copies.clock.time(self.link.wall()),
         }  # fmt: skip
 
     def _change(self, kind: str, told: dict, reply: Callable[[dict], None]) -> None:
@@ -96,31 +118,32 @@
         if key.partition("/")[0] not in OPERATORS:
             reply({"n": n, "why": f"{key}: is not for operators to change"})
             return
+        spread = member.spread_of(key)
         wait, life = int(told.get("wait_ms", 2000)), int(told.get("life_ms", 3_600_000)) * 1000
         now = link.wall()
         try:
             if kind == "put":
-                rows = [member.copies.put(now, key, told.get("value"), life)]
+                rows = [spread.copies.put(now, key, told.get("value"), life)]
             elif kind == "add":
-                rows = [member.copies.add(now, key, life)]
+                rows = [spread.copies.add(now, key, life)]
             else:
-                rows = member.copies.take_out(now, key)
+                rows = spread.copies.take_out(now, key)
         except NotKept as wrong:
             reply({"n": n, "why": str(wrong)})
             return
-        member.spread.changed(row[0] for row in rows)
+        spread.changed(row[0] for row in rows)
         wanted, held = len(rows), []
 
         def tell(update: Update) -> None:
-            held.append(len(update.held) + 1)
+            held.append(spread.holders(update))
             if len(held) == wanted:
                 least = min(held)
-                reply({"n": n, "acked": least >= member.spread.majority, "held": least, "rows": rows})
+                reply({"n": n, "acked": least >= spread.majority, "held": least, "rows": rows})
 
         if not rows:
-            reply({"n": n, "acked": True, "held": member.spread.majority, "rows": []})
+            reply({"n": n, "acked": True, "held": spread.majority, "rows": []})
         for row in rows:
-            member.spread.update(
+            spread.update(
                 link.now(), row, member.membership.alive(), min(max(0, wait), WAIT_MOST) * 1000, tell
             )
         link.turn()
--- a/crowwing/fleet/wires/link.py
+++ b/crowwing/fleet/wires/link.py
@@ -16,10 +16,11 @@
 import orjson
 
 from crowwing.fleet.member import Member
+from crowwing.fleet.membership.cells import Layout
 from crowwing.fleet.state.spaces import SPACES
 from crowwing.fleet.wires import whole
 from crowwing.fleet.wires.asked import Asked
-from crowwing.fleet.wires.settings import address, folder, manner, peers
+from crowwing.fleet.wires.settings import address, folder, manner, peers, places
 
 DATAGRAM_MOST = 8192  # bytes; a larger one is no message of ours
 FETCH_WITHIN = 10.0  # seconds for a whole copy
@@ -43,9 +44,11 @@
         self.listen = address(fleet.listen, "$.fleet.listen")
         self.shift = fleet.clock_offset_ms * 1000
         chance = random.Random(f"{seed}/fleet")
-        self.member = Member(me, list(self.addresses), self.now(), chance, manner(fleet), SPACES)
+        where = places(fleet, me)
+        layout = None if where is None else Layout(where, fleet.cell_most)
+        self.member = Member(me, list(self.addresses), self.now(), chance, manner(fleet), SPACES, layout)
         self.asked = Asked(self)
-        self.server = whole.Server(self.member.spread.missing, self.addresses.__contains__)
+        self.server = whole.Server(self.member.missing, self.addresses.__contains__)
         self.disk = None
         if (place := folder(fleet)) is not None:
             from crowwing.fleet.wires.disk import Disk
@@ -77,9 +80,9 @@
         self.event("fleet_open", listen=f"{self.listen[0]}:{self.listen[1]}", peers=len(self.addresses))
         if self.disk is not None:
             rows = self.disk.read()
-            kept = len(self.member.copies.merge(self.wall(), rows))
+            kept = len(self.member.merge(self.wall(), rows))
             self.event("snapshot_read", rows=len(rows), kept=kept)
-            self.written = self.member.copies.changes
+            self.written = self.member.changes()
             self.disk.begin(self.loop, self.wall, self._to_write)
         self.turn()
 
@@ -95,13 +98,13 @@
         if self.transport is not None:
             self.transport.close()
         if self.disk is not None:
-            self.disk.end(self.wall(), list(self.member.copies.every()))
+            self.disk.end(self.wall(), self.member.every())
 
     def _to_write(self) -> list | None:
-        if self.written == self.member.copies.changes:
+        if self.written == self.member.changes():
             return None
-        self.written = self.member.copies.changes
-        return list(self.member.copies.every())
+        self.written = self.member.changes()
+        return self.member.every()
 
     # What comes
 
@@ -167,8 +170,8 @@
     async def _fetch(self, name: str) -> None:
         rows = None
         try:
-            me, leaves = self.member.me, list(self.member.copies.leaves)
-            rows = await whole.fetch(self.addresses[name], me, leaves, FETCH_WITHIN)
+            asked = {"from": self.member.me, **self.member.digests()}
+            rows = await whole.fetch(self.addresses[name], asked, FETCH_WITHIN)
         except (OSError, TimeoutError):
             self.dropped["fetch"] += 1
         finally:
--- a/crowwing/fleet/wires/whole.py
+++ b/crowwing/fleet/wires/whole.py
@@ -1,8 +1,9 @@
 """A member's whole copy over a stream, to one that is too far behind: TCP over IPv4, on the fleet's port.
 
-The asker sends one line, `{"from": name, "leaves": [256 sums]}`; it gets lines of rows from the leaves that
-differ, then `{"end": rows, "sum": checksum}`. Without that last line, or with another sum, nothing is taken:
-a stream cut in the middle would else pass for the whole.
+The asker sends one line, `{"from": name, "leaves": [256 sums]}`, in a fleet in cells with `wide` for what is
+for all; it gets lines of rows from the leaves that differ, then `{"end": rows, "sum": checksum}`. Without
+that last line, or with another sum, nothing is taken: a stream cut in the middle would else pass for the
+whole.
 """
 
 import asyncio
@@ -13,7 +14,7 @@
 
 from crowwing.fleet.state.copies import Row
 
-LINE_MOST = 16_384  # bytes; 256 sums take 5,400
+LINE_MOST = 16_384  # bytes; 256 sums take 5,400, twice
 ROWS_A_LINE = 20
 ASK_WITHIN, SEND_WITHIN = 2.0, 20.0  # seconds: for the line that asks; for all that is sent
 STREAMS_MOST = 4  # served at once; guards a backend's core and memory while many catch up
@@ -24,9 +25,9 @@
 
 
 class Server:
-    """Answers fetches; `missing(leaves)` gives the rows, `known` who may ask."""
+    """Answers fetches; `missing(asker, asked)` gives the rows, `known` who may ask."""
 
-    def __init__(self, missing: Callable[[list[int]], Iterable[Row]], known: Callable[[str], bool]) -> None:
+    def __init__(self, missing: Callable[[str, dict], Iterable[Row]], known: Callable[[str], bool]) -> None:
         self.missing, self.known = missing, known
         self.server: asyncio.Server | None = None
         self.serving: set[asyncio.Task] = set()  # emptied by each one's end
@@ -54,16 +55,16 @@
                 self.turned_away += 1
                 return
             async with asyncio.timeout(SEND_WITHIN):
-                await self._send(writer, [int(leaf) for leaf in asked["leaves"]])
+                await self._send(writer, self.missing(asked["from"], asked))
         except (OSError, ValueError, KeyError, TypeError, TimeoutError):
             self.turned_away += 1  # no asker of ours, or gone meanwhile: it sees a stream without an end
         finally:
             self.serving.discard(task)
             writer.close()
 
-    async def _send(self, writer: asyncio.StreamWriter, leaves: list[int]) -> None:
+    async def _send(self, writer: asyncio.StreamWriter, missing: Iterable[Row]) -> None:
         checksum, count = xxhash.xxh64(), 0
-        rows = list(self.missing(leaves))
+        rows = list(missing)
         for begin in range(0, len(rows), ROWS_A_LINE):
             line = orjson.dumps(rows[begin : begin + ROWS_A_LINE]) + b"\n"
             checksum.update(line)
@@ -74,15 +75,15 @@
         await writer.drain()
 
 
-async def fetch(where: tuple[str, int], me: str, leaves: list[int], within: float) -> list[Row]:
-    """What the member there holds and we lack. ConnectionError, OSError or TimeoutError where it did not
-    come whole within `within` seconds."""
+async def fetch(where: tuple[str, int], asked: dict, within: float) -> list[Row]:
+    """What the member there holds and we lack; `asked` is the line that asks. ConnectionError, OSError or
+    TimeoutError where it did not come whole within `within` seconds."""
     rows: list[Row] = []
     checksum, count = xxhash.xxh64(), 0
     async with asyncio.timeout(within):
         reader, writer = await asyncio.open_connection(*where, limit=64 * LINE_MOST)
         try:
-            writer.write(orjson.dumps({"from": me, "leaves": leaves}) + b"\n")
+            writer.write(orjson.dumps(asked) + b"\n")
             await writer.drain()
             while line := await reader.readline():
                 told = orjson.loads(line)
--- a/crowwing/fleet/world.py
+++ b/crowwing/fleet/world.py
@@ -13,6 +13,7 @@
 import orjson
 
 from crowwing.fleet.member import Manner, Member
+from crowwing.fleet.membership.cells import Layout
 from crowwing.fleet.membership.swim import DEAD, Membership, Timing
 from crowwing.fleet.state.copies import Row, Space
 
@@ -109,8 +110,10 @@
 
     def __init__(
         self, size: int, seed: int, manner: Manner, spaces: dict[str, Space], offsets: dict[str, int] | None
-        = None, delay: int = 500, jitter: int = 1500,
+        = None, delay: int = 500, jitter: int = 1500, layout: Layout | None = None,
     ) -> None:  # fmt: skip
+        """`layout`: of the members' names, for a fleet in cells."""
+        self.layout = layout
         super().__init__(size, seed, manner.timing, delay, jitter)
         self.seed, self.manner, self.spaces, self.offsets = seed, manner, spaces, offsets or {}
         self.lives = dict.fromkeys(self.names, 0)
@@ -121,7 +124,7 @@
     def _born(self, name: str) -> Member:
         chance = random.Random(f"{self.seed}/{name}/{self.lives[name]}")
         others = [other for other in self.names if other != name]
-        return Member(name, others, self.now, chance, self.manner, self.spaces)
+        return Member(name, others, self.now, chance, self.manner, self.spaces, self.layout)
 
     def wall(self, name: str) -> int:
         """Unix time of the member's own clock; the world begins at an hour, so that none is below 0."""
@@ -152,7 +155,7 @@
         for other in member.fetches:  # a stream: slow where messages are lost, but whole or not at all
             rows = None
             if other not in self.paused and not self.cut(name, other) and not self.cut(other, name):
-                missing = self.members[other].spread.missing(list(member.copies.leaves))
+                missing = self.members[other].missing(name, member.digests())
                 rows = orjson.loads(orjson.dumps(list(missing)))
                 self.fetched_rows += len(rows)
             took = (
@@ -178,7 +181,7 @@
         return got
 
     def write(self, name: str) -> None:
-        self.disks[name] = list(self.members[name].copies.every())
+        self.disks[name] = self.members[name].every()
 
     def restart(self, name: str, disk: bool) -> None:
         """A new life; the last one's messages that are still under way may reach it, as on a network."""
@@ -186,7 +189,7 @@
         self.paused.discard(name)
         member = self.members[name] = self._born(name)
         if disk:
-            member.copies.merge(self.wall(name), self.disks.get(name, []))
+            member.merge(self.wall(name), self.disks.get(name, []))
 
     def roots(self) -> set[int]:
         """Of every member that runs."""
--- a/crowwing/program/together.py
+++ b/crowwing/program/together.py
@@ -133,7 +133,7 @@
 
     def figures(self) -> dict:
         """For the line of figures."""
-        told: dict = {"fleet_entries": len(self.member.copies.entries)}
+        told: dict = {"fleet_entries": sum(len(kept.copies.entries) for kept in self.member.keeping)}
         if self.lends:
             told |= {
                 "call_part": round(self.member.loans.part(self.link.now()), 2),
