--- a/crowwing/fleet/world.py
+++ b/crowwing/fleet/world.py
@@ -9,7 +9,7 @@
 
 import heapq
 import random
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection
 
 import orjson
 
@@ -138,22 +138,21 @@
 
 class StateWorld(World):
     """Whole members. A member that is killed may start again, with its disk (what it wrote last) or without.
-    With `places` (name -> region, zone) they are in cells, and a message between two regions takes `far` µs
-    longer."""
+    In cells, a message between two regions takes `far` µs longer."""
 
     members: dict[str, Member]
 
     def __init__(
         self, size: int, seed: int, manner: Manner, spaces: dict[str, Space], offsets: dict[str, int] | None
-        = None, delay: int = 500, jitter: int = 1500, places: Mapping[str, tuple[str, str]] | None = None,
-        cell_most: int = 64, far: int = 0, in_step: bool = True,
+        = None, delay: int = 500, jitter: int = 1500, layout: Layout | None = None, far: int = 0,
+        in_step: bool = True,
     ) -> None:  # fmt: skip
-        """`in_step`: all begin their first period in one µs, as processes that are started never do."""
+        """`layout`: of the members' names, for a fleet in cells. `in_step`: all begin their first period in one µs, as processes that are started never do."""
         self.in_step = in_step
         self.manner, self.spaces, self.offsets, self.far = manner, spaces, offsets or {}, far
-        self.places = places or {}
-        self.layout = Layout(places, cell_most) if places else None
-        self.region = {name: place[0] for name, place in self.places.items()}
+        self.layout = layout
+        cells = layout.cell_of if layout is not None else {}
+        self.region = {name: cell.partition("/")[0] for name, cell in cells.items()}
         self.disks: dict[str, list[Row]] = {}
         self.told: list[tuple[int, str, str, dict]] = []  # (µs, member, event, what it brings)
         self.bytes = self.fetched_rows = 0
