--- a/crowwing/fleet/world.py
+++ b/crowwing/fleet/world.py
@@ -147,8 +147,9 @@
         = None, delay: int = 500, jitter: int = 1500, layout: Layout | None = None, far: int = 0,
         in_step: bool = True,
     ) -> None:  # fmt: skip
-        """`layout`: of the members' names, for a fleet in cells. `in_step`: all begin their first period in one
-        µs, as processes that are started never do."""
+        """`layout`: of the members' names, for a fleet in cells. `in_step`: all begin their first period in
+        one µs, as processes that are started never do.
+        """
         self.in_step = in_step
         self.manner, self.spaces, self.offsets, self.far = manner, spaces, offsets or {}, far
         self.layout = layout
