--- /dev/null
+++ b/tests/test_fleet_world.py
@@ -0,0 +1,141 @@
+"""The simulated network that fleets are played on: what it delays, counts, refuses and takes for agreed."""
+
+import pytest
+
+from crowwing.fleet.member import Manner
+from crowwing.fleet.membership.cells import Layout
+from crowwing.fleet.membership.swim import DEAD, Timing
+from crowwing.fleet.state.catchup import Patience
+from crowwing.fleet.state.spaces import SPACES
+from crowwing.fleet.state.spread import Pace
+from crowwing.fleet.world import StateWorld, World
+
+S = 1_000_000
+FAST = Manner(
+    Timing(period=200_000, probe_timeout=60_000), Pace(sync_every=200_000, again=50_000),
+    Patience(most=2 * S, again=100_000, away=600_000),
+)  # fmt: skip
+FAR = 80_000
+# Two regions, three zones of ten members: three cells
+PLACES = {f"m{n}": (("west", "w1"), ("east", "e1"), ("east", "e2"))[n % 3] for n in range(30)}
+
+
+@pytest.fixture
+def world() -> StateWorld:
+    world = StateWorld(30, 1, FAST, SPACES, layout=Layout(PLACES, 16), far=FAR, in_step=False)
+    world.run_until(3 * S)
+    return world
+
+
+def test_a_message_between_regions_takes_longer_by_the_delay_between_them(world: StateWorld) -> None:
+    said = {"m0": world.now, "m1": world.now}
+    world.queue.clear()
+    for name in said:
+        other = "m3" if name == "m0" else "m0"
+        world.members[name].outbox.append((other, {"k": 0, "from": name, "inc": 0, "seq": 1}))
+        world._carry(name)
+    (near, _, to_near, _), (far, _, to_far, _) = sorted(world.queue)[:2]
+    assert (to_near, to_far) == ("m3", "m0")
+    assert 500 <= near - said["m0"] <= 2000 and FAR + 500 <= far - said["m1"] <= FAR + 2000
+
+
+def test_what_is_sent_and_read_adds_up_and_nobody_hears_of_another_cell_but_from_speakers(
+    world: StateWorld,
+) -> None:
+    sent = sum(count for _, count, *_ in world.traffic.values())
+    read = sum(count for *_, count, _ in world.traffic.values())
+    assert sent == world.sent and sum(data for data, *_ in world.traffic.values()) == world.bytes
+    under_way = sum(message is not None for *_, message in world.queue)
+    assert sent == read + under_way, "nothing is lost without loss"
+    speaking = {name for name, member in world.members.items() if member.reach.speaks}
+    assert len(speaking) == 9, "three of each cell"
+
+
+def test_a_fleet_in_cells_has_agreed_only_when_deaths_are_known_in_the_cell_and_dead_cells_by_all(
+    world: StateWorld,
+) -> None:
+    assert world.agreed() and not world.dead_cells()
+    world.kill("m0")
+    assert not world.agreed() and not world.held_dead("m0")
+    while not world.held_dead("m0"):
+        world.run_until(world.now + 50_000)
+        assert world.now < 30 * S
+    assert world.agreed() and not world.dead_cells()
+    cell = world.layout.cell_of["m1"]
+    for name in world.layout.rosters[cell]:
+        world.kill(name)
+    assert world.dead_cells() == {cell} and not world.agreed()
+    while not world.agreed():
+        world.run_until(world.now + 50_000)
+        assert world.now < 60 * S
+    assert all(m.out() == {cell} for name, m in world.members.items() if name not in world.paused)
+
+
+def test_one_view_that_is_wrong_is_enough_not_to_have_agreed(world: StateWorld) -> None:
+    seen = world.members["m4"].membership.members["m1"]
+    seen.state = DEAD
+    assert not world.agreed()
+    assert not world.agreed(lambda _: frozenset())
+
+
+def test_what_a_cut_is_to_look_like_can_be_told(world: StateWorld) -> None:
+    west = world.layout.cell_of["m0"]
+    east = frozenset(world.layout.rosters) - {west}
+    world.cut = lambda a, b: (PLACES[a][0] == "west") != (PLACES[b][0] == "west")
+    out = {name: east if PLACES[name][0] == "west" else frozenset([west]) for name in PLACES}
+    assert not world.agreed(out.__getitem__)
+    while not world.agreed(out.__getitem__):
+        world.run_until(world.now + 50_000)
+        assert world.now < 60 * S
+    assert not world.agreed()
+
+
+def test_a_killed_member_costs_no_events_and_a_paused_one_goes_on_where_it_stood() -> None:
+    world = World(4, 1, Timing(period=200_000, probe_timeout=60_000))
+    world.run_until(S)
+    world.kill("m0")
+    world.run_until(2 * S)
+    assert all(to != "m0" for _, _, to, message in world.queue if message is None)
+    world.paused.add("m1")
+    world.run_until(3 * S)
+    world.paused.discard("m1")
+    before = world.members["m1"].periods
+    world.run_until(4 * S)
+    assert world.members["m1"].periods > before
+
+
+def test_a_member_is_woken_when_it_asks_after_hearing_something() -> None:
+    """Not only at the turn that was planned before: as on sockets."""
+    world = StateWorld(3, 1, FAST, SPACES)
+    world.run_until(S)
+    asked = []
+
+    def put(member: object, now: int, wall: int) -> None:
+        row = member.spread.put(wall, "said/x", 1, 60 * S)
+        member.spread.update(now, row, member.membership.alive(), 30_000, lambda _: asked.append(world.now))
+
+    world.cut = lambda _, __: True
+    now = world.now
+    world.do("m0", put)
+    world.run_until(now + 31_000)
+    assert asked and now + 30_000 <= asked[0] <= now + 30_100
+
+
+def test_fetches_are_counted_and_a_member_gives_no_more_streams_at_once_than_it_may(
+    world: StateWorld,
+) -> None:
+    world.run_until(10 * S)
+    assert all(member.ready for member in world.members.values())
+    world.fetches.clear()
+    world.kill("m0")
+    world.restart("m0", disk=False)
+    world.run_until(11 * S)
+    assert world.members["m0"].catch_up.whole
+    assert world.fetches and {who for _, who, _ in world.fetches} == {"m0"}
+    assert {world.layout.cell_of[other] for _, _, other in world.fetches} == {world.layout.cell_of["m0"]}
+    keeper = world.fetches[0][2]
+    assert world.traffic[keeper][4] > 0 and world.traffic["m0"][4] >= world.traffic[keeper][4]
+    world.serving[keeper] = [world.now + S] * world.streams_most
+    before = world.traffic[keeper][4]
+    world._fetch("m3", keeper)
+    assert world.traffic[keeper][4] == before, "turned away"
