--- a/crowwing/fleet/membership/reach.py
+++ b/crowwing/fleet/membership/reach.py
@@ -10,7 +10,7 @@
 bury every cell for all), a probe that goes unanswered is sent once more to another of the cell, and whoever
 refutes its death to one that answered it says so at once, so that after a cut both sides know each other by
 three messages. One cell that comes back is a sign for others: a speaker that hears it asks all that it
-holds out of reach, once in `SWEEP_EVERY`.
+suspects or holds out of reach, once in `SWEEP_EVERY`.
 
 Which members speak for another cell is learned by hearing from them; until then, and after silence, those of
 the roster in turn. Every table here holds at most one entry a cell, or one a probe carried for others, which
@@ -34,8 +34,18 @@
 
 def among_cells(timing: Timing) -> Timing:
     """The pace among cells: as among members, but more news on a message (a whole region may be cut off at
-    once) and those held dead probed sooner."""
-    return replace(timing, news_most=12, revive_every=max(2, timing.revive_every // 4), hearsay=False)
+    once), those held dead probed sooner, and no local health: where most cells are cut off, probes that go
+    unanswered say nothing of the speaker, and a speaker that is slow is outvoted by the others. For the same
+    reason a suspicion that few confirm stands twice the shortest at most."""
+    revive_every, times = max(2, timing.revive_every // 4), min(timing.suspect_most_times, 2.0)
+    return replace(
+        timing,
+        news_most=12,
+        revive_every=revive_every,
+        hearsay=False,
+        health_most=0,
+        suspect_most_times=times,
+    )
 
 
 class Reach:
@@ -118,8 +128,9 @@
     def _sweep(self, now: int) -> None:
         if self.speaks and now >= self.sweep_at:
             self.sweep_at = now + SWEEP_EVERY
-            for cell in sorted(self.out()):
-                self.swim.ping(cell)
+            for cell, seen in self.swim.members.items():
+                if seen.state != ALIVE:
+                    self.swim.ping(cell)
 
     # Messages
 
