--- a/tests/street.py
+++ b/tests/street.py
@@ -103,6 +103,12 @@
     def signal(self, number: signal.Signals = signal.SIGTERM) -> None:
         self.process.send_signal(number)
 
+    async def stand_still(self) -> None:
+        """What comes from here on lies there together when it goes on."""
+        self.signal(signal.SIGSTOP)
+        stat = Path(f"/proc/{self.process.pid}/stat")
+        await self.until(lambda: stat.read_text().rpartition(")")[2].split()[0] == "T")
+
     async def ended(self, code: int = 0) -> None:
         """It ends by itself, with this code, nothing on standard error and no defect in its log."""
         async with asyncio.timeout(WAIT):
@@ -115,6 +121,12 @@
         counts = [line["counts"] for line in self.lines if line["event"] == "figures"]
         assert not any(name.startswith("broken") for count in counts for name in count), counts
 
+    def accounted(self) -> None:
+        """Each request that was had has an end, by the process's own last figures."""
+        counts = [line["counts"] for line in self.lines if line["event"] == "figures"][-1]
+        ends = sum(counts.get(end, 0) for end in ("settled", "dismissed", "forfeited", "gone"))
+        assert counts.get("had", 0) == ends, counts
+
     async def __aexit__(self, *_: object) -> None:
         if self.process.returncode is None:
             self.process.kill()
