Give up a later link to the farm agent that is not greeted, and force late silences

Seen: tests/test_late_silence.py, 'cut, and never greeted': a link that broke late was followed by one that was accepted and never greeted, and the process served nobody for good, though another link would have been greeted (docs/crossings.md had it under 'not closed'). Cause: Send.sample gave a silent link up only where a sample was out, and none is out before the greeting. Ruled out: the list (Ready was reported) and the module (its turns went on). The first link still waits for good. Result: the test is red without the mend (30 s, then its timeout), green with it; the 10 other tests of the file (silent control plane in 4 ways in service and at the notice, silent farm agent) were green before it.

--- a/crowwing/routing/send.py
+++ b/crowwing/routing/send.py
@@ -18,6 +18,8 @@
 from crowwing.transport.link import Link
 from crowwing.transport.pool import BufferPool
 
+GREETING = 5.0  # seconds at least that a later link waits for its greeting; the first one waits for good
+
 
 class Command(NamedTuple):
     number: int
@@ -43,7 +45,7 @@
         self.last = 0  # the last notice read
         self.greeted = self.fenced = False  # on this link
         self.issued = self.tag = 0
-        self.asked = 0.0  # when the sample that is out was asked for
+        self.asked = 0.0  # when the sample that is out was asked for, or the greeting
         self.unproven: deque[Command] = deque()  # emptied by samples
         self.tags: dict[
             str, int
@@ -69,10 +71,13 @@
 
     def sample(self) -> bool:
         """Asks for the gauges; whether it could. One is out at a time."""
-        if self.tags and self.loop.time() - self.asked > self.patience:
+        ungreeted = self.link.up and not self.greeted
+        patience = max(self.patience, GREETING) if ungreeted else self.patience
+        if (self.tags or ungreeted) and self.loop.time() - self.asked > patience:
             # Guards against a far side that is gone without a word; one that only paused loses nothing by it.
             self.tags.clear()
-            self.book.event("agent_silent", seconds=self.patience)
+            self.asked = self.loop.time()
+            self.book.event("agent_silent", seconds=patience)
             self.link.drop()
         if not self.fenced or self.tags:
             return False
@@ -105,6 +110,7 @@
 
     def _opened(self) -> None:
         self.reader = agent.AgentReader()
+        self.asked = self.loop.time()
         self.link.send(agent.subscribe(self.last))
 
     def _closed(self, why: str) -> None:
