Wait for the proof of a launch sent again before its run is ended in a test

Seen: test_an_agent_that_moves_while_its_link_connects... failed 4 times in 60 on the landed program with five runs side by side (begun twice). Cause: the test's: it ended the run as soon as the link was fenced, in the same loop in which the launch sent again was still on its way; a redoable launch may then run anew (routing/send.py says so). Change: it waits until nothing is unproven; the assertion of one run stays.

--- a/tests/test_broken_replies.py
+++ b/tests/test_broken_replies.py
@@ -259,6 +259,8 @@
         link.move(other.sockets[0].getsockname())
         await town.until(lambda: town.farm.links == 2 and town.backend.desk.send.fenced)
         assert moved == [other.sockets[0].getsockname()] and silent.writer is None
+        # Sent again and proven, before its run can end: a redoable launch may cross the end of its run.
+        await town.until(lambda: not town.backend.desk.send.unproven)
         town.farm.go_on(ident(1))
         assert (await asked)[0] == 200 and town.farm.begun == {ident(1): 1}
         other.close()
