--- a/crowwing/fleet/state/copies.py
+++ b/crowwing/fleet/state/copies.py
@@ -67,7 +67,8 @@
 
 
 def packed(value: Value) -> bytes:
-    return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    """In bytes of its own: what orjson 3.13 returns keeps the 4 kB that it was written into."""
+    return bytes(memoryview(orjson.dumps(value, option=orjson.OPT_SORT_KEYS)))
 
 
 def leaf_of(key: str) -> int:
--- a/tests/test_fleet_copies.py
+++ b/tests/test_fleet_copies.py
@@ -3,6 +3,7 @@
 """
 
 import random
+import tracemalloc
 
 import pytest
 from hypothesis import given, settings
@@ -155,3 +156,16 @@
     b.merge(S, a.rows(differ))
     a.merge(S, b.rows(differ))
     assert a.root() == b.root()
+
+
+def test_an_entry_takes_little_over_its_own_bytes() -> None:
+    """The packed value once held the buffer that it was written into: 4 kB an entry."""
+    one = Copies("a", {"r": Space(Join.LATEST, 2000, 100 * S)}, 10 * S)
+    tracemalloc.start()
+    try:
+        for n in range(1000):
+            one.put(S, f"r/{n}", "x" * 20, 9 * S)
+        taken, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert taken / 1000 < 1500, f"{taken / 1000:.0f} bytes"
