--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -21,7 +21,7 @@
 from benchmarks.cells_scripts import IN_CELLS_ONLY, SCRIPTS, play
 
 FILE = Path(__file__).parent.parent / "docs" / "measurements" / "scale.json"
-MEMORY_A_MEMBER = 120e3  # bytes, measured at 5,200 in cells
+MEMORY_A_MEMBER = 180e3  # bytes, measured at 1,000 in cells
 
 # What is told of each script: a line of the table, and where it stands in what a run gives.
 LINES = {
@@ -68,6 +68,12 @@
 ]
 
 
+def free() -> int:
+    """Bytes of memory that can be had."""
+    told = dict(line.split(":") for line in Path("/proc/meminfo").read_text().splitlines())
+    return int(told["MemAvailable"].split()[0]) * 1024
+
+
 def read(path: Path) -> dict:
     told = orjson.loads(path.read_bytes()) if path.exists() else {}
     told.setdefault("simulated", {"how": __doc__.split("\n\n")[2].replace("\n", " "), "runs": []})
@@ -156,10 +162,7 @@
         ]
         jobs.sort(key=lambda job: -job[0] * (1 if job[3] else job[0] / 60))
         biggest = max(job[0] for job in jobs)
-        print(
-            f"{len(jobs)} runs; up to {told.at_once * biggest * MEMORY_A_MEMBER / 1e9:.1f} GB",
-            file=sys.stderr,
-        )
+        print(f"{len(jobs)} runs; up to {need / 1e9:.1f} GB", file=sys.stderr)
         with multiprocessing.get_context("fork").Pool(told.at_once, maxtasksperchild=1) as pool:
             for number, run in enumerate(pool.imap_unordered(one, jobs), 1):
                 keep(told.file, run)
