--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -161,7 +161,9 @@
             if in_cells or script not in IN_CELLS_ONLY
         ]
         jobs.sort(key=lambda job: -job[0] * (1 if job[3] else job[0] / 60))
-        biggest = max(job[0] for job in jobs)
+        need = told.at_once * max(job[0] for job in jobs) * MEMORY_A_MEMBER
+        if need > free() / 2:
+            sys.exit(f"{told.at_once} runs at once take {need / 1e9:.1f} GB, over half of what is free")
         print(f"{len(jobs)} runs; up to {need / 1e9:.1f} GB", file=sys.stderr)
         with multiprocessing.get_context("fork").Pool(told.at_once, maxtasksperchild=1) as pool:
             for number, run in enumerate(pool.imap_unordered(one, jobs), 1):
