--- a/crowwing/fleet/member.py
+++ b/crowwing/fleet/member.py
@@ -89,7 +89,9 @@
         in_fleet = Reached(in_cell.keepers, layout.cell_of, self._beyond)
         self.spread = Spread(me, peers, self.copies, now, chance, manner.pace, in_cell)
         self.wide = Spread(me, peers, for_all, now, chance, manner.pace, in_fleet)
-        self.catch_up = CatchUp(len(peers) + 1, now, manner.patience, len(keepers))
+        self.catch_up = CatchUp(len(peers) + 1, now, manner.patience, len(keepers), chance)
+        self.fetch_order = [name for name in keepers if name != me]
+        chance.shuffle(self.fetch_order)  # guards the first of them against a cell that starts together
 
     def _beyond(self, cells: int) -> list[str]:
         """Members of so many other cells, where this one speaks for its cell."""
@@ -216,7 +218,10 @@
         self._tell_ready()
 
     def _to_fetch_from(self, alive: list[str]) -> list[str]:
-        return alive if self.layout is None else [name for name in alive if name in self.spread.keepers]
+        if self.layout is None or self.catch_up.began is None:
+            return alive
+        known = set(alive)
+        return [name for name in self.fetch_order if name in known]
 
     def _carry(self) -> None:
         for to, message in self.membership.outbox:
--- a/crowwing/fleet/state/catchup.py
+++ b/crowwing/fleet/state/catchup.py
@@ -16,6 +16,7 @@
 """
 
 import heapq
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -34,11 +35,15 @@
 class CatchUp:
     """One member's; feed it what is reached, fetched and said, and ask `fetch` at every turn."""
 
-    def __init__(self, size: int, now: int, patience: Patience, keepers: int | None = None) -> None:
+    def __init__(
+        self, size: int, now: int, patience: Patience, keepers: int | None = None,
+        chance: random.Random | None = None,
+    ) -> None:  # fmt: skip
         """`size` members, this one too; `keepers` of them, all where none are told, hold what is
-        acknowledged. `fetch` is only to be told of those.
+        acknowledged. `fetch` is only to be told of those. `chance`: waits are up to half as long again by it,
+        so that members that start together do not ask the same few in step.
         """
-        self.patience = patience
+        self.patience, self.chance = patience, chance
         keepers = size if keepers is None else keepers
         self.others = 0 if size == 1 else (keepers + 1) // 2  # to fetch from
         self.near = size // 2  # with this member, a majority of all
@@ -119,7 +124,8 @@
         began = self.out.pop(name, None)
         if not good:
             self.failed[name] = now
-            self.paused_until = max(self.paused_until, now + self.pause)
+            stretched = 1.0 if self.chance is None else 1.0 + self.chance.random() / 2
+            self.paused_until = max(self.paused_until, now + round(self.pause * stretched))
             self.pause = min(2 * self.pause, self.patience.again_most * self.patience.again)
             return
         self.pause = self.patience.again
--- a/crowwing/records/events.py
+++ b/crowwing/records/events.py
@@ -26,6 +26,7 @@
     "storm_over": "it is seen no more",
     "fleet_open": "its fleet socket is open",
     "member": "another member is held alive, suspect or dead",
+    "cells_out": "which cells of the fleet it holds out of reach",
     "caught_up": "it holds what the fleet keeps, or has waited long enough",
     "catching_up": "it was away, and is behind until it has caught up",
     "fetched": "a whole copy came from a member",
