--- a/crowwing/fleet/membership/reach.py
+++ b/crowwing/fleet/membership/reach.py
@@ -33,19 +33,15 @@
 
 
 def among_cells(timing: Timing) -> Timing:
-    """The pace among cells: as among members, but more news on a message (a whole region may be cut off at
-    once), those held dead probed sooner, and no local health: where most cells are cut off, probes that go
-    unanswered say nothing of the speaker, and a speaker that is slow is outvoted by the others. For the same
-    reason a suspicion that few confirm stands twice the shortest at most."""
-    revive_every, times = max(2, timing.revive_every // 4), min(timing.suspect_most_times, 2.0)
+    """The pace among cells: as among members, but those held dead are probed sooner and only directly. One
+    other cell is asked to probe for us, since a second member of the cell is asked besides. No local health:
+    where most cells are cut off, probes that go unanswered say nothing of the speaker, and one that is slow is
+    outvoted; for the same reason a suspicion that few confirm stands twice the shortest at most.
+    """
     return replace(
-        timing,
-        news_most=12,
-        revive_every=revive_every,
-        hearsay=False,
-        health_most=0,
-        suspect_most_times=times,
-    )
+        timing, indirect=min(1, timing.indirect), suspect_most_times=min(2.0, timing.suspect_most_times),
+        health_most=0, revive_every=max(2, timing.revive_every // 4), revive_indirect=False, hearsay=False,
+    )  # fmt: skip
 
 
 class Reach:
@@ -98,7 +94,8 @@
                 self._unanswered(probe.target)
             elif direct and probe.helpers is not None:
                 self._unanswered(probe.target)
-                self.swim.ping(probe.target, probe.seq)  # to another of that cell
+                if self.swim.members[probe.target].state not in GONE:
+                    self.swim.ping(probe.target, probe.seq)  # to another of that cell
         else:
             self.swim.end_relays(now)
         self._carry(row)
--- a/crowwing/fleet/membership/swim.py
+++ b/crowwing/fleet/membership/swim.py
@@ -83,6 +83,7 @@
     retransmit: float = 3.0  # a rumour goes out this many times log10 of the fleet, at least once
     news_most: int = 8  # rumours on one message; bounds a datagram
     revive_every: int = 8  # periods between probes of a member held dead
+    revive_indirect: bool = True  # others are asked to probe one that is held dead, too
     hearsay: bool = True  # a death is believed as told; else as a suspicion that one's own probes may lift
 
 
@@ -155,6 +156,8 @@
         if probe is not None and probe.helpers is None:
             if now >= probe.sent + self.scaled(timing.probe_timeout):
                 others = [name for name in self.alive() if name != probe.target]
+                if not timing.revive_indirect and self.members[probe.target].state in GONE:
+                    others = []
                 probe.helpers = set(self.chance.sample(others, min(timing.indirect, len(others))))
                 for helper in sorted(probe.helpers):
                     self._send(helper, Kind.PING_REQ, seq=probe.seq, target=probe.target)
@@ -271,8 +274,11 @@
             state == SUSPECT == member.state
             and incarnation == member.incarnation
             and origin not in member.origins
+            and len(member.origins) <= self.timing.confirmations
         ):
-            member.origins.add(origin)  # Lifeguard: each independent suspicion shortens the wait
+            # Lifeguard: each independent suspicion shortens the wait, and goes on. One more than shortens it is
+            # not told on: where a whole region is cut off, everybody suspects everybody there.
+            member.origins.add(origin)
             self._rumour(name, SUSPECT, incarnation, origin)
 
     def _become(self, member: Member, state: str, incarnation: int, origin: str, now: int) -> None:
--- a/crowwing/fleet/state/spread.py
+++ b/crowwing/fleet/state/spread.py
@@ -58,6 +58,8 @@
     fan: int = 4  # in cells: members of the cell that are given news at once
     cells_at_once: int = 3  # in cells: other cells that a speaker gives news at once
     rides_in_cells: int = 2
+    quiet: int = 1_000_000  # in cells: copies are compared this long after the last news,
+    quiet_most: int = 5_000_000  # or this long after the last comparing, if news does not end
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +103,7 @@
         self.updates: dict[int, Update] = {}  # by number; emptied by a majority or their time
         self.number = 0
         self.sync_at = now + chance.randrange(pace.sync_every)
+        self.news_at = self.compared_at = now - pace.quiet
         self.outbox: list[tuple[str, Message]] = []
         self.far: set[str] = set()  # members to fetch the whole from; emptied by whoever fetches
         self.sent = 0  # rows
@@ -182,8 +185,13 @@
                 update.again = now + self.pace.again
                 self._give_again(number, update, alive)
         self._settle(now)
-        self._push(alive)
+        if self.fresh:
+            self.news_at = now
+            self._push(alive)
+        if now >= self.sync_at and self.reached is not None and self._is_busy(now):
+            self.sync_at = min(self.news_at + self.pace.quiet, self.compared_at + self.pace.quiet_most)
         if now >= self.sync_at:
+            self.compared_at = now
             # Within a tenth by chance: members started together do not compare in step.
             self.sync_at = now + round(self.pace.sync_every * (0.9 + 0.2 * self.chance.random()))
             if alive:
@@ -191,6 +199,11 @@
             for name in self._beyond(1):
                 self.compare(name)
 
+    def _is_busy(self, now: int) -> bool:
+        """Guards against comparing copies, thousands of bytes where they differ, while news is still on its
+        way to both."""
+        return now < min(self.news_at + self.pace.quiet, self.compared_at + self.pace.quiet_most)
+
     def _beyond(self, cells: int) -> list[str]:
         return [] if self.reached is None or self.reached.beyond is None else self.reached.beyond(cells)
 
--- a/crowwing/fleet/state/verdicts.py
+++ b/crowwing/fleet/state/verdicts.py
@@ -17,7 +17,7 @@
 
 LIFE = 600_000_000  # µs; said again after half of it, while it holds
 SETTLE = 1_000_000  # µs from a change to its telling: of many cells that go or come, few tellings
-GAP = 2_000_000  # µs between two tellings of one zone
+GAP = 5_000_000  # µs between two tellings of one zone
 
 
 class Verdicts:
