Read a message of the membership whole before anything of it counts

A message whose news names a state that is none, a PING_REQ without a target or a number that cannot be one raised only after the sender's incarnation and the news before it had been taken; a PING with a list for its number was answered. Change: number, states and target are read at the top of Membership.heard.

--- a/crowwing/fleet/membership/swim.py
+++ b/crowwing/fleet/membership/swim.py
@@ -199,17 +199,19 @@
 
     def heard(self, now: int, message: Message) -> None:
         """A message from a peer; one not of this fleet or not whole is a ValueError, and changes nothing."""
-        sender, kind, seq = message["from"], Kind(message["k"]), message["seq"]
+        sender, kind, seq = message["from"], Kind(message["k"]), int(message["seq"])
         if sender not in self.members:
             raise ValueError(f"{sender}: no member of this fleet")
         news = [(str(n), str(s), int(i), str(o)) for n, s, i, o in message.get("news", ())]
+        if strange := {state for _, state, _, _ in news} - RANK.keys():
+            raise ValueError(f"{', '.join(sorted(strange))}: no state")
+        target = str(message["target"]) if kind == Kind.PING_REQ else None
         self._direct(sender, int(message["inc"]), now)
         for name, state, incarnation, origin in news:
             self._news(name, state, incarnation, origin, now)
         if kind == Kind.PING:
             self._send(sender, Kind.ACK, seq=seq)
         elif kind == Kind.PING_REQ:
-            target = message["target"]
             if target in self.members:
                 self.seq += 1
                 # the nack comes within the period
@@ -249,8 +251,6 @@
             self._become(member, ALIVE, incarnation, sender, now)
 
     def _news(self, name: str, state: str, incarnation: int, origin: str, now: int) -> None:
-        if state not in RANK:
-            raise ValueError(f"{state}: no state")
         if name == self.me:
             # refuted, and our own health is less sure
             if state != ALIVE and incarnation >= self.incarnation and not self.leaving:
