Tests of cells by themselves: layout, reach, verdicts

Change: tests/test_cells.py: hypothesis on who is in which cell (bounded, within a zone, alike in any order, one member more or less), probes and refutations among cells, messages that are none, verdicts by majority, tellings that are bounded.

--- /dev/null
+++ b/tests/test_cells.py
@@ -0,0 +1,377 @@
+"""Cells by themselves: who is in which, who speaks, what is believed of others, and what is no message of
+theirs."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from crowwing.fleet.membership.cells import KEEPERS, SPEAKERS, Layout, covers
+from crowwing.fleet.membership.reach import CONTACTS, SWEEP_EVERY, Reach
+from crowwing.fleet.membership.swim import ALIVE, DEAD, SUSPECT, Kind, Timing
+from crowwing.fleet.state.copies import Copies, NotKept
+from crowwing.fleet.state.spaces import SPACES
+from crowwing.fleet.state.verdicts import GAP, LIFE, SETTLE, Verdicts
+
+S = 1_000_000
+TIMING = Timing(period=200_000, probe_timeout=60_000)
+ZONES = [("west", "w1"), ("west", "w2"), ("east", "e1")]
+fleets = st.dictionaries(
+    st.text("abcdefgh0123456789", min_size=1, max_size=6), st.sampled_from(ZONES), min_size=1, max_size=80
+)
+mosts = st.integers(2, 9)
+
+
+# Who is in which cell
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(places=fleets, most=mosts)
+def test_every_member_is_in_one_cell_of_its_own_zone_and_none_is_larger_than_it_may_be(
+    places: dict[str, tuple[str, str]], most: int
+) -> None:
+    layout = Layout(places, most)
+    assert sorted(name for roster in layout.rosters.values() for name in roster) == sorted(places)
+    for cell, roster in layout.rosters.items():
+        assert 1 <= len(roster) <= most
+        assert {places[name] for name in roster} == {tuple(cell.split("/")[:2])}
+        assert all(layout.cell_of[name] == cell for name in roster)
+        assert layout.keepers(cell) == roster[:KEEPERS]
+    for name in places:
+        assert {name, *layout.peers(name)} == set(layout.rosters[layout.cell_of[name]])
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(places=fleets, most=mosts, chance=st.randoms(use_true_random=False))
+def test_cells_are_worked_out_alike_whatever_the_order_of_the_list(
+    places: dict[str, tuple[str, str]], most: int, chance: random.Random
+) -> None:
+    order = list(places)
+    chance.shuffle(order)
+    one, other = Layout(places, most), Layout({name: places[name] for name in order}, most)
+    assert one.cell_of == other.cell_of
+    assert list(one.rosters.items()) == list(other.rosters.items()), "in one order, so that words are alike"
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(places=fleets, most=mosts, which=st.integers(0, 200), zone=st.sampled_from(ZONES))
+def test_a_list_changed_by_one_moves_members_of_one_cell_only(
+    places: dict[str, tuple[str, str]], most: int, which: int, zone: tuple[str, str]
+) -> None:
+    """One that is added; read backwards, one that is taken out. Who stays hears of no other cell's change."""
+    before = Layout(places, most)
+    after = Layout(places | {f"new{which}": zone}, most)
+    moved = [name for name in places if before.cell_of[name] != after.cell_of[name]]
+    assert len({before.cell_of[name] for name in moved}) <= 1
+    assert len(moved) <= most + 1
+    assert {zone} >= {places[name] for name in moved}
+    for name in moved:  # a cell's name and those of its parts begin alike
+        assert covers(before.cell_of[name], after.cell_of[name])
+    left = set(before.rosters) - {before.cell_of[name] for name in moved}
+    joined = after.cell_of[f"new{which}"]
+    assert all(before.rosters[cell] == after.rosters[cell] for cell in left - {joined})
+
+
+def test_members_of_one_place_are_one_cell_while_they_fit_and_two_when_they_do_not() -> None:
+    places = {f"m{n}": ("west", "w1") for n in range(50)}
+    assert set(Layout(places, 50).rosters) == {"west/w1/"}
+    split = Layout(places | {"m50": ("west", "w1")}, 50)
+    assert set(split.rosters) == {"west/w1/0", "west/w1/1"}
+
+
+def test_speakers_are_the_first_of_those_alive_and_the_same_for_all_that_see_alike() -> None:
+    layout = Layout({f"m{n}": ("west", "w1") for n in range(8)}, 8)
+    roster = layout.rosters["west/w1/"]
+    assert layout.speakers("west/w1/", set(roster)) == roster[:SPEAKERS]
+    assert layout.speakers("west/w1/", list(roster[2:])) == roster[2 : 2 + SPEAKERS]
+    assert layout.speakers("west/w1/", {roster[7]}) == (roster[7],)
+    assert layout.speakers("west/w1/", ()) == ()
+    assert layout.keepers("west/w1/") == roster[:KEEPERS], "whoever is alive"
+
+
+def test_cells_out_of_reach_are_told_in_as_few_words_as_can_be() -> None:
+    places = {f"m{n}": ZONES[n % 3] for n in range(60)}
+    layout = Layout(places, 8)
+    east = [cell for cell in layout.rosters if cell.startswith("east/")]
+    w1 = [cell for cell in layout.rosters if cell.startswith("west/w1/")]
+    w2 = [cell for cell in layout.rosters if cell.startswith("west/w2/")]
+    assert min(len(east), len(w1), len(w2)) > 1
+    assert layout.short([]) == []
+    assert layout.short(reversed(east)) == ["east/"]
+    assert layout.short([*w1, w2[0]]) == ["west/w1/", w2[0]]
+    assert layout.short(layout.rosters) == ["east/", "west/"]
+    assert layout.short(w2[:-1]) == sorted(w2[:-1])
+
+
+# Which cells are in reach
+
+
+def reach(cell: str = "a", seed: int = 1, speaks: bool = True) -> tuple[Reach, Layout]:
+    places = {f"{zone}{n}": ("r", zone) for zone in "abc" for n in range(4)}
+    layout = Layout(places, 4)
+    one = Reach(layout.rosters[f"r/{cell}/"][0], layout, 0, random.Random(seed), TIMING)
+    one.turn(0, speaks, frozenset())
+    return one, layout
+
+
+def ping(sender: str, seq: int = 7, **fields: object) -> dict:
+    return {"k": int(Kind.PING), "from": sender, "inc": 0, "seq": seq, "cell": 1} | fields
+
+
+def state(one: Reach) -> dict[str, tuple]:
+    return {cell: (seen.state, seen.incarnation) for cell, seen in one.swim.members.items()}
+
+
+NONE_OF_OURS = [
+    ping("x9"),  # a stranger
+    ping("a1"), ping("a0"),  # of our own cell
+    ping("b0") | {"k": 17}, ping("b0") | {"inc": "z"}, ping("b0") | {"inc": None},
+    {"k": 0, "from": "b0"}, {"k": 0, "from": "b0", "inc": 5},
+    ping("b0", inc=9, news=[["r/c/", DEAD, 3]]), ping("b0", inc=9, news=[["r/c/", DEAD, "x", "r/b/"]]),
+    ping("b0", inc=9, news=7), ping("b0", inc=9, news=[["r/c/", "asleep", 3, "r/b/"]]),
+    ping("b0", inc=9, news=[["r/c/", DEAD, 3, "r/b/"], ["r/c/", "asleep", 9, "r/b/"]]),
+    ping("b0", inc=9) | {"k": int(Kind.PING_REQ)}, ping("b0", inc=9) | {"k": int(Kind.NACK), "seq": None},
+    ping("b0", [], inc=9), ping("b0", [], inc=9) | {"k": int(Kind.ACK)},
+    ping("b0", inc=9, row=[1, 2]), ping("b0", inc=9, row=7), ping("b0", inc=9, row=["x", 4, 0, ""]),
+    ping("b0", inc=9, row=[1, 2, 3, 4, 5]), ping("b0", inc=9, row=[None, 4, 0, ""]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("message", NONE_OF_OURS)
+def test_what_is_no_message_of_another_cell_changes_nothing(message: dict) -> None:
+    one, _ = reach()
+    one.outbox.clear()
+    before = state(one), dict(one.contacts), dict(one.told), dict(one.askers), one.swim.incarnation
+    with pytest.raises((KeyError, TypeError, ValueError)):
+        one.heard(S, message, [4, 4, 0, ""])
+    assert (state(one), one.contacts, one.told, one.askers, one.swim.incarnation) == before
+    assert one.outbox == []
+
+
+def test_news_of_a_cell_that_is_none_of_the_fleet_changes_nothing_and_its_message_counts() -> None:
+    one, _ = reach()
+    told = [["r/z/", DEAD, 3, "r/b/"], ["q/a/", SUSPECT, 0, "r/b/"], ["r/b/0", DEAD, 9, "r/b/"]]
+    one.heard(S, ping("b1", news=told))
+    assert state(one) == {"r/b/": (ALIVE, 0), "r/c/": (ALIVE, 0)} and one.out() == frozenset()
+    assert one.contacts == {"r/b/": ["b1"]}
+
+
+def test_a_row_is_kept_a_cell_and_what_is_too_long_is_cut() -> None:
+    one, _ = reach()
+    one.heard(S, ping("b1", row=[3, 4, 1000, "f" * 5000]))
+    one.heard(S, ping("b2", row=[2, 4, 2000, "e"]))
+    assert one.told == {"r/b/": [2, 4, 2000, "e"]}
+    one.heard(S, ping("b1", row=[3, 4, 1000, "f" * 5000]))
+    assert one.told["r/b/"][3] == "f" * 16
+
+
+def test_every_member_answers_for_its_cell_and_says_its_row_and_only_speakers_probe() -> None:
+    silent, layout = reach(speaks=False)
+    assert silent.wake_at() is None
+    for at in range(1, 40):
+        silent.turn(at * 100_000, False, frozenset())
+    assert silent.outbox == []
+    silent.heard(5 * S, ping("b3"), None)
+    [(to, told)] = silent.outbox
+    assert to == "b3" and told["k"] == Kind.ACK and told["cell"] == 1 and "row" not in told
+    speaker, _ = reach()
+    speaker.heard(S, ping("b3"), [4, 4, 0, "d"])
+    acks = [(to, told["row"]) for to, told in speaker.outbox if told["k"] == Kind.ACK]
+    assert acks == [("b3", [4, 4, 0, "d"])]
+
+
+def test_a_death_heard_of_is_a_suspicion_that_an_answer_lifts() -> None:
+    one, _ = reach()
+    one.heard(S, ping("c0", news=[["r/b/", DEAD, 0, "r/c/"]]))
+    assert state(one)["r/b/"] == (SUSPECT, 0) and one.out() == frozenset()
+    one.heard(S + 1, ping("b2", inc=1))
+    assert state(one)["r/b/"] == (ALIVE, 1)
+
+
+def test_any_member_refutes_its_cells_death_and_says_so_to_whoever_answered() -> None:
+    one, _ = reach(speaks=False)
+    one.outbox.clear()
+    # A probe carried for others is the only thing that one who does not speak is answered.
+    one.heard(S, ping("b1", news=[["r/a/", DEAD, 4, "r/b/"]]))
+    [(to, told)] = one.outbox
+    assert to == "b1" and told["inc"] == 5 and ["r/a/", ALIVE, 5, "r/a/"] in told["news"]
+    speaker, _ = reach()
+    speaker.outbox.clear()
+    ack = {"k": int(Kind.ACK), "from": "b1", "inc": 0, "seq": 0, "cell": 1}
+    speaker.heard(S, ack | {"news": [["r/a/", DEAD, 4, "r/b/"]]})
+    assert [(to, told["k"], told["inc"]) for to, told in speaker.outbox] == [("b1", Kind.PING, 5)]
+
+
+def test_a_probe_that_goes_unanswered_goes_to_another_of_that_cell_before_helpers_are_asked() -> None:
+    for seed in range(20):
+        one, layout = reach(seed=seed)
+        now = 0
+        while one.swim.probe is None:
+            now = one.wake_at()
+            one.turn(now, True, frozenset())
+        asked = one.swim.probe.target
+        one.outbox.clear()
+        one.turn(now + TIMING.probe_timeout, True, frozenset())
+        second = [to for to, told in one.outbox if told["k"] == Kind.PING]
+        assert len(second) == 1 and layout.cell_of[second[0]] == asked
+        assert second[0] != layout.rosters[asked][0], "not the one that did not answer"
+        acked = {"k": int(Kind.ACK), "from": second[0], "inc": 0, "seq": one.swim.probe.seq, "cell": 1}
+        one.heard(now + 70_000, acked)
+        assert one.swim.probe is None
+
+
+def test_one_that_comes_back_is_a_sign_for_all_and_they_are_asked_once_in_a_while() -> None:
+    one, layout = reach()
+    for seen in one.swim.members.values():
+        seen.state = DEAD
+    one.outbox.clear()
+
+    def back(at: int) -> list[str]:
+        one.swim.members["r/b/"].state = DEAD
+        one.heard(at, ping("b1", inc=at))
+        pinged = [layout.cell_of[to] for to, told in one.outbox if told["k"] == Kind.PING]
+        one.outbox.clear()
+        return pinged
+
+    assert back(S) == ["r/c/"]
+    assert back(S + SWEEP_EVERY - 1) == []
+    assert back(S + SWEEP_EVERY) == ["r/c/"]
+    one.turn(9 * S, False, frozenset())
+    assert back(19 * S) == [], "only speakers ask"
+
+
+def test_one_that_begins_to_speak_starts_from_what_its_cell_believes_not_from_what_it_overheard() -> None:
+    one, _ = reach(speaks=False)
+    one.heard(S, ping("b1", news=[["r/c/", SUSPECT, 0, "r/b/"]]))
+    one.turn(2 * S, True, frozenset({"r/b/"}))
+    assert {cell: seen for cell, (seen, _) in state(one).items()} == {"r/b/": DEAD, "r/c/": ALIVE}
+    one.turn(3 * S, False, frozenset())
+    one.turn(4 * S, True, frozenset())
+    assert one.out() == frozenset()
+
+
+def test_what_is_known_of_who_speaks_is_bounded_and_forgotten_with_their_silence() -> None:
+    one, layout = reach()
+    for n in range(4):
+        one.heard(S + n, ping(f"b{n}"))
+    assert one.contacts == {"r/b/": ["b1", "b2", "b3"]} and len(one.contacts["r/b/"]) == CONTACTS
+    one._unanswered("r/b/")
+    roster = layout.rosters["r/b/"]
+    asked = []
+    for _ in range(8):
+        asked.append(one._contact("r/b/"))
+        one._unanswered("r/b/")
+    assert set(asked) == set(roster) and asked[:4] == asked[4:], "in turn"
+    one.heard(2 * S, ping("b0"))
+    assert one._contact("r/b/") == "b0"
+
+
+def test_probes_carried_for_others_are_answered_to_who_asked_and_leave_nothing_behind() -> None:
+    one, _ = reach(speaks=False)
+    for n in range(50):
+        one.heard(S, ping(f"b{n % 4}", seq=n) | {"k": int(Kind.PING_REQ), "target": "r/c/"})
+    assert len(one.askers) == 50 and one.wake_at() is not None
+    one.outbox.clear()
+    one.turn(2 * S, False, frozenset())
+    assert [told["k"] for _, told in one.outbox] == [Kind.NACK] * 50
+    assert {to for to, _ in one.outbox} == {"b0", "b1", "b2", "b3"}
+    assert not one.askers and not one.swim.relayed and one.wake_at() is None
+
+
+# What is believed of other cells
+
+
+def verdicts(most: int = 4) -> tuple[Verdicts, Copies, Layout, tuple[str, ...]]:
+    places = {f"m{n}": ZONES[n % 3] for n in range(36)}
+    layout = Layout(places, most)
+    cell = layout.cell_of["m0"]
+    copies = Copies("m0", SPACES, 10 * S)
+    return Verdicts("m0", layout, copies, 0), copies, layout, layout.rosters[cell][:SPEAKERS]
+
+
+def say(copies: Copies, speaker: str, zone: str, words: object) -> None:
+    copies.put(S, f"reach/{speaker}/{zone}", words, LIFE)
+
+
+def test_a_cell_is_out_of_reach_where_most_speakers_say_so() -> None:
+    one, copies, layout, speakers = verdicts()
+    assert len(speakers) == 3
+    east = frozenset(cell for cell in layout.rosters if cell.startswith("east/e1/"))
+    say(copies, speakers[0], "east/e1", [""])
+    assert one.out(speakers) == frozenset()
+    say(copies, speakers[1], "east/e1", [""])
+    assert one.out(speakers) == east
+    assert one.out(speakers[1:]) == frozenset(), "of two, one is not most"
+    assert one.out(speakers[:2]) == east, "who speaks no longer does not count"
+    assert one.out(()) == frozenset()
+    say(copies, speakers[1], "east/e1", [])
+    assert one.out(speakers) == frozenset()
+
+
+def test_a_member_that_does_not_speak_is_not_counted_nor_are_words_that_are_none() -> None:
+    one, copies, layout, speakers = verdicts()
+    others = [name for name in layout.rosters[layout.cell_of["m0"]] if name not in speakers]
+    for name in [*others, "m1", "m2", "x"]:
+        say(copies, name, "east/e1", [""])
+    for speaker, words in zip(speakers, ["east/e1", {"": 1}, [7, None, ["x"]]], strict=True):
+        say(copies, speaker, "east/e1", words)
+    assert one.out(speakers) == frozenset()
+    own = layout.zone_of(one.own).rstrip("/")
+    for speaker in speakers:
+        say(copies, speaker, own, [one.own.rpartition("/")[2]])
+    assert one.own not in one.out(speakers), "nobody is out of reach of its own cell"
+
+
+def test_words_of_settings_one_change_older_mean_the_parts_that_a_cell_became() -> None:
+    one, copies, layout, speakers = verdicts(most=2)
+    parts = sorted(cell for cell in layout.rosters if cell.startswith("east/e1/0"))
+    assert len(parts) > 1
+    for speaker in speakers:
+        say(copies, speaker, "east/e1", ["0"])
+    assert one.out(speakers) == frozenset(parts)
+
+
+def test_a_telling_waits_for_more_and_has_its_distance_from_the_last() -> None:
+    one, copies, layout, _ = verdicts()
+    east = sorted(cell for cell in layout.rosters if cell.startswith("east/e1/"))
+    w2 = [cell for cell in layout.rosters if cell.startswith("west/w2/")]
+
+    def tell(now: int, out: list[str]) -> list[tuple[str, list[str]]]:
+        said = one.tell(now, frozenset(out))
+        for key, value in said:
+            copies.put(S + now, key, value, LIFE)
+        return said
+
+    assert tell(0, []) == [] and one.wake_at() is None
+    assert tell(S, east[:1]) == [] and one.wake_at() == S + SETTLE
+    assert tell(S + SETTLE - 1, east) == []
+    assert tell(S + SETTLE, east) == [("reach/m0/east/e1", [""])]
+    assert tell(S + SETTLE + 1, east) == [] and one.wake_at() is None
+    assert tell(S + SETTLE + 2, east[1:]) == []
+    assert tell(S + SETTLE + GAP - 1, east[1:] + w2) == []
+    said = tell(S + SETTLE + GAP, east[1:] + w2)
+    assert said == [("reach/m0/east/e1", sorted(cell[8:] for cell in east[1:]))]
+    assert tell(5 * S, east[1:]) == [], "one that came back before it was told of is not told of"
+    assert one.wake_at() is None
+
+
+def test_what_holds_is_said_again_before_it_runs_out_and_what_is_over_is_not() -> None:
+    one, copies, layout, _ = verdicts()
+    east = frozenset(cell for cell in layout.rosters if cell.startswith("east/e1/"))
+    at, said = 0, []
+    while at < 3 * LIFE:
+        copies.turn(S + at)
+        for key, value in one.tell(at, east if at < LIFE else frozenset()):
+            copies.put(S + at, key, value, LIFE)
+            said.append((at, value))
+        if S < at < LIFE:
+            assert copies.look("reach/m0/east/e1") == [""] or at < 3 * S
+        at += S
+    assert 3 <= len(said) <= 5 and said[-1][1] == []
+
+
+def test_words_are_kept_in_the_cell_only() -> None:
+    assert not SPACES["reach"].wide
+    with pytest.raises(NotKept):
+        Copies("m0", {name: one for name, one in SPACES.items() if one.wide}, S).put(S, "reach/m0/x", [], S)
