--- a/crowwing/fleet/world.py
+++ b/crowwing/fleet/world.py
@@ -9,6 +9,7 @@
 
 import heapq
 import random
+from collections import Counter
 from collections.abc import Callable, Collection
 
 import orjson
@@ -145,12 +146,13 @@
     def __init__(
         self, size: int, seed: int, manner: Manner, spaces: dict[str, Space], offsets: dict[str, int] | None
         = None, delay: int = 500, jitter: int = 1500, layout: Layout | None = None, far: int = 0,
-        in_step: bool = True,
+        in_step: bool = True, layouts: dict[str, Layout] | None = None,
     ) -> None:  # fmt: skip
         """`layout`: of the members' names, for a fleet in cells. `in_step`: all begin their first period in
-        one µs, as processes that are started never do.
+        one µs, as processes that are started never do. `layouts`: those of members whose copy of the settings
+        is another one; what they and others do not take of each other is counted, as link.py does.
         """
-        self.in_step = in_step
+        self.in_step, self.layouts = in_step, layouts or {}
         self.manner, self.spaces, self.offsets, self.far = manner, spaces, offsets or {}, far
         self.layout = layout
         cells = layout.cell_of if layout is not None else {}
@@ -165,6 +167,7 @@
 
     def _begin(self) -> None:
         self.lives = dict.fromkeys(self.names, 0)
+        self.dropped: Counter[str] = Counter()  # by the one that heard it; only with layouts of their own
         # Of each one, all told: bytes and datagrams sent, bytes and datagrams read, bytes of streams.
         self.traffic = {name: [0, 0, 0, 0, 0] for name in self.names}
         self.members = {}
@@ -175,8 +178,10 @@
 
     def _born(self, name: str, at: int) -> Member:
         chance = random.Random(f"{self.seed}/{name}/{self.lives[name]}")
-        others = [other for other in self.names if other != name]
-        return Member(name, others, at, chance, self.manner, self.spaces, self.layout)
+        layout = self.layouts.get(name, self.layout)
+        named = self.names if layout is None else layout.cell_of
+        others = [other for other in self.names if other != name and other in named]
+        return Member(name, others, at, chance, self.manner, self.spaces, layout)
 
     def wall(self, name: str) -> int:
         """Unix time of the member's own clock; the world begins at an hour, so that none is below 0."""
@@ -198,7 +203,15 @@
         mine = self.traffic[name]
         mine[2] += len(message)
         mine[3] += 1
-        member.heard(self.now, self.wall(name), orjson.loads(message))
+        told = orjson.loads(message)
+        try:
+            if self.layouts and told["from"] not in member.layout.cell_of:
+                raise ValueError(f"{told['from']}: a stranger")
+            member.heard(self.now, self.wall(name), told)
+        except ValueError:
+            if not self.layouts:
+                raise
+            self.dropped[name] += 1
 
     def _wake_at(self, member: Member) -> int:
         return member.wake_at(self.now)
