A cell knows its death under the name that an older or newer copy of the settings has

Need: where all members of a cell have a copy of the settings one change older that names it otherwise (a cell of one, m0 of west/w1/ that became west/w1/0), the others hold it out of reach after a cut until it has the newer copy: news of its death names a cell that it does not know, so it never refutes it. Change: in Reach.heard, news of a cell that covers ours or that ours covers, and that our copy does not name, is of our own cell. Refuting it raises our incarnation, which goes with every message.

--- a/crowwing/fleet/membership/reach.py
+++ b/crowwing/fleet/membership/reach.py
@@ -21,7 +21,7 @@
 from collections import Counter
 from dataclasses import replace
 
-from crowwing.fleet.membership.cells import Layout
+from crowwing.fleet.membership.cells import Layout, covers
 from crowwing.fleet.membership.swim import ALIVE, DEAD, GONE, Kind, Membership, Message, Timing
 
 SWEEP_EVERY = 2_000_000  # µs
@@ -146,7 +146,8 @@
             row_told = [int(alive), int(of), int(since), str(digest)[:16]]
         before, seen = self.swim.incarnation, self.swim.members[cell]
         gone = seen.state in GONE
-        self.swim.heard(now, message | {"from": cell})
+        news = [[self._meant(name), *rest] for name, *rest in message.get("news", ())]
+        self.swim.heard(now, message | {"from": cell, "news": news})
         contacts = self.contacts.setdefault(cell, [])
         if sender not in contacts:
             contacts.append(sender)
@@ -162,6 +163,13 @@
             self.swim.ping(cell)
         self._carry(row, sender)
 
+    def _meant(self, cell: object) -> object:
+        """Our own cell where a copy of the settings one change older or newer has another name for it, or
+        for a part of it. Guards against a cell whose members all have the one copy, and which nobody with
+        the other could bring back: it would not know its death for its own, and not refute it."""
+        other = isinstance(cell, str) and cell not in self.swim.members
+        return self.cell if other and (covers(cell, self.cell) or covers(self.cell, cell)) else cell
+
     def _carry(self, row: Told | None, sender: str | None = None) -> None:
         """From cells to members: an answer to who asked, the rest to who speaks for the cell."""
         for cell, message in self.swim.outbox:
