--- a/crowwing/fleet/world.py
+++ b/crowwing/fleet/world.py
@@ -241,7 +241,13 @@
         """A stream: slow where messages are lost, but whole or not at all; `streams_most` at once."""
         self.fetches.append((self.now, name, other))
         rows, took = None, self.cut_fetch
-        if other not in self.paused and not self.cut(name, other) and not self.cut(other, name):
+        strange = self.layouts and name not in self.members[other].layout.cell_of  # turned away by whole.py
+        if (
+            not strange
+            and other not in self.paused
+            and not self.cut(name, other)
+            and not self.cut(other, name)
+        ):
             took = 4 * (self.delay + self._apart(name, other))
             took += round(1e6 * self.loss * self.chance.random())
             busy = self.serving[other] = [end for end in self.serving.get(other, ()) if end > self.now]
@@ -301,7 +307,7 @@
         """Those of which nobody runs."""
         if self.layout is None:
             return frozenset()
-        some = {self.layout.cell_of[name] for name in self.paused}
+        some = {cell for name in self.paused if (cell := self.layout.cell_of.get(name)) is not None}
         return frozenset(cell for cell in some if self.paused.issuperset(self.layout.rosters[cell]))
 
     def agreed(self, out: Callable[[str], frozenset[str]] | None = None) -> bool:
