--- a/crowwing/fleet/membership/cells.py
+++ b/crowwing/fleet/membership/cells.py
@@ -41,6 +41,8 @@
         for (region, zone), names in sorted(zones.items()):
             hashed = sorted((xxhash.xxh64_intdigest(name.encode()), name) for name in names)
             self._split(f"{region}/{zone}/", hashed, 63, most)
+        self.cells = tuple(sorted(self.rosters))
+        self.digest = f"{xxhash.xxh64_intdigest(' '.join(self.cells).encode()):016x}"  # of the cells' names
 
     def _split(self, cell: str, hashed: list[tuple[int, str]], bit: int, most: int) -> None:
         if len(hashed) > most and bit >= 0:
@@ -75,7 +77,7 @@
     def short(self, cells: Iterable[str]) -> list[str]:
         """These cells in as few words as can be: a whole region or zone is one."""
         out, words = set(cells), []
-        for region, of_region in groupby(sorted(self.rosters), key=lambda cell: cell.split("/")[0]):
+        for region, of_region in groupby(self.cells, key=lambda cell: cell.split("/")[0]):
             mine = list(of_region)
             if out.issuperset(mine):
                 words.append(f"{region}/")
--- a/crowwing/fleet/membership/reach.py
+++ b/crowwing/fleet/membership/reach.py
@@ -35,12 +35,14 @@
 def among_cells(timing: Timing) -> Timing:
     """The pace among cells: as among members, but those held dead are probed sooner and only directly. One
     other cell is asked to probe for us, since a second member of the cell is asked besides. No local health:
-    where most cells are cut off, probes that go unanswered say nothing of the speaker, and one that is slow is
-    outvoted; for the same reason a suspicion that few confirm stands twice the shortest at most.
+    where most cells are cut off, probes that go unanswered say nothing of the speaker, and one that is slow
+    is outvoted; for the same reason a suspicion that few confirm stands twice the shortest at most. News is
+    told less often: three speak for each cell, and after a cut each asks for itself.
     """
     return replace(
         timing, indirect=min(1, timing.indirect), suspect_most_times=min(2.0, timing.suspect_most_times),
-        health_most=0, revive_every=max(2, timing.revive_every // 4), revive_indirect=False, hearsay=False,
+        health_most=0, retransmit=timing.retransmit / 3, revive_every=max(2, timing.revive_every // 4),
+        revive_indirect=False, hearsay=False,
     )  # fmt: skip
 
 
--- a/crowwing/fleet/membership/swim.py
+++ b/crowwing/fleet/membership/swim.py
@@ -276,8 +276,8 @@
             and origin not in member.origins
             and len(member.origins) <= self.timing.confirmations
         ):
-            # Lifeguard: each independent suspicion shortens the wait, and goes on. One more than shortens it is
-            # not told on: where a whole region is cut off, everybody suspects everybody there.
+            # Lifeguard: each independent suspicion shortens the wait, and goes on. One more than shortens it
+            # is not told on: where a whole region is cut off, everybody suspects everybody there.
             member.origins.add(origin)
             self._rumour(name, SUSPECT, incarnation, origin)
 
