--- a/crowwing/emulator/fleet/rig.py
+++ b/crowwing/emulator/fleet/rig.py
@@ -31,6 +31,7 @@
     "fetched",
     "snapshot_read",
     "snapshot_unused",
+    "cells_out",
 }
 
 
@@ -97,15 +98,19 @@
 
 
 class FleetRig:
-    def __init__(self, folder: Path, size: int, seed: int, faults: list[dict], **fleet: object) -> None:
+    def __init__(
+        self, folder: Path, size: int, seed: int, faults: list[dict],
+        places: dict[str, tuple[str, str]] | None = None, **fleet: object,
+    ) -> None:  # fmt: skip
+        """`places`: the region and zone of every member, for a fleet in cells."""
         self.folder, self.seed, self.host = folder, seed, own_host()
         folder.mkdir(parents=True, exist_ok=True)
         self.names = [f"m{n}" for n in range(size)]
         self.fleet_at: dict[str, tuple[str, int]] = {}  # chosen once the relay's sockets are open
-        self.told = {"size": size, "seed": seed, "faults": faults, "fleet": fleet}
+        self.told = {"size": size, "seed": seed, "faults": faults, "places": places, "fleet": fleet}
         (folder / "rig.json").write_bytes(orjson.dumps(self.told, option=orjson.OPT_INDENT_2))
         self.relay = Relay(self.names, script(faults, self.names), seed, self.host)
-        self.fleet = fleet
+        self.fleet, self.places = fleet, places or {}
         self.operator_of: dict[str, dict] = {}  # what one member's fleet section says besides
         self.children: dict[str, subprocess.Popen] = {}
         self.asker = Asker()
@@ -125,20 +130,26 @@
             "seed": f"{self.seed:08x}{self.names.index(name):08x}",
         }  # fmt: skip
         peers = [
-            {"name": other, "address": f"{self.host}:{self.relay.ports[(name, other)]}"}
+            {"name": other, "address": f"{self.host}:{self.relay.ports[(name, other)]}"} | self._place(other)
             for other in self.names
             if other != name
         ]
         listen = "{}:{}".format(*self.fleet_at[name])
         operator = {
             "version": 1,
-            "fleet": {"listen": listen, "peers": peers} | self.fleet | self.operator_of.get(name, {}),
+            "fleet": {"listen": listen, "peers": peers}
+            | self._place(name)
+            | self.fleet
+            | self.operator_of.get(name, {}),
         }
         paths = self.folder / f"{name}.json", self.folder / f"{name}.operator.json"
         paths[0].write_bytes(orjson.dumps(configuration))
         paths[1].write_bytes(orjson.dumps(operator))
         return paths
 
+    def _place(self, name: str) -> dict[str, str]:
+        return dict(zip(("region", "zone"), self.places.get(name, ()), strict=False))
+
     def launch(self, name: str, **operator: object) -> None:
         """Starts the member, or starts it again; its lines go on in the same log."""
         configuration, operator_file = self._files(name)
