Count datagrams and bytes read and sent, and fetch attempts, on a member's fleet socket

Need: what a fleet costs a backend is to be measured at size, and a member counted only the bytes that it sent. At 1,000 members (65.8 kB) its `members` answer no longer fits a datagram, so it cannot carry the counters.

Change: the link counts datagrams and payload both ways and whole copies asked for; `members` tells them, and a question `counts` tells them alone, small at any size, with the protocol periods that went by.

--- a/crowwing/fleet/wires/asked.py
+++ b/crowwing/fleet/wires/asked.py
@@ -31,6 +31,8 @@
         kind, n = told["k"], told.get("n")
         if kind == "members":
             reply(self._members() | {"n": n})
+        elif kind == "counts":
+            reply(self._counts() | {"n": n})
         elif kind == "state":
             reply(self._state(str(told.get("prefix", "")), str(told.get("after", ""))) | {"n": n})
         elif kind in ("put", "add", "take_out"):
@@ -66,8 +68,16 @@
         return {
             "me": m.me, "incarnation": m.incarnation, "health": m.health, "at": link.now(),
             "members": [{"name": n, "state": s, "incarnation": i, "since": t} for n, s, i, t in m.view()],
-            "dropped": dict(link.dropped), "ready": link.member.ready, "whole": link.member.catch_up.whole,
-            "sent_bytes": link.sent_bytes,
+            "dropped": dict(link.dropped), "whole": link.member.catch_up.whole, **self._counts(),
+        }  # fmt: skip
+
+    def _counts(self) -> dict:
+        """Since the start, datagrams and payload bytes; small at any size of the fleet."""
+        link = self.link
+        return {
+            "sent": link.sent, "sent_bytes": link.sent_bytes, "read": link.read,
+            "read_bytes": link.read_bytes, "fetches": link.fetches,
+            "periods": link.member.membership.periods, "ready": link.member.ready,
         }  # fmt: skip
 
     def _state(self, prefix: str, after: str) -> dict:
--- a/crowwing/fleet/wires/link.py
+++ b/crowwing/fleet/wires/link.py
@@ -126,7 +126,8 @@
         self.wake: asyncio.TimerHandle | None = None
         self.fetching: set[asyncio.Task] = set()  # emptied by each one's end
         self.dropped: Counter[str] = Counter()
-        self.sent_bytes = 0
+        self.sent = self.sent_bytes = self.read = self.read_bytes = 0  # datagrams and their payload
+        self.fetches = 0  # whole copies asked for, come or not
         self.written = 0  # changes that are on disk
 
     def now(self) -> int:
@@ -177,6 +178,8 @@
     # What comes
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.read += 1
+        self.read_bytes += len(data)
         if len(data) > DATAGRAM_MOST:
             self.dropped["large"] += 1
             return
@@ -232,11 +235,13 @@
 
     def _send(self, data: bytes, where: tuple[str, int]) -> None:
         if self.transport is not None and not self.transport.is_closing():
+            self.sent += 1
             self.sent_bytes += len(data)
             self.transport.sendto(data, where)
 
     async def _fetch(self, name: str) -> None:
         rows = None
+        self.fetches += 1
         try:
             me, leaves = self.member.me, list(self.member.copies.leaves)
             rows = await whole.fetch(self.addresses[name], me, leaves, FETCH_WITHIN)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -151,3 +151,22 @@
         )
     lines = ended.stderr.decode().splitlines()
     assert ended.returncode == 1 and len(lines) == 1 and f"{port} (fleet)" in lines[0], lines
+
+
+def test_a_member_counts_what_it_sends_reads_and_fetches(tmp_path: Path) -> None:
+    with FleetRig(tmp_path, 3, seed=8, faults=[], **FAST) as rig:
+        everyone = set(rig.names)
+        assert rig.until(lambda: agree(rig, everyone), 20) is not None
+        begun = [rig.ask(name, k="counts") for name in rig.names]
+        assert rig.until(lambda: False, 3) is None
+        counts = [rig.ask(name, k="counts") for name in rig.names]
+        assert all(one["fetches"] >= 2 for one in counts)  # each met half of all, the two others
+        sent = sum(now["sent"] - then["sent"] for now, then in zip(counts, begun, strict=True))
+        read = sum(now["read"] - then["read"] for now, then in zip(counts, begun, strict=True))
+        periods = sum(now["periods"] - then["periods"] for now, then in zip(counts, begun, strict=True))
+        assert periods >= 15 and sent >= 2 * periods  # a ping and its ack, at least
+        assert abs(sent - read) <= 12  # all but what is under way, and our own questions
+        assert all(one["read_bytes"] > 20 * one["read"] for one in counts)
+        assert all(one["sent_bytes"] > 20 * one["sent"] for one in counts)
+        seen = rig.view("m0")
+        assert seen["sent"] >= counts[0]["sent"] and seen["read_bytes"] >= counts[0]["read_bytes"]
