--- a/crowwing/emulator/fleet/rig.py
+++ b/crowwing/emulator/fleet/rig.py
@@ -111,12 +111,16 @@
         self.asker = Asker()
 
     def start(self) -> None:
+        self.connect()
+        for name in self.names:
+            self.launch(name)
+
+    def connect(self) -> None:
+        """The relay's sockets are open, and each member's own address is chosen."""
         self.relay.start()
         ports = free_ports(len(self.names), set(self.relay.ports.values()), self.host)
         self.fleet_at.update((name, (self.host, port)) for name, port in zip(self.names, ports, strict=True))
         self.relay.members.update(self.fleet_at)
-        for name in self.names:
-            self.launch(name)
 
     def _files(self, name: str) -> tuple[Path, Path]:
         configuration = orjson.loads(EXAMPLE.read_bytes()) | {
--- /dev/null
+++ b/crowwing/emulator/fleet/wide.py
@@ -0,0 +1,229 @@
+"""Some real backends beside many hollow members: one fleet of any size on one machine.
+
+Real ones are started as FleetRig starts them, their links among each other through the relay; hollow ones
+share a few processes (hollow.py), which see to delay, loss and cuts on all other links. Every process ends
+with this one.
+"""
+
+import os
+import select
+import subprocess
+import sys
+import time
+from collections.abc import Iterable, Sequence
+from dataclasses import asdict
+from pathlib import Path
+
+import orjson
+
+from crowwing.emulator.fleet import places
+from crowwing.emulator.fleet.places import Ways
+from crowwing.emulator.fleet.relay import Fault
+from crowwing.emulator.fleet.rig import EXAMPLE, FleetRig, free_port
+from crowwing.emulator.processes import ROOT, Process, _end_with_parent
+
+ANSWER_S = 120.0  # for one line back: building thousands of members takes its time
+A_BLOCK = 250  # hollow addresses that differ in their last number only
+PORT = 21_000  # hollow ones' first; under the ports that the machine gives out itself
+
+
+class Lost(ChildProcessError):
+    """A hollow process is gone or does not answer: one line."""
+
+
+class HollowProcess:
+    """The parent's end of one."""
+
+    def __init__(self, number: int, folder: Path) -> None:
+        self.number, self.name, self.buffer = 0, f"hollow-{number}", b""
+        environment = os.environ | {"PYTHONPATH": str(ROOT)}
+        with (folder / f"{self.name}.log").open("ab") as log:
+            self.child = subprocess.Popen(
+                [sys.executable, "-O", "-m", "crowwing.emulator.fleet.hollow"],
+                stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=log, env=environment, cwd=ROOT,
+                preexec_fn=_end_with_parent,
+            )  # fmt: skip
+
+    def tell(self, **told: object) -> None:
+        self.number += 1
+        self.line(told | {"n": self.number})
+
+    def line(self, told: dict) -> None:
+        try:
+            self.child.stdin.write(orjson.dumps(told) + b"\n")
+            self.child.stdin.flush()
+        except OSError as wrong:
+            raise Lost(f"{self.name}: {wrong.strerror}") from None
+
+    def answer(self) -> dict:
+        """To the last line told."""
+        until = time.monotonic() + ANSWER_S
+        while b"\n" not in self.buffer:
+            left = until - time.monotonic()
+            if left <= 0 or not select.select([self.child.stdout], [], [], left)[0]:
+                raise Lost(f"{self.name}: no answer within {ANSWER_S:g} s")
+            piece = os.read(self.child.stdout.fileno(), 1 << 20)
+            if not piece:
+                raise Lost(f"{self.name}: has ended, see its log")
+            self.buffer += piece
+        line, _, self.buffer = self.buffer.partition(b"\n")
+        told = orjson.loads(line)
+        if told["n"] != self.number:
+            raise Lost(f"{self.name}: answers {told['n']}, not {self.number}")
+        return told
+
+    def end(self) -> None:
+        self.child.kill()
+        self.child.wait()
+        self.child.stdin.close()
+        self.child.stdout.close()
+
+
+class Wide(FleetRig):
+    """`size` members, the first `real` of them real; `cells` says whether places go into the settings.
+    `fleet` is the fleet section's other settings, alike for both kinds."""
+
+    def __init__(
+        self, folder: Path, size: int, real: int, seed: int, *, cells: bool = False, processes: int = 1,
+        ways: Ways | None = None, fleet: dict | None = None,
+    ) -> None:  # fmt: skip
+        super().__init__(folder, real, seed, [], **(fleet or {}))
+        self.hollow = [f"h{n}" for n in range(size - real)]
+        self.everyone = [*self.names, *self.hollow]
+        self.places = places.places(self.everyone)
+        self.cells, self.ways = cells, ways or Ways()
+        block = 128 + os.getpid() % 120
+        port = PORT + (os.getpid() // 120 + seed) % 10_000
+        self.hollow_at = {
+            name: (f"127.{block}.{n // A_BLOCK}.{1 + n % A_BLOCK}", port)
+            for n, name in enumerate(self.hollow)
+        }
+        self.hosts = [HollowProcess(n, folder) for n in range(processes if self.hollow else 0)]
+        self.mine = [self.hollow[n :: len(self.hosts)] for n in range(len(self.hosts))]
+        self.alone: Process | None = None
+        self.cut_now: list[Fault] = []
+
+    # Beginning
+
+    def connect(self) -> None:
+        super().connect()
+        self._ways_among_real()
+        for name in self.names:
+            self.operator_of[name] = self.operator_of.get(name, {}) | self._section(name)
+        addresses = self.fleet_at | self.hollow_at
+        told = {
+            "seed": self.seed, "addresses": addresses, "real": self.names, "fleet": self.fleet,
+            "regions": {name: place[0] for name, place in self.places.items()}, "ways": asdict(self.ways),
+            "zones": {name: place[1] for name, place in self.places.items()} if self.cells else None,
+        }  # fmt: skip
+        for host, mine in zip(self.hosts, self.mine, strict=True):
+            host.line(told | {"mine": mine})
+        self.tell("open")
+
+    def start(self, build_s: float = 1.0) -> None:
+        """Hollow ones are on first, as a fleet that runs; real ones come up beside them. `build_s`: what
+        building all hollow members is thought to take."""
+        self.connect()
+        if self.hosts:
+            at = time.monotonic_ns() // 1000 + round((build_s + 1.0) * 1e6)
+            self.tell("build", at=at)
+            at = max(at, time.monotonic_ns() // 1000 + 200_000)
+            for host in self.hosts:
+                host.tell(do="go", at=at)
+        for name in self.names:
+            self.launch(name)
+        for host in self.hosts:
+            host.answer()
+
+    def begin_alone(self) -> None:
+        """One more real backend, without a fleet section: what it takes is no fleet's."""
+        told = orjson.loads(EXAMPLE.read_bytes())
+        ports = {key: f"{self.host}:{free_port(1, self.host)}" for key in ("listen", "agent")}
+        self.alone = Process(self.folder, told | ports | {"name": "alone"}, None, None)
+
+    def _section(self, name: str) -> dict:
+        """What this real member's fleet section says of the others."""
+        peers = [
+            {"name": other, "address": f"{self.host}:{self.relay.ports[(name, other)]}"}
+            for other in self.names
+            if other != name
+        ]
+        peers += [
+            {"name": other, "address": f"{host}:{port}"} for other, (host, port) in self.hollow_at.items()
+        ]
+        if not self.cells:
+            return {"peers": peers}
+        for peer in peers:
+            peer["region"], peer["zone"] = self.places[peer["name"]]
+        region, zone = self.places[name]
+        return {"peers": peers, "region": region, "zone": zone}
+
+    def _ways_among_real(self) -> None:
+        ways = self.ways
+        near = {"kind": "delay", "size": 1000 * ways.near_least}
+        self.relay.impose([near | {"jitter_ms": 1000 * (ways.near_most - ways.near_least)}])
+        for region in places.ZONES:
+            across = {"from": self.real_in(region), "to": self.real_in(region, not_there=True)}
+            if all(across.values()):
+                self.relay.impose([across | {"kind": "delay", "size": 1000 * ways.far}])
+                if ways.loss:
+                    self.relay.impose([across | {"kind": "loss", "size": ways.loss}])
+
+    def real_in(self, region: str, not_there: bool = False) -> list[str]:
+        return [name for name in self.names if (self.places[name][0] == region) != not_there]
+
+    # Telling hollow ones
+
+    def tell(self, what: str, **told: object) -> list[dict]:
+        """All processes at once; what each answers."""
+        for host in self.hosts:
+            host.tell(do=what, **told)
+        return [host.answer() for host in self.hosts]
+
+    def put(self, name: str, key: str, value: object) -> dict:
+        """Said by one hollow member."""
+        host = next(host for host, mine in zip(self.hosts, self.mine, strict=True) if name in mine)
+        host.tell(do="put", name=name, key=key, value=value)
+        return host.answer()
+
+    def cut(self, pairs: Sequence[tuple[str, str]]) -> None:
+        """Regions that do not reach each other from now on."""
+        self.tell("cut", pairs=pairs)
+        for one, other in pairs:
+            few, rest = self.real_in(one), self.real_in(other)
+            if few and rest:
+                told = [{"kind": "cut", "from": few, "to": rest}, {"kind": "cut", "from": rest, "to": few}]
+                self.cut_now += self.relay.impose(told)
+
+    def heal(self) -> None:
+        self.relay.lift(self.cut_now)
+        self.cut_now = []
+        self.tell("heal")
+
+    def in_zone(self, zone: str) -> list[str]:
+        return [name for name in self.everyone if self.places[name][1] == zone]
+
+    def end(self) -> None:
+        for host in self.hosts:
+            host.end()
+        if self.alone is not None and self.alone.ended() is None:
+            self.alone.kill()
+        super().end()
+
+    # What a process takes
+
+    def pids(self, names: Iterable[str]) -> dict[str, int]:
+        return {name: self.children[name].pid for name in names if self.children[name].poll() is None}
+
+
+def cpu_s(pid: int) -> float:
+    """Processor time of all its threads that run, s, finer than a tick. OSError where it is gone."""
+    threads = Path(f"/proc/{pid}/task")
+    return sum(int((thread / "schedstat").read_text().split()[0]) for thread in threads.iterdir()) / 1e9
+
+
+def memory_kb(pid: int) -> tuple[int, int]:
+    """Resident now, and at the most. OSError where it is gone."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    found = {line.split(":")[0]: line.split()[1] for line in lines if line.startswith(("VmRSS", "VmHWM"))}
+    return int(found["VmRSS"]), int(found["VmHWM"])
--- a/crowwing/fleet/wires/asked.py
+++ b/crowwing/fleet/wires/asked.py
@@ -68,7 +68,7 @@
         return {
             "me": m.me, "incarnation": m.incarnation, "health": m.health, "at": link.now(),
             "members": [{"name": n, "state": s, "incarnation": i, "since": t} for n, s, i, t in m.view()],
-            "dropped": dict(link.dropped), "whole": link.member.catch_up.whole, **self._counts(),
+            "dropped": dict(link.dropped), **self._counts(),
         }  # fmt: skip
 
     def _counts(self) -> dict:
@@ -78,6 +78,7 @@
             "sent": link.sent, "sent_bytes": link.sent_bytes, "read": link.read,
             "read_bytes": link.read_bytes, "fetches": link.fetches,
             "periods": link.member.membership.periods, "ready": link.member.ready,
+            "whole": link.member.catch_up.whole,
         }  # fmt: skip
 
     def _state(self, prefix: str, after: str) -> dict:
