Put hollow members into cells, and choose the real ones among speakers and others

Change: pure.py, the one place that touches the member, makes members with a layout that a process shares; a hollow process notes who sees a cell out of reach; half of the real members are first of their cell's roster and half last. The rig's own questions are counted, so that they can be taken off a backend's counters. A datagram that the relay held when it was stopped is dropped, where it went to a closed socket.

--- a/crowwing/emulator/fleet/hollow.py
+++ b/crowwing/emulator/fleet/hollow.py
@@ -59,12 +59,15 @@
         self.real = frozenset(told.real)
         self.between = Between(Ways(**told.ways), random.Random(f"{told.seed}/between/{told.mine[0]}"))
         names = list(told.addresses)
-        self.places = None if told.zones is None else {n: (told.regions[n], told.zones[n]) for n in names}
-        self.make = pure.maker(names, self.places, told.fleet)
+        zones = told.zones
+        places = None if zones is None else {name: (told.regions[name], zones[name]) for name in names}
+        self.layout = pure.layout(places, told.fleet)
+        self.make = pure.maker(names, self.layout, told.fleet)
         self.period = pure.settings(told.fleet).period_ms * 1000
         self.members = {name: Hollow(self, name) for name in told.mine}
         self.watched: dict[str, Watch] = {}  # keys, until they are no longer asked for
         self.deaths: dict[str, Watch] = {}  # members that are said to be off
+        self.dead_cells: dict[str, Watch] = {}  # cells all of whose members are
         self.gone: set[str] = set()  # members that are off, or will not be thought of as false deaths
         self.events: Counter[str] = Counter()
         self.took: list[float] = []  # ms not ready, of those who caught up
@@ -93,6 +96,10 @@
             event = f"{state}{'' if state != 'dead' or name in self.gone else ', false'}"
         elif event == "caught_up":
             self.took.append(brings["took_ms"])
+        elif event == "cells_out":
+            for cell, watch in self.dead_cells.items():
+                if pure.told_out(brings, cell):
+                    watch.saw(member.name)
         self.events[event] += 1
 
     def asked_by(self, asker: str, whom: str, came: int, went: int) -> None:
@@ -132,6 +139,7 @@
         """`names` are off from now on; deaths seen are noted for them."""
         self.gone |= set(told["names"])
         self.deaths |= {name: Watch() for name in told["names"]}
+        self.dead_cells |= {cell: Watch() for cell in pure.dead_cells(self.layout, self.gone)}
         for name in self._mine(told):
             self.members[name].off()
         return {"at": now_us()}
@@ -184,6 +192,7 @@
     async def forget(self, _: dict) -> dict:
         self.watched.clear()
         self.deaths.clear()
+        self.dead_cells.clear()
         for member in self.members.values():
             member.held.clear()
         return {}
@@ -194,6 +203,7 @@
         return {
             "keys": {key: _last(watch.by.values()) for key, watch in self.watched.items()},
             "deaths": {name: _last(watch.by.values()) for name, watch in self.deaths.items()},
+            "cells": {cell: _last(watch.by.values()) for cell, watch in self.dead_cells.items()},
             "deaths_of": {
                 name: _last(at for by, at in watch.by.items() if by in of[name])
                 for name, watch in self.deaths.items()
@@ -204,9 +214,10 @@
     async def views(self, told: dict) -> dict:
         """How many of the members that are on have a view without a mistake, and all mistakes."""
         gone, right, wrong, on = set(told["gone"]), 0, 0, 0
+        dead = pure.dead_cells(self.layout, gone)
         for number, member in enumerate(self.members.values()):
             if member.member is not None:
-                mistakes = pure.wrong(member.member, gone)
+                mistakes = pure.wrong(member.member, gone, dead)
                 on, right, wrong = on + 1, right + (mistakes == 0), wrong + mistakes
             if number % SLICE == 0:
                 await asyncio.sleep(0)
@@ -215,7 +226,7 @@
     async def counts(self, told: dict) -> dict:
         """Sums over all members since the process began, the busiest member since the last asking, and what
         the process took."""
-        sums, most = Counter(), (0.0, 0.0)
+        sums, most, speaking = Counter(), (0.0, 0.0), []
         passed = max(1e-3, time.monotonic() - self.counted_at)
         self.counted_at = time.monotonic()
         for name, member in self.members.items():
@@ -225,7 +236,10 @@
                 sums[field] += getattr(tally, field)
             now = tally.sent_bytes + tally.read_bytes + tally.stream_bytes, tally.sent + tally.read
             was = self.before.get(name, now)
-            most = max(most, ((now[0] - was[0]) / passed, (now[1] - was[1]) / passed))
+            rate = (now[0] - was[0]) / passed
+            most = max(most, (rate, (now[1] - was[1]) / passed))
+            if member.member is not None and pure.speaks(member.member):
+                speaking.append(rate)
             self.before[name] = now
         lag, self.lag_most = self.lag_most, 0.0
         on = [member.member for member in self.members.values() if member.member is not None]
@@ -235,7 +249,8 @@
             "at": now_us(), "cpu_s": time.process_time(), "lag_s": lag, "on": len(on), "sums": dict(sums),
             "most_bytes_s": most[0], "most_datagrams_s": most[1], "events": dict(self.events),
             "ready": sum(member.ready for member in on), "dropped": dict(self.dropped), "took_ms": took,
-            "asked": self.asked, "asked_whom": whom,
+            "asked": self.asked, "asked_whom": whom, "speakers": len(speaking),
+            "speakers_bytes_s": sum(speaking),
         }  # fmt: skip
 
     def _mine(self, told: dict) -> list[str]:
--- a/crowwing/emulator/fleet/hollow_member.py
+++ b/crowwing/emulator/fleet/hollow_member.py
@@ -207,8 +207,8 @@
 
     # Whole copies
 
-    def _missing(self, leaves: list[int]) -> list:
-        return list(self.member.spread.missing(leaves)) if self.member is not None else []
+    def _missing(self, asker: str, asked: dict) -> list:
+        return self.member.missing(asker, asked) if self.member is not None else []
 
     async def _fetch(self, life: int, name: str) -> None:
         rows = None
@@ -221,8 +221,7 @@
                 raise TimeoutError
             if name in host.real:  # a hollow one sees to it itself
                 await asyncio.sleep(way)
-            leaves = list(self.member.copies.leaves)
-            rows = await whole.fetch(host.addresses[name], self.name, leaves, FETCH_WITHIN)
+            rows = await whole.fetch(host.addresses[name], pure.question(self.member), FETCH_WITHIN)
         except (OSError, TimeoutError):
             host.dropped["fetch"] += 1
         finally:
--- a/crowwing/emulator/fleet/pure.py
+++ b/crowwing/emulator/fleet/pure.py
@@ -1,21 +1,21 @@
 """The one place where hollow members and the scale run touch the pure member's insides.
 
-Everything else goes by the names here, so that what a member is made of (one flat fleet, or cells) can change
-without the harness.
+Everything else goes by the names here, so that what a member is made of can change without the harness.
 """
 
 import random
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from types import SimpleNamespace
 
 import msgspec
 
 from crowwing.emulator.fleet.places import Place
 from crowwing.fleet.member import Manner, Member
+from crowwing.fleet.membership.cells import Layout, covers
 from crowwing.fleet.membership.swim import GONE
 from crowwing.fleet.state.spaces import SPACES
 from crowwing.fleet.wires import whole
-from crowwing.fleet.wires.link import manner
+from crowwing.fleet.wires.settings import manner
 from crowwing.settings.operator import Fleet
 
 Make = Callable[[str, int, random.Random], Member]
@@ -28,14 +28,18 @@
     return SimpleNamespace(**{name: getattr(whole_section, name) for name in Fleet.__struct_fields__})
 
 
-def maker(names: Sequence[str], places: Mapping[str, Place] | None, fleet: Mapping) -> Make:
-    """`make(name, now, chance)` for members of one fleet; `places` None: a flat one."""
-    if places is not None:
-        raise NotImplementedError("this fleet has no cells")
+def layout(places: Mapping[str, Place] | None, fleet: Mapping) -> Layout | None:
+    """None for a flat fleet, which has no places."""
+    return None if places is None else Layout(places, settings(fleet).cell_most)
+
+
+def maker(names: Sequence[str], shared: Layout | None, fleet: Mapping) -> Make:
+    """`make(name, now, chance)` for members of one fleet, whose layout all of a process share."""
     how: Manner = manner(settings(fleet))
 
     def make(name: str, now: int, chance: random.Random) -> Member:
-        return Member(name, [other for other in names if other != name], now, chance, how, SPACES)
+        others = [other for other in names if other != name]
+        return Member(name, others, now, chance, how, SPACES, shared)
 
     return make
 
@@ -51,18 +55,23 @@
     return whole.Server(missing, known)
 
 
+def question(member: Member) -> dict:
+    """The line that asks for a whole copy."""
+    return {"from": member.me, **member.digests()}
+
+
 def put(member: Member, wall: int, key: str, value: object, life: int) -> None:
     """NotKept where it cannot be."""
-    member.spread.put(wall, key, value, life)
+    member.spread_of(key).put(wall, key, value, life)
 
 
 def holds(member: Member, key: str) -> bool:
-    return key in member.copies.entries
+    return key in member.spread_of(key).copies.entries
 
 
 def changes(member: Member) -> int:
     """A number that moves whenever what is kept does."""
-    return member.copies.changes
+    return member.changes()
 
 
 def periods(member: Member) -> int:
@@ -70,12 +79,39 @@
     return member.membership.periods
 
 
-def cell(name: str, names: Sequence[str], places: Mapping[str, Place] | None, fleet: Mapping) -> list[str]:
-    """Those who watch over `name`, itself left out."""
-    return [other for other in names if other != name]
+def speaks(member: Member) -> bool:
+    """Whether it speaks for its cell now."""
+    return member.reach is not None and member.reach.speaks
+
+
+def speak_first(shared: Layout | None) -> frozenset[str]:
+    """Who speaks for its cell while all are alive."""
+    if shared is None:
+        return frozenset()
+    rosters = shared.rosters.items()
+    return frozenset(name for cell, roster in rosters for name in shared.speakers(cell, set(roster)))
+
+
+def cells(names: Sequence[str], shared: Layout | None) -> list[list[str]]:
+    """Groups whose members watch over one another: one group where there are no cells."""
+    return [list(names)] if shared is None else [list(roster) for roster in shared.rosters.values()]
+
+
+def told_out(brings: Mapping, cell: str) -> bool:
+    """Whether an event `cells_out` says that this cell is out of reach."""
+    return any(covers(word, cell) for word in brings["cells"])
+
+
+def dead_cells(shared: Layout | None, gone: Collection[str]) -> set[str]:
+    """Cells all of whose members are off."""
+    if shared is None:
+        return set()
+    return {cell for cell, roster in shared.rosters.items() if all(name in gone for name in roster)}
 
 
-def wrong(member: Member, gone: Iterable[str]) -> int:
-    """Members that it holds for gone and are not, or the other way round."""
-    gone = set(gone)
-    return sum((one.state in GONE) != (one.name in gone) for one in member.membership.members.values())
+def wrong(member: Member, gone: Collection[str], dead: Collection[str]) -> int:
+    """Members that it watches over and holds for gone where they are not, or the other way round; and cells
+    out of reach alike (`dead`: those that are)."""
+    watched = member.membership.members.values()
+    mistakes = sum((one.state in GONE) != (one.name in gone) for one in watched)
+    return mistakes + len(member.out() ^ frozenset(dead))
--- a/crowwing/emulator/fleet/relay.py
+++ b/crowwing/emulator/fleet/relay.py
@@ -204,7 +204,12 @@
             if delay <= 0:
                 pair.transport.sendto(data, where)
             else:
-                self.loop.call_later(delay, pair.transport.sendto, data, where)
+                self.loop.call_later(delay, self._late, pair, data, where)
+
+    @staticmethod
+    def _late(pair: _Pair, data: bytes, where: tuple[str, int]) -> None:
+        if not pair.transport.is_closing():  # the relay may have been stopped while it was held
+            pair.transport.sendto(data, where)
 
     def impose(self, told: Sequence[dict]) -> list[Fault]:
         """Faults whose `at_s` counts from now: a test waits for what it stands on, not for a time."""
--- a/crowwing/emulator/fleet/rig.py
+++ b/crowwing/emulator/fleet/rig.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
 import orjson
@@ -97,10 +98,14 @@
 
 
 class FleetRig:
-    def __init__(self, folder: Path, size: int, seed: int, faults: list[dict], **fleet: object) -> None:
+    def __init__(
+        self, folder: Path, size: int, seed: int, faults: list[dict], names: Sequence[str] = (),
+        **fleet: object,
+    ) -> None:  # fmt: skip
+        """`names` of the members, where they are to have others than m0, m1, ..."""
         self.folder, self.seed, self.host = folder, seed, own_host()
         folder.mkdir(parents=True, exist_ok=True)
-        self.names = [f"m{n}" for n in range(size)]
+        self.names = list(names) or [f"m{n}" for n in range(size)]
         self.fleet_at: dict[str, tuple[str, int]] = {}  # chosen once the relay's sockets are open
         self.told = {"size": size, "seed": seed, "faults": faults, "fleet": fleet}
         (folder / "rig.json").write_bytes(orjson.dumps(self.told, option=orjson.OPT_INDENT_2))
--- a/crowwing/emulator/fleet/wide.py
+++ b/crowwing/emulator/fleet/wide.py
@@ -10,13 +10,14 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import asdict
 from pathlib import Path
 
 import orjson
 
-from crowwing.emulator.fleet import places
+from crowwing.emulator.fleet import places, pure
 from crowwing.emulator.fleet.places import Ways
 from crowwing.emulator.fleet.relay import Fault
 from crowwing.emulator.fleet.rig import EXAMPLE, FleetRig, free_port
@@ -79,19 +80,39 @@
         self.child.stdout.close()
 
 
+def pick(cells: Sequence[Sequence[str]], count: int) -> list[str]:
+    """Which members are to be real: in turn the first of one cell's roster, who speaks for it, and the last
+    of another's, who does not, cells taken as far apart as they go."""
+    left = [list(cell) for cell in cells]
+    chosen: list[str] = []
+    step = max(1, len(left) // count)
+    at = 0
+    while len(chosen) < count:
+        cell = left[at % len(left)]
+        if cell:
+            chosen.append(cell.pop(0 if len(chosen) % 2 == 0 else -1))
+        at += step if at + step < len(left) else step + 1
+    return chosen
+
+
 class Wide(FleetRig):
-    """`size` members, the first `real` of them real; `cells` says whether places go into the settings.
-    `fleet` is the fleet section's other settings, alike for both kinds."""
+    """`size` members, `real` of them real; `cells` says whether places go into the settings. `fleet` is the
+    fleet section's other settings, alike for both kinds."""
 
     def __init__(
         self, folder: Path, size: int, real: int, seed: int, *, cells: bool = False, processes: int = 1,
-        ways: Ways | None = None, fleet: dict | None = None,
+        ways: Ways | None = None, fleet: dict | None = None, build_s: float = 1.0, asleep: bool = False,
     ) -> None:  # fmt: skip
-        super().__init__(folder, real, seed, [], **(fleet or {}))
-        self.hollow = [f"h{n}" for n in range(size - real)]
-        self.everyone = [*self.names, *self.hollow]
+        """`processes` for the hollow members; 0: nobody listens at their addresses. `build_s`: what building
+        them is thought to take; `asleep`: they have sockets and never say a word."""
+        self.everyone = [f"m{n}" for n in range(size)]
         self.places = places.places(self.everyone)
-        self.cells, self.ways = cells, ways or Ways()
+        self.layout = pure.layout(self.places if cells else None, fleet or {})
+        chosen = pick(pure.cells(self.everyone, self.layout), real)
+        super().__init__(folder, real, seed, [], names=chosen, **(fleet or {}))
+        self.hollow = [name for name in self.everyone if name not in set(chosen)]
+        self.speak_first = pure.speak_first(self.layout)
+        self.cells, self.ways, self.build_s, self.asleep = cells, ways or Ways(), build_s, asleep
         block = 128 + os.getpid() % 120
         port = PORT + (os.getpid() // 120 + seed) % 10_000
         self.hollow_at = {
@@ -102,6 +123,7 @@
         self.mine = [self.hollow[n :: len(self.hosts)] for n in range(len(self.hosts))]
         self.alone: Process | None = None
         self.cut_now: list[Fault] = []
+        self.asked: dict[str, Counter[str]] = {name: Counter() for name in chosen}
 
     # Beginning
 
@@ -120,16 +142,18 @@
             host.line(told | {"mine": mine})
         self.tell("open")
 
-    def start(self, build_s: float = 1.0) -> None:
-        """Hollow ones are on first, as a fleet that runs; real ones come up beside them. `build_s`: what
-        building all hollow members is thought to take."""
+    def start(self) -> None:
+        """Hollow ones are on first, as a fleet that runs; real ones come up beside them."""
         self.connect()
-        if self.hosts:
-            at = time.monotonic_ns() // 1000 + round((build_s + 1.0) * 1e6)
-            self.tell("build", at=at)
-            at = max(at, time.monotonic_ns() // 1000 + 200_000)
-            for host in self.hosts:
-                host.tell(do="go", at=at)
+        if self.asleep or not self.hosts:
+            for name in self.names:
+                self.launch(name)
+            return
+        at = time.monotonic_ns() // 1000 + round((self.build_s + 1.0) * 1e6)
+        self.tell("build", at=at)
+        at = max(at, time.monotonic_ns() // 1000 + 200_000)
+        for host in self.hosts:
+            host.tell(do="go", at=at)
         for name in self.names:
             self.launch(name)
         for host in self.hosts:
@@ -203,6 +227,17 @@
     def in_zone(self, zone: str) -> list[str]:
         return [name for name in self.everyone if self.places[name][1] == zone]
 
+    def ask(self, name: str, wait_s: float = 1.0, **told: object) -> dict | None:
+        """What we ask of a real member and it answers is counted in `asked`, as its own counters count it."""
+        answer = super().ask(name, wait_s, **told)
+        if answer is not None:
+            tally = self.asked[name]
+            tally["read"] += 1
+            tally["read_bytes"] += len(orjson.dumps(told | {"n": answer["n"]}))
+            tally["sent"] += 1
+            tally["sent_bytes"] += len(orjson.dumps(answer))
+        return answer
+
     def end(self) -> None:
         for host in self.hosts:
             host.end()
