--- /dev/null
+++ b/benchmarks/scale/lonely.py
@@ -0,0 +1,27 @@
+"""A real backend that comes up while nobody answers: its peers' machines refuse, or are silent as behind a
+cut. Only the one backend runs, so any size can be played.
+"""
+
+from pathlib import Path
+
+from benchmarks.scale import figures
+from benchmarks.scale.record import Recorder, log_events, wait_for_real
+from crowwing.emulator.fleet.wide import Wide
+
+
+def play(folder: Path, size: int, seed: int, cells: bool, silent: bool, span_s: float, most_kb: int) -> dict:
+    """`silent`: peers' ports take a stream and say nothing; else nobody listens there."""
+    processes = max(1, size // 1300) if silent else 0
+    rig = Wide(folder, size, 1, seed, cells=cells, processes=processes, asleep=True)
+    with rig:
+        label = "silent" if silent else "refused"
+        wait_for_real(rig, 20.0)
+        samples = Recorder(rig, f"lonely, {label}, {size}", most_kb).span(label, span_s)
+    caught = log_events(folder, rig.names, 0, "caught_up")
+    name = rig.names[0]
+    return figures.phase(samples, at_rest=True) | {
+        "found": {
+            "attempts": (samples[-1]["real"][name]["counts"] or {}).get("fetches"),
+            "took_ms": caught[0]["took_ms"] if caught else None,
+        }
+    }
