--- /dev/null
+++ b/benchmarks/slopes_stand.py
@@ -0,0 +1,268 @@
+"""One real backend as `run` starts it, among stand-ins that keep the time, for benchmarks/slopes.py.
+
+The parties are written from the protocol page. They and the load share one loop of this process; the backend
+has a process of its own, whose processor time and memory come from /proc.
+"""
+
+import asyncio
+import ctypes
+import itertools
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+import tomllib
+from pathlib import Path
+
+import uvloop
+
+ROOT = Path(__file__).parent.parent
+RUN = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+RUN_S = 0.010  # seconds that a run takes at the farm agent's stand-in, half of it by chance
+BELOW_S = 0.002  # seconds that a call takes at the back end's
+WAIT_S = 60.0  # seconds for what has to come
+PR_SET_PDEATHSIG = 1
+FLEET, RATE, CALLERS, TENANTS = 5200, 590_000, 47_000, 170_000  # the operators' figures
+_libc = ctypes.CDLL(None)
+_numbers = itertools.count(1)
+
+
+class Stuck(RuntimeError):
+    """What had to come has not."""
+
+
+def settings(tenants: int = 1, types: int = 1, calls: bool = False) -> dict:
+    """One backend's settings; cores and memory beyond what is asked of it, so that nothing waits for them."""
+    return {
+        "caps": {"max_retry_after": 1000, "retry_after": True},
+        "family_info": {
+            "calls_out": 50, "calls_over": 5000, "class_calls": [calls] * types, "cpus": 16,
+            "deep_checks": False, "downstream": "one_for_all", "fresh_for": 0,
+            "gauges": ["core_use", "on_cores"], "halt": "discard", "keepalive_max": 600_000, "key_kb": 100,
+            "lingers": 200, "passes_deadline": True, "ram_kb": 10_000_000, "run_factor": 8,
+            "signal": "allowance", "worth_without": [0] * types,
+        },
+        "invariants": {
+            "answer_slack": 80, "cold": 15000, "cold_from": 0.25, "fall_multiple": 8,
+            "stop_sending_within": 2000,
+        },
+        "lanes": [
+            {"name": f"type-{n}", "promise": 1500, "deadline": 4000, "semantics": "safe"}
+            for n in range(types)
+        ],
+        "over_share_worth": 0.1,
+        "realms": [
+            {"name": f"tenant-{n:06}", "quota_per_s": round(RATE / tenants, 3)} for n in range(tenants)
+        ],
+        "servers": FLEET,
+    }  # fmt: skip
+
+
+class Farm(asyncio.Protocol):
+    """The farm agent's side of its link. `spent`: seconds that a ticket was in a stand-in's hands."""
+
+    def __init__(self, stand: "Stand") -> None:
+        self.stand, self.rest, self.number = stand, b"", 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        now = time.perf_counter()
+        self.stand.farm_bytes += len(data)
+        data = self.rest + data
+        while (end := data.find(b"\r\n")) >= 0:
+            words, after = data[:end].split(b" "), end + 2
+            if words[0] in (b"launch", b"deliver"):
+                size = int(words[-1])
+                if len(data) < after + size + 2:
+                    break
+                after += size + 2
+            self._obey(now, words)
+            data = data[after:]
+        self.rest = data
+
+    def _obey(self, now: float, words: list[bytes]) -> None:
+        match words:
+            case [b"subscribe", _]:
+                self._write(b"greeting WARM 60000\r\n")
+            case [b"sample", tag]:
+                self._write(b"sampled %s 0.1 1\r\n" % tag)
+            case [b"launch", ident, _, _]:
+                run = RUN_S * (0.75 + 0.5 * self.stand.chance.random())
+                goes_on = self._asks if self.stand.calls else self._ends
+                self.stand.loop.call_later(run, goes_on, ident, now, now)
+            case [b"deliver", ident, _]:
+                self.stand.loop.call_later(RUN_S / 2, self._ends, ident, now, now - RUN_S)
+            case [b"exercise", tag]:
+                self._write(b"exercised %s OK\r\n" % tag)
+
+    def _asks(self, ident: bytes, now: float, _: float) -> None:
+        self.number += 1
+        self._write(b"request %d %s 100\r\n%s\r\n" % (self.number, ident, b"c" * 100))
+        self.stand.spent[ident] = self.stand.spent.get(ident, 0.0) + time.perf_counter() - now
+
+    def _ends(self, ident: bytes, now: float, began: float) -> None:
+        self.number += 1
+        took = (time.perf_counter() - began) * 1000
+        self._write(b"outcome %d %s OK %.3f 500\r\n%s\r\n" % (self.number, ident, took, b"r" * 500))
+        self.stand.spent[ident] = self.stand.spent.get(ident, 0.0) + time.perf_counter() - now
+
+    def _write(self, data: bytes) -> None:
+        self.stand.farm_bytes += len(data)
+        self.transport.write(data)
+
+
+class Http(asyncio.Protocol):
+    """The control plane's side (`answer` at once), or the back end's (200 after a while)."""
+
+    def __init__(self, stand: "Stand", below: bool) -> None:
+        self.stand, self.below, self.rest = stand, below, b""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.stand.control_links += not self.below
+
+    def data_received(self, data: bytes) -> None:
+        data = self.rest + data
+        while (end := data.find(b"\r\n\r\n")) >= 0:
+            size = int(data[:end].lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+            if len(data) < end + 4 + size:
+                break
+            if self.below:
+                ident = data.partition(b"Parent-Call: ")[2][:16]
+                self.stand.loop.call_later(BELOW_S, self._replies, ident, time.perf_counter())
+            else:
+                self.stand.reports.append((time.time(), end + 4 + size + len(self.stand.answer)))
+                self.transport.write(self.stand.answer)
+            data = data[end + 4 + size :]
+        self.rest = data
+
+    def _replies(self, ident: bytes, now: float) -> None:
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + b"b" * 100)
+        self.stand.spent[ident] = self.stand.spent.get(ident, 0.0) + time.perf_counter() - now
+
+
+class Process:
+    """A child of ours, and what /proc says of it."""
+
+    def __init__(self, command: list[str], environment: dict, log: Path) -> None:
+        with log.open("wb") as out:
+            self.began = time.time()
+            self.child = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=out, stderr=out, env=environment, cwd=ROOT,
+                preexec_fn=lambda: _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL),
+            )  # fmt: skip
+        self.proc = Path(f"/proc/{self.child.pid}")
+
+    def cpu_ms(self) -> float:
+        """Processor time of all threads so far."""
+        spent = (int(path.read_text().split()[0]) for path in self.proc.glob("task/*/schedstat"))
+        return sum(spent) / 1e6
+
+    def memory_kb(self, what: str = "VmRSS") -> int:
+        return int((self.proc / "status").read_text().partition(f"{what}:")[2].split()[0])
+
+    def descriptors(self) -> int:
+        return len(os.listdir(self.proc / "fd"))
+
+    def end(self) -> None:
+        self.child.kill()
+        self.child.wait()
+
+
+class Stand:
+    """The backend and its parties, each at an address of the stand's own."""
+
+    def __init__(
+        self, folder: Path, seed: int, told: dict, sockets: int = 1024, figures_ms: int | None = None
+    ) -> None:
+        self.folder, self.seed, self.told, self.sockets = folder, seed, told, sockets
+        self.chance = random.Random(seed)
+        self.calls = any(told["family_info"]["class_calls"])
+        self.host = f"127.{64 + os.getpid() // 250 % 64}.{os.getpid() % 250 + 1}.{next(_numbers) % 250 + 1}"
+        self.address = self.host, 7001
+        self.spent: dict[bytes, float] = {}
+        self.reports: list[tuple[float, int]] = []  # when, and bytes both ways
+        self.answer = b"HTTP/1.1 204 No Content\r\n\r\n"
+        self.control_links = self.farm_bytes = 0
+        self.path, self.log = folder / "configuration.json", folder / "backend.log"
+        self.operator = folder / "operator.json" if figures_ms else None
+        if figures_ms:
+            records = {"version": 1, "records": {"figures_every_ms": figures_ms}}
+            self.operator.write_text(json.dumps(records))
+
+    def write(self) -> int:
+        """The configuration as it is told now; its bytes."""
+        told = {
+            "name": "n1", "listen": f"{self.host}:7001", "agent": f"{self.host}:7300",
+            "control": f"{self.host}:8500", "backend": f"{self.host}:5432", "seed": f"{self.seed:016x}",
+            "stop_ms": 3200, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "settings": self.told,
+        }  # fmt: skip
+        return self.path.write_text(json.dumps(told))
+
+    async def __aenter__(self) -> "Stand":
+        self.loop = asyncio.get_running_loop()
+        makers = {7300: lambda: Farm(self), 5432: lambda: Http(self, True), 8500: lambda: Http(self, False)}
+        self.servers = [
+            await self.loop.create_server(maker, self.host, port) for port, maker in makers.items()
+        ]
+        self.size = self.write()
+        environment = os.environ | {"PROXY_CONFIG": str(self.path), "PYTHONPATH": str(ROOT)}
+        environment.pop("CROWWING_OPERATOR", None)
+        if self.operator:
+            environment["CROWWING_OPERATOR"] = str(self.operator)
+        self.process = Process(["/bin/sh", "-c", RUN], environment, self.log)
+        await self.until(lambda: self.reports and self.events("started"))
+        self.start_ms = (self.events("started")[0]["at"] / 1e6 - self.process.began) * 1000
+        self.ready_ms = (self.reports[0][0] - self.process.began) * 1000
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.process.end()
+        for server in self.servers:
+            server.close()
+
+    def events(self, name: str) -> list[dict]:
+        lines = self.log.read_text().splitlines()
+        return [line for line in map(json.loads, lines) if line["event"] == name]
+
+    async def until(self, so: object) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not so():
+                if self.process.child.poll() is not None:
+                    raise Stuck(f"the backend has ended: {self.log.read_text()[-500:]}")
+                await asyncio.sleep(0.01)
+
+    def sane(self) -> None:
+        """No defect and no broken invariant in its lines."""
+        for line in self.events("figures"):
+            if bad := [name for name in line["counts"] if name.startswith(("broken", "defect", "stray"))]:
+                raise Stuck(f"the backend counts {bad}")
+
+
+class Echo(asyncio.Protocol):
+    """Answers each request at once as a settled ticket is answered: what the measuring itself takes."""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport, self.rest = transport, b""
+
+    def data_received(self, data: bytes) -> None:
+        self.rest += data
+        head, end, body = self.rest.partition(b"\r\n\r\n")
+        size = int(head.partition(b"Content-Length: ")[2].split(b"\r\n")[0] or 0) if end else 0
+        if end and len(body) >= size:
+            self.rest = b""
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n" + b"r" * 500)
+
+
+async def _echo(host: str) -> None:
+    await (await asyncio.get_running_loop().create_server(Echo, host, 7001)).serve_forever()
+
+
+if __name__ == "__main__":
+    uvloop.run(_echo(sys.argv[1]))
