--- a/benchmarks/slopes_figures.py
+++ b/benchmarks/slopes_figures.py
@@ -36,6 +36,10 @@
     "tenants_reload_ms": Figure(
         "pause of the loop at a reload, 170,000 tenants", "ms", "tenants", "reload_ms", TENANTS
     ),
+    "tenants_reload_cpu_ms": Figure(
+        "processor time of a reload, 170,000 tenants", "ms", "tenants", "reload_cpu_ms", TENANTS
+    ),
+    "tenants_file_bytes": Figure("the file, 170,000 tenants", "bytes", "tenants", "file_bytes", TENANTS),
     "tenants_ready_ms": Figure(
         "from exec to the first report, 170,000 tenants", "ms", "tenants", "ready_ms", TENANTS
     ),
@@ -81,6 +85,7 @@
     "check_us": Figure(
         "processor time, a health check on its own connection", "us", "checks", "cpu_ms_per_s", times=1000
     ),
+    "check_bytes": Figure("bytes of a health check and its answer", "bytes", "checks", "wire_bytes_per_s"),
     "check_added_99_ms": Figure(
         "answer to a health check, 99 in 100, 800 a second", "ms", "checks", "added_99_ms", 800
     ),
