--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -5,7 +5,9 @@
 
 The page holds the sums themselves, so that they can be read where the figure stands. Names in them are the
 page's own (tables whose first column is `name`) or measured ones, `KEY.NAME`: in `figures` of that key in the
-file. `n` is the size of the fleet, where a table says at which size a budget breaks.
+file, or drawn from its `runs`: `KIND_SIZE__SCRIPT__FIELD__...`, as in `simulated.cells_5200__change__all_s`;
+with `each` or `base` for the size, the slope over the sizes that were played, and what it starts from. `n` is
+the size of the fleet, where a table says at which size a budget breaks.
 """
 
 import argparse
@@ -13,6 +15,7 @@
 import json
 import math
 import operator
+import statistics
 import sys
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -53,10 +56,45 @@
             if name not in self.own:
                 raise BadPage(f"no figure is named {name}")
             return self.own[name]
-        figure = self.measured.get(key, {}).get("figures", {}).get(rest)
-        if figure is None:
+        told = self.measured.get(key, {})
+        figure = told.get("figures", {}).get(rest)
+        if figure is not None:
+            return float(figure[which])
+        seeds = of_runs(told.get("runs", []), rest)
+        if not seeds:
             raise Unmeasured(name)
-        return float(figure[which])
+        return float({"value": statistics.median, "least": min, "most": max}[which](seeds))
+
+
+def of_runs(runs: list[dict], name: str) -> list[float]:
+    """The figure of each seed that was played: at one size, or the line through the sizes."""
+    what, *path = name.split("__")
+    kind, _, size = what.rpartition("_")
+    seen: dict[int, dict[int, list[float]]] = {}  # by seed and size
+    for run in runs:
+        if kind == run.get("kind", run.get("mode")) and size in ("each", "base", str(run["size"])):
+            for value in found_in(run, path):
+                seen.setdefault(run["seed"], {}).setdefault(run["size"], []).append(value)
+    if size not in ("each", "base"):
+        return [statistics.median(values) for sizes in seen.values() for values in sizes.values()]
+    lines = []
+    for sizes in seen.values():
+        if len(sizes) > 1:
+            line = statistics.linear_regression(
+                list(sizes), [statistics.median(one) for one in sizes.values()]
+            )
+            lines.append(line.slope if size == "each" else line.intercept)
+    return lines
+
+
+def found_in(run: dict, path: list[str]) -> list[float]:
+    """What one run found there: nothing where it did not play that script, or never came to it."""
+    script, *fields = path
+    told = run.get("found") if run.get("script") == script else run.get("scripts", {}).get(script)
+    for field in fields:
+        told = told.get(field) if isinstance(told, dict) else None
+    values = told if isinstance(told, list) else [told]
+    return [float(value) for value in values if isinstance(value, int | float)]
 
 
 def tables(page: str) -> Iterator[tuple[list[str], list[list[str]]]]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -120,6 +120,24 @@
     assert capacity.filled(page, EACH) == page
 
 
+RUNS = [
+    {"script": "change", "kind": "cells", "size": size, "seed": seed, "found": {"all_s": [seed + size, None]}}
+    for size in (10, 100)
+    for seed in (1, 2, 5)
+] + [{"mode": "flat", "size": 10, "seed": 1, "scripts": {"rest": {"real": {"cpu_ms_s": {"most": 4}}}}}]
+
+
+def test_figures_are_drawn_from_runs() -> None:
+    assert sorted(capacity.of_runs(RUNS, "cells_100__change__all_s")) == [101, 102, 105]
+    assert capacity.of_runs(RUNS, "cells_each__change__all_s") == [1, 1, 1]
+    assert sorted(capacity.of_runs(RUNS, "cells_base__change__all_s")) == [1, 2, 5]
+    assert capacity.of_runs(RUNS, "flat_10__rest__real__cpu_ms_s__most") == [4]
+    for none in ("flat_each__rest__real__cpu_ms_s__most", "cells_10__rest__all_s", "cells_11__change__all_s"):
+        assert not capacity.of_runs(RUNS, none)
+    names = capacity.Names("", {"simulated": {"runs": RUNS}})
+    assert capacity.figure("simulated.cells_100__change__all_s", names) == "102 (101 to 105)"
+
+
 @pytest.mark.parametrize("wrong", ["nobody", "2 **", "open('x')", "tenants if most else 1", "a.b.c"])
 def test_a_sum_that_is_none_fails(wrong: str) -> None:
     with pytest.raises(capacity.BadPage):
