--- a/benchmarks/slopes_figures.py
+++ b/benchmarks/slopes_figures.py
@@ -1,5 +1,6 @@
 """Which figures are drawn from the rows of which measure (benchmarks/slopes_measures.py)."""
 
+import math
 from typing import NamedTuple
 
 from benchmarks.slopes_measures import AT_SIZE
@@ -17,6 +18,7 @@
     times: float = 1.0
     first: bool = False  # the value of the first row, whatever its x
     over: str = "x"  # what a slope is drawn over
+    upto: float = math.inf  # the largest x of a slope, where the backend is at its end beyond it
 
 
 FIGURES = {
@@ -66,7 +68,15 @@
     "type_rest_us_per_s": Figure(
         "processor time at rest, a traffic type", "us/s", "types", "rest_ms_per_s", times=1000
     ),
-    "type_ticket_us": Figure("processor time of one ticket, a traffic type", "us", "types", "ticket_us"),
+    "type_ticket_us": Figure(
+        "processor time of one ticket, a traffic type", "us", "types", "ticket_us", upto=200
+    ),
+    "types_56_ticket_ms_per_s": Figure(
+        "processor time at 113 tickets a second, 56 types", "ms/s", "types", "ticket_ms_per_s", 56
+    ),
+    "types_1000_ticket_ms_per_s": Figure(
+        "processor time at 113 tickets a second, 1,000 types", "ms/s", "types", "ticket_ms_per_s", 1000
+    ),
     "types_56_added_99_ms": Figure(
         "added to a ticket, 99 in 100, 56 types", "ms", "types", "added_99_ms", 56
     ),
