Answer one of our cell that probes it under the name that a newer copy of the settings gives it

Seen: tests/test_cells_older.py, half of the members on the older copy: a cell that is of one member by the newer copy stayed out of reach for the rest of its old cell. Change: it answers such probes, and refutes.

--- a/crowwing/fleet/membership/reach.py
+++ b/crowwing/fleet/membership/reach.py
@@ -137,15 +137,16 @@
         """KeyError, TypeError or ValueError for what is no message of another cell; it changes nothing."""
         sender = message["from"]
         cell, kind = self.layout.cell_of[sender], Kind(message["k"])
+        news = [[self._meant(name), *rest] for name, *rest in message.get("news", ())]
         if cell == self.cell:
-            raise ValueError(f"{sender}: is of our own cell")
+            self._neighbour(sender, kind, message["seq"], news)
+            return
         row_told = message.get("row")
         if row_told is not None:
             alive, of, since, digest = row_told
             row_told = [int(alive), int(of), int(since), str(digest)[:16]]
         before, seen = self.swim.incarnation, self.swim.members[cell]
         gone = seen.state in GONE
-        news = [[self._meant(name), *rest] for name, *rest in message.get("news", ())]
         self.swim.heard(now, message | {"from": cell, "news": news})
         contacts = self.contacts.setdefault(cell, [])
         if sender not in contacts:
@@ -162,6 +163,17 @@
             self.swim.ping(cell)
         self._carry(row, sender)
 
+    def _neighbour(self, sender: str, kind: Kind, seq: int, news: list[list]) -> None:
+        """One of our own cell whose copy of the settings has us in another: we answer its probes for the cell
+        that it takes us for. Guards that one, perhaps of us alone, against passing for gone in our own."""
+        if kind != Kind.PING or sender == self.me:
+            raise ValueError(f"{sender}: is of our own cell")
+        for name, state, incarnation, _ in news:
+            if name == self.cell and state != ALIVE and incarnation >= self.swim.incarnation:
+                self.swim.incarnation = int(incarnation) + 1
+        told = {"k": int(Kind.ACK), "from": self.me, "inc": self.swim.incarnation, "seq": seq, "cell": 1}
+        self.outbox.append((sender, told))
+
     def _meant(self, cell: object) -> object:
         """Our own cell where a copy of the settings one change older or newer has another name for it, or
         for a part of it. Guards against a cell whose members all have the one copy, and which nobody with
