--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -126,7 +126,7 @@
 NONE_OF_OURS = [
     ping("x9"),  # a stranger
     ping("a1") | {"k": int(Kind.ACK)}, ping("a1") | {"k": int(Kind.NACK)},  # of our own cell
-    ping("a0"),  # of our own name
+    ping("a3"),  # of our own name
     ping("b0") | {"k": 17}, ping("b0") | {"inc": "z"}, ping("b0") | {"inc": None},
     {"k": 0, "from": "b0"}, {"k": 0, "from": "b0", "inc": 5},
     ping("b0", inc=9, news=[["r/c/", DEAD, 3]]), ping("b0", inc=9, news=[["r/c/", DEAD, "x", "r/b/"]]),
@@ -157,7 +157,7 @@
     before = state(one), dict(one.contacts)
     one.heard(S, ping("a1", news=[["r/a/0", DEAD, 3, "r/a/1"], ["r/b/", DEAD, 9, "r/a/1"]]), [4, 4, 0, ""])
     assert (state(one), one.contacts) == before, "nothing else is taken from it"
-    assert one.outbox == [("a1", {"k": int(Kind.ACK), "from": "a0", "inc": 4, "seq": 7, "cell": 1})]
+    assert one.outbox == [("a1", {"k": int(Kind.ACK), "from": one.me, "inc": 4, "seq": 7, "cell": 1})]
 
 
 def test_news_of_a_cell_that_is_none_of_the_fleet_changes_nothing_and_its_message_counts() -> None:
