Count streams since the restart in the test of the simulated network

Change: only what grew since the restart counts, and exactly: each stream with both its ends, nobody else's grows.

--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -127,6 +127,7 @@
     world.run_until(10 * S)
     assert all(member.ready for member in world.members.values())
     world.fetches.clear()
+    before = {name: counts[4] for name, counts in world.traffic.items()}
     world.kill("m0")
     world.restart("m0", disk=False)
     world.run_until(11 * S)
@@ -134,7 +135,10 @@
     assert world.fetches and {who for _, who, _ in world.fetches} == {"m0"}
     assert {world.layout.cell_of[other] for _, _, other in world.fetches} == {world.layout.cell_of["m0"]}
     keeper = world.fetches[0][2]
-    assert world.traffic[keeper][4] > 0 and world.traffic["m0"][4] >= world.traffic[keeper][4]
+    grown = {name: counts[4] - before[name] for name, counts in world.traffic.items()}
+    asked = {other for _, _, other in world.fetches}
+    assert {name for name, one in grown.items() if one} == asked | {"m0"}
+    assert grown["m0"] == sum(grown[other] for other in asked), "each stream counts with both"
     world.serving[keeper] = [world.now + S] * world.streams_most
     before = world.traffic[keeper][4]
     world._fetch("m3", keeper)
