--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -56,7 +56,7 @@
     try:
         if "lonely" in told.script:
             for silent in (False, True):
-                name = "lonely_silent" if silent else "lonely_refused"
+                name = "lonely_silent" if silent else "lonely"
                 run["scripts"][name] = lonely.play(
                     folder / name, size, seed, cells, silent, min(told.span_s, 40.0), most
                 )
--- a/benchmarks/scale/record.py
+++ b/benchmarks/scale/record.py
@@ -72,10 +72,12 @@
                 "cpu_s": sum(one["cpu_s"] for one in hollow),
                 "cpu_each_s": [one["cpu_s"] for one in hollow],
                 "lag_s": max((one["lag_s"] for one in hollow), default=0.0),
-                "most_bytes_s": max((one["most_bytes_s"] for one in hollow), default=0.0),
-                "most_datagrams_s": max((one["most_datagrams_s"] for one in hollow), default=0.0),
+                "most_bytes_s": max((one["most_bytes"] / one["passed_s"] for one in hollow), default=0.0),
+                "most_datagrams_s": max(
+                    (one["most_datagrams"] / one["passed_s"] for one in hollow), default=0.0
+                ),
                 "speakers": sum(one["speakers"] for one in hollow),
-                "speakers_bytes_s": sum(one["speakers_bytes_s"] for one in hollow),
+                "speakers_bytes_s": sum(one["speakers_bytes"] / one["passed_s"] for one in hollow),
                 "took_ms": [took for one in hollow for took in one["took_ms"]],
             },
         }  # fmt: skip
--- a/crowwing/emulator/fleet/hollow.py
+++ b/crowwing/emulator/fleet/hollow.py
@@ -223,12 +223,15 @@
                 await asyncio.sleep(0)
         return {"on": on, "right": right, "wrong": wrong, "at": now_us()}
 
+    async def periods(self, _: dict) -> dict:
+        """That went by, of all members together."""
+        return {"periods": sum(member.all_periods() for member in self.members.values())}
+
     async def counts(self, told: dict) -> dict:
         """Sums over all members since the process began, the busiest member since the last asking, and what
         the process took."""
-        sums, most, speaking = Counter(), (0.0, 0.0), []
-        passed = max(1e-3, time.monotonic() - self.counted_at)
-        self.counted_at = time.monotonic()
+        sums, most_bytes, most_datagrams, speaking = Counter(), 0, 0, []
+        passed, self.counted_at = time.monotonic() - self.counted_at, time.monotonic()
         for name, member in self.members.items():
             tally = member.tally
             tally.periods = member.all_periods()
@@ -236,10 +239,12 @@
                 sums[field] += getattr(tally, field)
             now = tally.sent_bytes + tally.read_bytes + tally.stream_bytes, tally.sent + tally.read
             was = self.before.get(name, now)
-            rate = (now[0] - was[0]) / passed
-            most = max(most, (rate, (now[1] - was[1]) / passed))
+            most_bytes, most_datagrams = (
+                max(most_bytes, now[0] - was[0]),
+                max(most_datagrams, now[1] - was[1]),
+            )
             if member.member is not None and pure.speaks(member.member):
-                speaking.append(rate)
+                speaking.append(now[0] - was[0])
             self.before[name] = now
         lag, self.lag_most = self.lag_most, 0.0
         on = [member.member for member in self.members.values() if member.member is not None]
@@ -247,10 +252,11 @@
         whom = {name: dict(counts) for name, counts in self.asked_whom.items()} if told.get("whom") else {}
         return {
             "at": now_us(), "cpu_s": time.process_time(), "lag_s": lag, "on": len(on), "sums": dict(sums),
-            "most_bytes_s": most[0], "most_datagrams_s": most[1], "events": dict(self.events),
+            "most_bytes": most_bytes, "most_datagrams": most_datagrams, "passed_s": passed,
+            "events": dict(self.events),
             "ready": sum(member.ready for member in on), "dropped": dict(self.dropped), "took_ms": took,
             "asked": self.asked, "asked_whom": whom, "speakers": len(speaking),
-            "speakers_bytes_s": sum(speaking),
+            "speakers_bytes": sum(speaking),
         }  # fmt: skip
 
     def _mine(self, told: dict) -> list[str]:
@@ -267,7 +273,7 @@
     name: getattr(Host, name)
     for name in (
         "open", "build", "go", "off", "on", "restart", "cut", "heal", "put", "watch", "forget", "seen",
-        "views", "counts",
+        "views", "periods", "counts",
     )
 }  # fmt: skip
 
--- a/crowwing/emulator/fleet/wide.py
+++ b/crowwing/emulator/fleet/wide.py
@@ -114,13 +114,15 @@
         self.speak_first = pure.speak_first(self.layout)
         self.cells, self.ways, self.build_s, self.asleep = cells, ways or Ways(), build_s, asleep
         block = 128 + os.getpid() % 120
-        port = PORT + (os.getpid() // 120 + seed) % 10_000
+        number = int(self.host.rpartition(".")[2])  # of this rig in this process
+        port = PORT + (os.getpid() // 120 * 250 + number) % 10_000
         self.hollow_at = {
             name: (f"127.{block}.{n // A_BLOCK}.{1 + n % A_BLOCK}", port)
             for n, name in enumerate(self.hollow)
         }
-        self.hosts = [HollowProcess(n, folder) for n in range(processes if self.hollow else 0)]
-        self.mine = [self.hollow[n :: len(self.hosts)] for n in range(len(self.hosts))]
+        self.hosts: list[HollowProcess] = []
+        processes = processes if self.hollow else 0
+        self.mine = [self.hollow[n::processes] for n in range(processes)]
         self.alone: Process | None = None
         self.cut_now: list[Fault] = []
         self.asked: dict[str, Counter[str]] = {name: Counter() for name in chosen}
@@ -138,10 +140,18 @@
             "regions": {name: place[0] for name, place in self.places.items()}, "ways": asdict(self.ways),
             "zones": {name: place[1] for name, place in self.places.items()} if self.cells else None,
         }  # fmt: skip
-        for host, mine in zip(self.hosts, self.mine, strict=True):
-            host.line(told | {"mine": mine})
+        for number, mine in enumerate(self.mine):
+            self.hosts.append(HollowProcess(number, self.folder))
+            self.hosts[-1].line(told | {"mine": mine})
         self.tell("open")
 
+    def __enter__(self) -> "Wide":
+        try:
+            return super().__enter__()
+        except BaseException:
+            self.end()
+            raise
+
     def start(self) -> None:
         """Hollow ones are on first, as a fleet that runs; real ones come up beside them."""
         self.connect()
