--- a/benchmarks/slopes_figures.py
+++ b/benchmarks/slopes_figures.py
@@ -155,6 +155,9 @@
     "report_bytes": Figure(
         "bytes of a report and its answer", "bytes", "reports", "report_bytes", first=True
     ),
+    "report_links": Figure(
+        "new connections a report, answered 204 without a length", "", "reports", "links", first=True
+    ),
     "farm_rest_bytes_per_s": Figure(
         "the farm agent's link at rest", "bytes/s", "ticket_new", "farm_bytes_per_s", 0
     ),
--- a/benchmarks/slopes_measures.py
+++ b/benchmarks/slopes_measures.py
@@ -196,8 +196,8 @@
             heard = stand.reports[before:]
             per_s = (len(heard) - 1) / (heard[-1][0] - heard[0][0])
             size = sum(bytes_ for _, bytes_ in heard) / len(heard)
-            links = stand.control_links - links
-            rows.append(row | {"x": round(per_s, 3), "report_bytes": size, "links": links})
+            links = (stand.control_links - links) / len(heard)
+            rows.append(row | {"x": round(per_s, 3), "report_bytes": size, "links": round(links, 2)})
     return rows
 
 
