Leave a telling to those who speak, and name the scale rig's places apart from the fleet rig's

Cause: Verdicts.tell_at of a member that speaks no longer stayed in the past, and wake_at gave it: the member was woken without end (a core in simulated time, each millisecond on sockets). Seen as a state machine that did not end. Change: whoever does not speak has nothing to tell. The test is red without it. Also: the scale rig's own places hid behind FleetRig.places, which the cells' tests added.

--- a/crowwing/emulator/fleet/growth.py
+++ b/crowwing/emulator/fleet/growth.py
@@ -100,7 +100,7 @@
         """What happens, and from where it is counted."""
         rig = self.rig
         self.began = self.counts()
-        zone = rig.places[rig.names[0]][1]
+        zone = rig.placed[rig.names[0]][1]
         inside = set(rig.in_zone(zone))
         outside = [name for name in rig.hollow if name not in inside]
         for n in range(CHANGES):
--- a/crowwing/emulator/fleet/wide.py
+++ b/crowwing/emulator/fleet/wide.py
@@ -106,8 +106,8 @@
         """`processes` for the hollow members; 0: nobody listens at their addresses. `build_s`: what building
         them is thought to take; `asleep`: they have sockets and never say a word."""
         self.everyone = [f"m{n}" for n in range(size)]
-        self.places = places.places(self.everyone)
-        self.layout = pure.layout(self.places if cells else None, fleet or {})
+        self.placed = places.places(self.everyone)
+        self.layout = pure.layout(self.placed if cells else None, fleet or {})
         chosen = pick(pure.cells(self.everyone, self.layout), real)
         super().__init__(folder, real, seed, [], names=chosen, **(fleet or {}))
         self.hollow = [name for name in self.everyone if name not in set(chosen)]
@@ -137,8 +137,8 @@
         addresses = self.fleet_at | self.hollow_at
         told = {
             "seed": self.seed, "addresses": addresses, "real": self.names, "fleet": self.fleet,
-            "regions": {name: place[0] for name, place in self.places.items()}, "ways": asdict(self.ways),
-            "zones": {name: place[1] for name, place in self.places.items()} if self.cells else None,
+            "regions": {name: place[0] for name, place in self.placed.items()}, "ways": asdict(self.ways),
+            "zones": {name: place[1] for name, place in self.placed.items()} if self.cells else None,
         }  # fmt: skip
         for number, mine in enumerate(self.mine):
             self.hosts.append(HollowProcess(number, self.folder))
@@ -188,8 +188,8 @@
         if not self.cells:
             return {"peers": peers}
         for peer in peers:
-            peer["region"], peer["zone"] = self.places[peer["name"]]
-        region, zone = self.places[name]
+            peer["region"], peer["zone"] = self.placed[peer["name"]]
+        region, zone = self.placed[name]
         return {"peers": peers, "region": region, "zone": zone}
 
     def _ways_among_real(self) -> None:
@@ -204,7 +204,7 @@
                     self.relay.impose([across | {"kind": "loss", "size": ways.loss}])
 
     def real_in(self, region: str, not_there: bool = False) -> list[str]:
-        return [name for name in self.names if (self.places[name][0] == region) != not_there]
+        return [name for name in self.names if (self.placed[name][0] == region) != not_there]
 
     # Telling hollow ones
 
@@ -235,7 +235,7 @@
         self.tell("heal")
 
     def in_zone(self, zone: str) -> list[str]:
-        return [name for name in self.everyone if self.places[name][1] == zone]
+        return [name for name in self.everyone if self.placed[name][1] == zone]
 
     def ask(self, name: str, wait_s: float = 1.0, **told: object) -> dict | None:
         """What we ask of a real member and it answers is counted in `asked`, as its own counters count it."""
--- a/crowwing/fleet/member.py
+++ b/crowwing/fleet/member.py
@@ -254,6 +254,8 @@
         if speaks:
             for key, value in self.verdicts.tell(now, self.reach.out()):
                 self.spread.put(wall, key, value, LIFE)
+        else:
+            self.verdicts.tell_at = None  # what was to be told is the speakers' to tell
         if (out := self.out()) != self.out_told:
             self.out_told = out
             self.events.append(("cells_out", {"cells": self.layout.short(out)}))
--- /dev/null
+++ b/tests/test_cells_wake.py
@@ -0,0 +1,27 @@
+"""When a member in cells asks to be woken."""
+
+from tests.cellular import S, fleet
+
+
+def test_one_that_speaks_no_longer_is_not_woken_for_what_it_was_to_tell() -> None:
+    """Guards against a member that wakes without end for a telling that is no more its own."""
+    world = fleet(12, 1, 4)
+    world.run_until(5 * S)
+    member = next(m for m in world.members.values() if m.reach.speaks)
+    member.speakers, member.verdicts.tell_at = (), world.now - S
+    member.layout = StillLayout(member.layout)
+    member.turn(world.now, world.wall(member.me))
+    assert not member.reach.speaks and member.wake_at(world.now) > world.now
+
+
+class StillLayout:
+    """A layout in which somebody else speaks."""
+
+    def __init__(self, layout: object) -> None:
+        self.layout = layout
+
+    def speakers(self, cell: str, alive: object) -> tuple[str, ...]:
+        return ()
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self.layout, name)
