--- a/crowwing/fleet/membership/reach.py
+++ b/crowwing/fleet/membership/reach.py
@@ -21,7 +21,7 @@
 from collections import Counter
 from dataclasses import replace
 
-from crowwing.fleet.membership.cells import Layout
+from crowwing.fleet.membership.cells import Layout, covers
 from crowwing.fleet.membership.swim import ALIVE, DEAD, GONE, Kind, Membership, Message, Timing
 
 SWEEP_EVERY = 2_000_000  # µs
@@ -33,19 +33,17 @@
 
 
 def among_cells(timing: Timing) -> Timing:
-    """The pace among cells: as among members, but more news on a message (a whole region may be cut off at
-    once), those held dead probed sooner, and no local health: where most cells are cut off, probes that go
-    unanswered say nothing of the speaker, and a speaker that is slow is outvoted by the others. For the same
-    reason a suspicion that few confirm stands twice the shortest at most."""
-    revive_every, times = max(2, timing.revive_every // 4), min(timing.suspect_most_times, 2.0)
+    """The pace among cells: as among members, but those held dead are probed sooner and only directly. One
+    other cell is asked to probe for us, since a second member of the cell is asked besides. No local health:
+    where most cells are cut off, probes that go unanswered say nothing of the speaker, and one that is slow
+    is outvoted; for the same reason a suspicion that few confirm stands twice the shortest at most. News is
+    told less often: three speak for each cell, and after a cut each asks for itself.
+    """
     return replace(
-        timing,
-        news_most=12,
-        revive_every=revive_every,
-        hearsay=False,
-        health_most=0,
-        suspect_most_times=times,
-    )
+        timing, indirect=min(1, timing.indirect), suspect_most_times=min(2.0, timing.suspect_most_times),
+        health_most=0, retransmit=timing.retransmit / 3, revive_every=max(2, timing.revive_every // 4),
+        revive_indirect=False, hearsay=False,
+    )  # fmt: skip
 
 
 class Reach:
@@ -98,7 +96,8 @@
                 self._unanswered(probe.target)
             elif direct and probe.helpers is not None:
                 self._unanswered(probe.target)
-                self.swim.ping(probe.target, probe.seq)  # to another of that cell
+                if self.swim.members[probe.target].state not in GONE:
+                    self.swim.ping(probe.target, probe.seq)  # to another of that cell
         else:
             self.swim.end_relays(now)
         self._carry(row)
@@ -138,15 +137,17 @@
         """KeyError, TypeError or ValueError for what is no message of another cell; it changes nothing."""
         sender = message["from"]
         cell, kind = self.layout.cell_of[sender], Kind(message["k"])
+        news = [[self._meant(name), *rest] for name, *rest in message.get("news", ())]
         if cell == self.cell:
-            raise ValueError(f"{sender}: is of our own cell")
+            self._neighbour(sender, kind, message["seq"], news)
+            return
         row_told = message.get("row")
         if row_told is not None:
             alive, of, since, digest = row_told
             row_told = [int(alive), int(of), int(since), str(digest)[:16]]
         before, seen = self.swim.incarnation, self.swim.members[cell]
         gone = seen.state in GONE
-        self.swim.heard(now, message | {"from": cell})
+        self.swim.heard(now, message | {"from": cell, "news": news})
         contacts = self.contacts.setdefault(cell, [])
         if sender not in contacts:
             contacts.append(sender)
@@ -162,6 +163,24 @@
             self.swim.ping(cell)
         self._carry(row, sender)
 
+    def _neighbour(self, sender: str, kind: Kind, seq: int, news: list[list]) -> None:
+        """One of our own cell whose copy of the settings has us in another: we answer its probes for the cell
+        that it takes us for. Guards that one, perhaps of us alone, against passing for gone in our own."""
+        if kind != Kind.PING or sender == self.me:
+            raise ValueError(f"{sender}: is of our own cell")
+        for name, state, incarnation, _ in news:
+            if name == self.cell and state != ALIVE and incarnation >= self.swim.incarnation:
+                self.swim.incarnation = int(incarnation) + 1
+        told = {"k": int(Kind.ACK), "from": self.me, "inc": self.swim.incarnation, "seq": seq, "cell": 1}
+        self.outbox.append((sender, told))
+
+    def _meant(self, cell: object) -> object:
+        """Our own cell where a copy of the settings one change older or newer has another name for it, or
+        for a part of it. Guards against a cell whose members all have the one copy, and which nobody with
+        the other could bring back: it would not know its death for its own, and not refute it."""
+        other = isinstance(cell, str) and cell not in self.swim.members
+        return self.cell if other and (covers(cell, self.cell) or covers(self.cell, cell)) else cell
+
     def _carry(self, row: Told | None, sender: str | None = None) -> None:
         """From cells to members: an answer to who asked, the rest to who speaks for the cell."""
         for cell, message in self.swim.outbox:
