Let the tests of keepers and of fetches behind a cut see what they are about

Need: two mutations stayed green: all of a cell counted as keepers, and no pause of the member after a failed fetch (only test_fleet_state saw that one). Change: the cell of nine, of which three keepers are cut off and then four keepers are left of four members; fetches that are refused at once.

--- a/tests/test_cells_state.py
+++ b/tests/test_cells_state.py
@@ -59,7 +59,8 @@
         one = update(world, roster[-1], key)
         assert until(world, lambda one=one: bool(one), S) and one == [True]
         assert sum(key in world.members[k].wide.copies.entries for k in keepers) >= 3
-    roster = of_cell(world, "m0")
+    roster = of_cell(world, "m3")
+    assert len(roster) == 9
     keepers, rest = set(roster[:5]), set(roster[5:])
     three = set(roster[:3])
     # Three keepers are out of reach: two and all others of the cell, and of the fleet, are no majority.
@@ -68,9 +69,10 @@
     world.run_until(world.now + 3 * S)
     assert one == [False] and hold_all(world, "said/few", set(world.names) - three)
     world.cut = lambda _, __: False
-    for name in rest:
+    assert until(world, world.agreed, 20 * S)
+    for name in (*rest, roster[4]):  # four of nine are left, and four of the five keepers
         world.kill(name)
-    one = update(world, min(keepers), "said/keepers")
+    one = update(world, roster[0], "said/keepers")
     assert until(world, lambda: one == [True], S), "who is no keeper is not waited for"
 
 
@@ -345,6 +347,7 @@
     world.cut = lambda a, b: name in (a, b)
     world.run_until(world.now + S)
     world.fetches.clear()
+    world.cut_fetch = 500  # refused at once
     world.restart(name, disk=False)
     began, sent = world.now, world.traffic[name][1]
     world.run_until(began + FAST.patience.most - 100_000)
