Put a burst of changes in at once, and say whether a late hollow process was busy or starved

Need: fifty changes were put in one after the other, each a question and an answer; a loop that was late did not say whether the fleet's own work or the machine's other work made it so; a rig with 24 real backends has over 1,024 descriptors, which select() refuses.

--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -117,13 +117,19 @@
 
 def in_step(samples: Sequence[dict]) -> dict:
     """Whether the hollow processes kept up: their loops' lag, and how busy the busiest was."""
-    lag = max((one["hollow"]["lag_s"] for one in samples[1:]), default=0.0)
+    late = max((one["hollow"] for one in samples[1:]), key=lambda one: one["lag_s"])
+    lag = late["lag_s"]
     busy = 0.0
     for before, after in zip(samples, samples[1:], strict=False):
         passed = after["at_s"] - before["at_s"]
         took = zip(before["hollow"]["cpu_each_s"], after["hollow"]["cpu_each_s"], strict=True)
         busy = max([busy, *((b - a) / passed for a, b in took)])
-    return {"kept": lag <= LATE_S and busy <= FULL, "lag_s": lag, "busiest_process": busy}
+    return {
+        "kept": lag <= LATE_S and busy <= FULL,
+        "lag_s": lag,
+        "lag_used_s": late["lag_used_s"],
+        "busiest_process": busy,
+    }
 
 
 def phase(samples: Sequence[dict], at_rest: bool) -> dict:
--- a/benchmarks/scale/record.py
+++ b/benchmarks/scale/record.py
@@ -63,6 +63,7 @@
         for one in hollow:
             for event, count in one["events"].items():
                 events[event] = events.get(event, 0) + count
+        late = max(hollow, key=lambda one: one["lag_s"], default={"lag_s": 0.0, "lag_used_s": 0.0})
         told = {
             "at_s": time.monotonic() - self.began,
             "real": real,
@@ -71,7 +72,7 @@
                 "sums": sums, "events": events, "rss_kb": sum(rss for rss, _ in hosts),
                 "cpu_s": sum(one["cpu_s"] for one in hollow),
                 "cpu_each_s": [one["cpu_s"] for one in hollow],
-                "lag_s": max((one["lag_s"] for one in hollow), default=0.0),
+                "lag_s": late["lag_s"], "lag_used_s": late["lag_used_s"],
                 "most_bytes_s": max((one["most_bytes"] / one["passed_s"] for one in hollow), default=0.0),
                 "most_datagrams_s": max(
                     (one["most_datagrams"] / one["passed_s"] for one in hollow), default=0.0
@@ -116,7 +117,7 @@
                 sampled = time.monotonic()
                 next_bin = BIN_S * (passed // BIN_S + 1)
             ended = passed >= least_s and not due
-            if ended and (over is None or passed >= most_s):
+            if ended and (over is None or passed >= least_s + most_s):
                 break
             if over is not None and passed >= next_look:
                 next_look = passed + look_s
--- a/benchmarks/scale/scripts.py
+++ b/benchmarks/scale/scripts.py
@@ -224,9 +224,8 @@
     def put(count: int) -> None:
         keys = [f"said/scale-{next(run.keys)}" for _ in range(count)]
         rig.tell("watch", keys=keys)
-        for key in keys:
-            told = rig.put(run.chance.choice(rig.hollow), key, {"set": "x" * 80})
-            put_at[key] = told["at"]
+        at = rig.put([(run.chance.choice(rig.hollow), key, {"set": "x" * 80}) for key in keys])
+        put_at.update(dict.fromkeys(keys, at))
 
     def look() -> bool:
         for key, (count, at) in _keys(rig).items():
--- a/crowwing/emulator/fleet/growth.py
+++ b/crowwing/emulator/fleet/growth.py
@@ -103,8 +103,7 @@
         zone = rig.placed[rig.names[0]][1]
         inside = set(rig.in_zone(zone))
         outside = [name for name in rig.hollow if name not in inside]
-        for n in range(CHANGES):
-            rig.put(outside[n], f"said/growth-{n}", "x" * 80)
+        rig.put([(outside[n], f"said/growth-{n}", "x" * 80) for n in range(CHANGES)])
         rig.tell("restart", names=[outside[-1]], down_s=1.0)
         rig.kill(rig.names[-1])
         rig.launch(rig.names[-1])
--- a/crowwing/emulator/fleet/hollow.py
+++ b/crowwing/emulator/fleet/hollow.py
@@ -27,6 +27,7 @@
 
 LINE_MOST = 64 << 20  # bytes of one line on standard input: the first names the whole fleet
 LOOK_S = 0.05  # between two looks at how late the loop is
+LIFE = 3_600_000_000  # µs, of what is put in
 SLICE = 50  # members built or looked at before the loop has its turn
 
 
@@ -75,16 +76,18 @@
         self.asked: dict[str, list[int]] = {}  # a real member -> times, bytes in, bytes out of its fetches
         self.asked_whom: dict[str, Counter[str]] = {}
         self.serving: set[asyncio.Task] = set()  # emptied by each one's end
-        self.lag_most = 0.0
+        self.lag_most = self.lag_used = 0.0  # s late, and what of that this process had the processor
         self.before: dict[str, tuple[int, int]] = {}  # each member's bytes and datagrams at the last count
         self.counted_at = time.monotonic()
 
     async def watch_lag(self) -> None:
         """How late this loop comes to what was due: where it falls behind, what is measured is no fleet's."""
         while True:
-            due = self.loop.time() + LOOK_S
+            due, used = time.monotonic() + LOOK_S, time.process_time()
             await asyncio.sleep(LOOK_S)
-            self.lag_most = max(self.lag_most, self.loop.time() - due)
+            lag = time.monotonic() - due
+            if lag > self.lag_most:
+                self.lag_most, self.lag_used = lag, time.process_time() - used
 
     # What members tell
 
@@ -176,14 +179,16 @@
         return {"at": now_us()}
 
     async def put(self, told: dict) -> dict:
-        member = self.members[told["name"]]
-        at = now_us()
-        try:
-            pure.put(member.member, wall_us(), told["key"], told["value"], 3_600_000_000)
-        except NotKept as wrong:
-            return {"why": str(wrong)}
-        member.carry_out()
-        return {"at": at}
+        """Each [name, key, value] of a member of ours; when the first was said, and what was refused."""
+        at, refused = now_us(), []
+        for name, key, value in told["puts"]:
+            if (member := self.members.get(name)) is not None:
+                try:
+                    pure.put(member.member, wall_us(), key, value, LIFE)
+                except NotKept as wrong:
+                    refused.append(str(wrong))
+                member.carry_out()
+        return {"at": at, "refused": refused}
 
     async def watch(self, told: dict) -> dict:
         self.watched |= {key: Watch() for key in told["keys"]}
@@ -246,12 +251,13 @@
             if member.member is not None and pure.speaks(member.member):
                 speaking.append(now[0] - was[0])
             self.before[name] = now
-        lag, self.lag_most = self.lag_most, 0.0
+        lag, used, self.lag_most = self.lag_most, self.lag_used, 0.0
         on = [member.member for member in self.members.values() if member.member is not None]
         took, self.took = self.took, []
         whom = {name: dict(counts) for name, counts in self.asked_whom.items()} if told.get("whom") else {}
         return {
-            "at": now_us(), "cpu_s": time.process_time(), "lag_s": lag, "on": len(on), "sums": dict(sums),
+            "at": now_us(), "cpu_s": time.process_time(), "lag_s": lag, "lag_used_s": used,
+            "on": len(on), "sums": dict(sums),
             "most_bytes": most_bytes, "most_datagrams": most_datagrams, "passed_s": passed,
             "events": dict(self.events),
             "ready": sum(member.ready for member in on), "dropped": dict(self.dropped), "took_ms": took,
--- a/crowwing/emulator/fleet/wide.py
+++ b/crowwing/emulator/fleet/wide.py
@@ -45,6 +45,9 @@
                 preexec_fn=_end_with_parent,
             )  # fmt: skip
 
+        self.poll = select.poll()  # select() takes no descriptor over 1023, and the relay has a thousand
+        self.poll.register(self.child.stdout, select.POLLIN)
+
     def tell(self, **told: object) -> None:
         self.number += 1
         self.line(told | {"n": self.number})
@@ -61,7 +64,7 @@
         until = time.monotonic() + ANSWER_S
         while b"\n" not in self.buffer:
             left = until - time.monotonic()
-            if left <= 0 or not select.select([self.child.stdout], [], [], left)[0]:
+            if left <= 0 or not self.poll.poll(1000 * left):
                 raise Lost(f"{self.name}: no answer within {ANSWER_S:g} s")
             piece = os.read(self.child.stdout.fileno(), 1 << 20)
             if not piece:
@@ -214,11 +217,12 @@
             host.tell(do=what, **told)
         return [host.answer() for host in self.hosts]
 
-    def put(self, name: str, key: str, value: object) -> dict:
-        """Said by one hollow member."""
-        host = next(host for host, mine in zip(self.hosts, self.mine, strict=True) if name in mine)
-        host.tell(do="put", name=name, key=key, value=value)
-        return host.answer()
+    def put(self, puts: Sequence[tuple[str, str, object]]) -> int:
+        """Each (hollow member, key, value) at once; when the first was said, µs. Lost if one is refused."""
+        told = self.tell("put", puts=puts)
+        if refused := [why for one in told for why in one["refused"]]:
+            raise Lost(f"refused: {refused[0]}")
+        return min(one["at"] for one in told)
 
     def cut(self, pairs: Sequence[tuple[str, str]]) -> None:
         """Regions that do not reach each other from now on."""
