--- a/crowwing/fleet/membership/swim.py
+++ b/crowwing/fleet/membership/swim.py
@@ -83,6 +83,8 @@
     retransmit: float = 3.0  # a rumour goes out this many times log10 of the fleet, at least once
     news_most: int = 8  # rumours on one message; bounds a datagram
     revive_every: int = 8  # periods between probes of a member held dead
+    revive_indirect: bool = True  # others are asked to probe one that is held dead, too
+    hearsay: bool = True  # a death is believed as told; else as a suspicion that one's own probes may lift
 
 
 class Membership:
@@ -146,10 +148,7 @@
             for member in self.members.values():
                 member.since = now if member.state == SUSPECT else member.since
         self.looked = now
-        for seq, (asker, its_seq, until) in list(self.relayed.items()):
-            if now >= until:
-                del self.relayed[seq]
-                self._send(asker, Kind.NACK, seq=its_seq)
+        self.end_relays(now)
         for member in list(self.members.values()):
             if member.state == SUSPECT and now >= member.since + self._suspicion(member):
                 self._become(member, DEAD, member.incarnation, self.me, now)
@@ -157,12 +156,21 @@
         if probe is not None and probe.helpers is None:
             if now >= probe.sent + self.scaled(timing.probe_timeout):
                 others = [name for name in self.alive() if name != probe.target]
+                if not timing.revive_indirect and self.members[probe.target].state in GONE:
+                    others = []
                 probe.helpers = set(self.chance.sample(others, min(timing.indirect, len(others))))
                 for helper in sorted(probe.helpers):
                     self._send(helper, Kind.PING_REQ, seq=probe.seq, target=probe.target)
         if now >= self.period_at + self.scaled(timing.period):
             self._end_period(now)
 
+    def end_relays(self, now: int) -> None:
+        """Whoever asked us to probe hears that it went unanswered."""
+        for seq, (asker, its_seq, until) in list(self.relayed.items()):
+            if now >= until:
+                del self.relayed[seq]
+                self._send(asker, Kind.NACK, seq=its_seq)
+
     def _end_period(self, now: int) -> None:
         if self.probe is not None:  # no ack within the period: suspected, and our own health is less sure
             target = self.members[self.probe.target]
@@ -194,17 +202,19 @@
 
     def heard(self, now: int, message: Message) -> None:
         """A message from a peer; one not of this fleet or not whole is a ValueError, and changes nothing."""
-        sender, kind, seq = message["from"], Kind(message["k"]), message["seq"]
+        sender, kind, seq = message["from"], Kind(message["k"]), int(message["seq"])
         if sender not in self.members:
             raise ValueError(f"{sender}: no member of this fleet")
         news = [(str(n), str(s), int(i), str(o)) for n, s, i, o in message.get("news", ())]
+        if strange := {state for _, state, _, _ in news} - RANK.keys():
+            raise ValueError(f"{', '.join(sorted(strange))}: no state")
+        target = str(message["target"]) if kind == Kind.PING_REQ else None
         self._direct(sender, int(message["inc"]), now)
         for name, state, incarnation, origin in news:
             self._news(name, state, incarnation, origin, now)
         if kind == Kind.PING:
             self._send(sender, Kind.ACK, seq=seq)
         elif kind == Kind.PING_REQ:
-            target = message["target"]
             if target in self.members:
                 self.seq += 1
                 # the nack comes within the period
@@ -221,8 +231,13 @@
         self.leaving = True
         self._rumour(self.me, LEFT, self.incarnation, self.me)
         for name in self.alive():
+            self.ping(name)
+
+    def ping(self, name: str, seq: int | None = None) -> None:
+        """Beside the probes of the periods; with `seq`, as another of the probe that has it."""
+        if seq is None:
             self.seq += 1
-            self._send(name, Kind.PING, seq=self.seq)
+        self._send(name, Kind.PING, seq=self.seq if seq is None else seq)
 
     def _acked(self, sender: str, seq: int) -> None:
         if seq in self.relayed:
@@ -239,8 +254,6 @@
             self._become(member, ALIVE, incarnation, sender, now)
 
     def _news(self, name: str, state: str, incarnation: int, origin: str, now: int) -> None:
-        if state not in RANK:
-            raise ValueError(f"{state}: no state")
         if name == self.me:
             # refuted, and our own health is less sure
             if state != ALIVE and incarnation >= self.incarnation and not self.leaving:
@@ -251,6 +264,8 @@
         member = self.members.get(name)
         if member is None:
             return
+        if state == DEAD and member.state not in GONE and not self.timing.hearsay:
+            state = SUSPECT
         if incarnation > member.incarnation or (
             incarnation == member.incarnation and RANK[state] > RANK[member.state]
         ):
@@ -259,8 +274,11 @@
             state == SUSPECT == member.state
             and incarnation == member.incarnation
             and origin not in member.origins
+            and len(member.origins) <= self.timing.confirmations
         ):
-            member.origins.add(origin)  # Lifeguard: each independent suspicion shortens the wait
+            # Lifeguard: each independent suspicion shortens the wait, and goes on. One more than shortens it
+            # is not told on: where a whole region is cut off, everybody suspects everybody there.
+            member.origins.add(origin)
             self._rumour(name, SUSPECT, incarnation, origin)
 
     def _become(self, member: Member, state: str, incarnation: int, origin: str, now: int) -> None:
