--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -12,6 +12,7 @@
 import argparse
 import multiprocessing
 import statistics
+import subprocess
 import sys
 import time
 from pathlib import Path
@@ -101,6 +102,12 @@
     return text if len(found) == len(values) else f"{text}, {len(values) - len(found)} not"
 
 
+def commit() -> str:
+    """Of what is played; a + where files differ from it."""
+    words = ["git", "-C", str(FILE.parent), "describe", "--always", "--dirty=+"]
+    return subprocess.run(words, capture_output=True, text=True, check=False).stdout.strip() or "unknown"
+
+
 def having(found: dict, key: str) -> list:
     """What a run found, which may be that it never came to it; nothing where it does not look."""
     value = found.get(key, [])
@@ -166,9 +173,10 @@
         if need > free() / 2:
             sys.exit(f"{told.at_once} runs at once take {need / 1e9:.1f} GB, over half of what is free")
         print(f"{len(jobs)} runs; up to {need / 1e9:.1f} GB", file=sys.stderr)
+        of = commit()
         with multiprocessing.get_context("fork").Pool(told.at_once, maxtasksperchild=1) as pool:
             for number, run in enumerate(pool.imap_unordered(one, jobs), 1):
-                keep(told.file, run)
+                keep(told.file, run | {"commit": of})
                 what = "{script}, {kind} of {size}, seed {seed}: {took_s} s".format(**run)
                 print(f"{number} of {len(jobs)}: {what}", file=sys.stderr, flush=True)
     print("\n".join(table(read(told.file)["simulated"]["runs"])))
