Wait old loans out where an earlier life may have lent in another cell

Seen by reading: a member restarted with a list that puts it into another cell asked its new cell alone what it had lent, and spent its whole part while those of the old one still spent it, for up to 2 s. Change: in cells a start waits old loans out. Test: red without.

--- a/crowwing/fleet/member.py
+++ b/crowwing/fleet/member.py
@@ -62,7 +62,7 @@
         else:
             self._in_cells(peers, layout, now, chance, manner, spaces)
         self.keeping = (self.spread,) if self.wide is self.spread else (self.spread, self.wide)
-        self.loans = Loans(me, peers, now, chance)
+        self.loans = Loans(me, peers, now, chance, knows_all=layout is None)
         self.labels: Labels | None = None  # too many to rank all of them for each label
         if len(everyone) <= LABELS_MEMBERS_MOST:
             self.labels = Labels(me, everyone, now, chance, manner.labels_most, manner.claim_wait)
--- a/crowwing/fleet/uses/loans.py
+++ b/crowwing/fleet/uses/loans.py
@@ -38,8 +38,12 @@
 
 class Loans:
     def __init__(
-        self, me: str, peers: Sequence[str], now: int, chance: random.Random, terms: Terms | None = None
-    ) -> None:
+        self, me: str, peers: Sequence[str], now: int, chance: random.Random, terms: Terms | None = None,
+        knows_all: bool = True,
+    ) -> None:  # fmt: skip
+        """`knows_all`: an earlier life cannot have lent to anyone but `peers`; where it can, as in cells whose
+        members change, old loans are waited out whatever these say."""
+        self.knows_all = knows_all
         self.me, self.peers, self.chance, self.terms = me, set(peers), chance, terms or Terms()
         self.forgotten_until = now + self._withheld()
         self.unheard = set(peers)  # that may have borrowed from an earlier life; emptied by their answers
@@ -130,7 +134,7 @@
         self.unheard.discard(borrower)
         if part:
             self.lent[(borrower, -1)] = part, now + round(left * (1 + 2 * self.terms.margin))
-        if not self.unheard:
+        if not self.unheard and self.knows_all:
             self.forgotten_until = min(self.forgotten_until, now)
 
     def _lend(self, now: int, asker: str, number: int, part: float) -> float:
--- a/tests/test_fleet_decides.py
+++ b/tests/test_fleet_decides.py
@@ -10,7 +10,7 @@
 from crowwing.fleet.state.spaces import SPACES
 from crowwing.fleet.uses import lesson, quota
 from crowwing.fleet.uses.labels import Claimed, Labels, homes
-from crowwing.fleet.uses.loans import Loans, Terms, wanted
+from crowwing.fleet.uses.loans import OWED, STARTED, Loans, Terms, wanted
 from crowwing.fleet.uses.turned import PRINTS, Turned
 
 S = 1_000_000
@@ -131,6 +131,17 @@
     assert c.part(1000) == 1.0
 
 
+def test_one_whose_earlier_life_may_have_lent_elsewhere_waits_its_loans_out() -> None:
+    """In cells: it may have been of another one, whose members still spend what it lent."""
+    for knows_all in (True, False):
+        member = Loans("a", ["b"], 0, random.Random(1), knows_all=knows_all)
+        member.turn(0, ["b"], 0.0, 0.0)
+        number = next(told["n"] for _, told in member.outbox if told["k"] == STARTED)
+        member.heard(1000, {"k": OWED, "from": "b", "n": number, "part": 0, "left": 0})
+        assert (member.part(2000) == 1.0) is knows_all
+        assert member.part(2_200_001) == 1.0, "every loan of an earlier life has run out"
+
+
 def test_a_grant_that_comes_late_counts_from_the_asking_and_a_stranger_gets_none() -> None:
     loans = Loans("a", ["b"], 0, random.Random(1))
     loans.turn(3 * S, ["b"], 1.0, 2.0)
