--- a/crowwing/fleet/uses/loans.py
+++ b/crowwing/fleet/uses/loans.py
@@ -41,8 +41,8 @@
         self, me: str, peers: Sequence[str], now: int, chance: random.Random, terms: Terms | None = None,
         knows_all: bool = True,
     ) -> None:  # fmt: skip
-        """`knows_all`: an earlier life cannot have lent to anyone but `peers`; where it can, as in cells whose
-        members change, old loans are waited out whatever these say."""
+        """`knows_all`: an earlier life cannot have lent to anyone but `peers`; where it can, as in cells
+        whose members change, old loans are waited out whatever these say."""
         self.knows_all = knows_all
         self.me, self.peers, self.chance, self.terms = me, set(peers), chance, terms or Terms()
         self.forgotten_until = now + self._withheld()
