--- a/crowwing/emulator/fleet/wide.py
+++ b/crowwing/emulator/fleet/wide.py
@@ -86,15 +86,14 @@
 def pick(cells: Sequence[Sequence[str]], count: int) -> list[str]:
     """Which members are to be real: in turn the first of one cell's roster, who speaks for it, and the last
     of another's, who does not, cells taken as far apart as they go."""
-    left = [list(cell) for cell in cells]
+    if count > sum(map(len, cells)):
+        raise ValueError(f"{count} members are not there")
+    step = max(1, len(cells) // count)
+    apart = [list(cells[n]) for begin in range(step) for n in range(begin, len(cells), step)]
     chosen: list[str] = []
-    step = max(1, len(left) // count)
-    at = 0
     while len(chosen) < count:
-        cell = left[at % len(left)]
-        if cell:
+        for cell in [cell for cell in apart if cell][: count - len(chosen)]:
             chosen.append(cell.pop(0 if len(chosen) % 2 == 0 else -1))
-        at += step if at + step < len(left) else step + 1
     return chosen
 
 
