--- a/crowwing/emulator/fleet/wide.py
+++ b/crowwing/emulator/fleet/wide.py
@@ -45,6 +45,9 @@
                 preexec_fn=_end_with_parent,
             )  # fmt: skip
 
+        self.poll = select.poll()  # select() takes no descriptor over 1023, and the relay has a thousand
+        self.poll.register(self.child.stdout, select.POLLIN)
+
     def tell(self, **told: object) -> None:
         self.number += 1
         self.line(told | {"n": self.number})
@@ -61,7 +64,7 @@
         until = time.monotonic() + ANSWER_S
         while b"\n" not in self.buffer:
             left = until - time.monotonic()
-            if left <= 0 or not select.select([self.child.stdout], [], [], left)[0]:
+            if left <= 0 or not self.poll.poll(1000 * left):
                 raise Lost(f"{self.name}: no answer within {ANSWER_S:g} s")
             piece = os.read(self.child.stdout.fileno(), 1 << 20)
             if not piece:
@@ -83,15 +86,14 @@
 def pick(cells: Sequence[Sequence[str]], count: int) -> list[str]:
     """Which members are to be real: in turn the first of one cell's roster, who speaks for it, and the last
     of another's, who does not, cells taken as far apart as they go."""
-    left = [list(cell) for cell in cells]
+    if count > sum(map(len, cells)):
+        raise ValueError(f"{count} members are not there")
+    step = max(1, len(cells) // count)
+    apart = [list(cells[n]) for begin in range(step) for n in range(begin, len(cells), step)]
     chosen: list[str] = []
-    step = max(1, len(left) // count)
-    at = 0
     while len(chosen) < count:
-        cell = left[at % len(left)]
-        if cell:
+        for cell in [cell for cell in apart if cell][: count - len(chosen)]:
             chosen.append(cell.pop(0 if len(chosen) % 2 == 0 else -1))
-        at += step if at + step < len(left) else step + 1
     return chosen
 
 
@@ -106,8 +108,8 @@
         """`processes` for the hollow members; 0: nobody listens at their addresses. `build_s`: what building
         them is thought to take; `asleep`: they have sockets and never say a word."""
         self.everyone = [f"m{n}" for n in range(size)]
-        self.places = places.places(self.everyone)
-        self.layout = pure.layout(self.places if cells else None, fleet or {})
+        self.placed = places.places(self.everyone)
+        self.layout = pure.layout(self.placed if cells else None, fleet or {})
         chosen = pick(pure.cells(self.everyone, self.layout), real)
         super().__init__(folder, real, seed, [], names=chosen, **(fleet or {}))
         self.hollow = [name for name in self.everyone if name not in set(chosen)]
@@ -137,8 +139,8 @@
         addresses = self.fleet_at | self.hollow_at
         told = {
             "seed": self.seed, "addresses": addresses, "real": self.names, "fleet": self.fleet,
-            "regions": {name: place[0] for name, place in self.places.items()}, "ways": asdict(self.ways),
-            "zones": {name: place[1] for name, place in self.places.items()} if self.cells else None,
+            "regions": {name: place[0] for name, place in self.placed.items()}, "ways": asdict(self.ways),
+            "zones": {name: place[1] for name, place in self.placed.items()} if self.cells else None,
         }  # fmt: skip
         for number, mine in enumerate(self.mine):
             self.hosts.append(HollowProcess(number, self.folder))
@@ -188,8 +190,8 @@
         if not self.cells:
             return {"peers": peers}
         for peer in peers:
-            peer["region"], peer["zone"] = self.places[peer["name"]]
-        region, zone = self.places[name]
+            peer["region"], peer["zone"] = self.placed[peer["name"]]
+        region, zone = self.placed[name]
         return {"peers": peers, "region": region, "zone": zone}
 
     def _ways_among_real(self) -> None:
@@ -204,7 +206,7 @@
                     self.relay.impose([across | {"kind": "loss", "size": ways.loss}])
 
     def real_in(self, region: str, not_there: bool = False) -> list[str]:
-        return [name for name in self.names if (self.places[name][0] == region) != not_there]
+        return [name for name in self.names if (self.placed[name][0] == region) != not_there]
 
     # Telling hollow ones
 
@@ -214,11 +216,12 @@
             host.tell(do=what, **told)
         return [host.answer() for host in self.hosts]
 
-    def put(self, name: str, key: str, value: object) -> dict:
-        """Said by one hollow member."""
-        host = next(host for host, mine in zip(self.hosts, self.mine, strict=True) if name in mine)
-        host.tell(do="put", name=name, key=key, value=value)
-        return host.answer()
+    def put(self, puts: Sequence[tuple[str, str, object]]) -> int:
+        """Each (hollow member, key, value) at once; when the first was said, µs. Lost if one is refused."""
+        told = self.tell("put", puts=puts)
+        if refused := [why for one in told for why in one["refused"]]:
+            raise Lost(f"refused: {refused[0]}")
+        return min(one["at"] for one in told)
 
     def cut(self, pairs: Sequence[tuple[str, str]]) -> None:
         """Regions that do not reach each other from now on."""
@@ -235,7 +238,7 @@
         self.tell("heal")
 
     def in_zone(self, zone: str) -> list[str]:
-        return [name for name in self.everyone if self.places[name][1] == zone]
+        return [name for name in self.everyone if self.placed[name][1] == zone]
 
     def ask(self, name: str, wait_s: float = 1.0, **told: object) -> dict | None:
         """What we ask of a real member and it answers is counted in `asked`, as its own counters count it."""
--- a/crowwing/fleet/member.py
+++ b/crowwing/fleet/member.py
@@ -62,7 +62,7 @@
         else:
             self._in_cells(peers, layout, now, chance, manner, spaces)
         self.keeping = (self.spread,) if self.wide is self.spread else (self.spread, self.wide)
-        self.loans = Loans(me, peers, now, chance)
+        self.loans = Loans(me, peers, now, chance, knows_all=layout is None)
         self.labels: Labels | None = None  # too many to rank all of them for each label
         if len(everyone) <= LABELS_MEMBERS_MOST:
             self.labels = Labels(me, everyone, now, chance, manner.labels_most, manner.claim_wait)
@@ -254,6 +254,8 @@
         if speaks:
             for key, value in self.verdicts.tell(now, self.reach.out()):
                 self.spread.put(wall, key, value, LIFE)
+        else:
+            self.verdicts.tell_at = None  # what was to be told is the speakers' to tell
         if (out := self.out()) != self.out_told:
             self.out_told = out
             self.events.append(("cells_out", {"cells": self.layout.short(out)}))
