--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -26,16 +26,18 @@
 SIZES = [20, 100, 500, 1000, 2600, 5200]
 SCRIPTS = [*scripts.SCRIPTS, "lonely"]
 HOSTED = 1300  # hollow members a process, at most
-PROCESSES_MOST = 6
+A_PROCESS_MS_S = 300.0  # of processor time that its members are thought to take at rest
+PROCESSES_MOST = max(1, (os.cpu_count() or 1) - 1)
 SETTLE_S, SETTLE_MOST_S = 15.0, 240.0  # after the start, before the first script; until real ones are whole
-MEMBER_MS_S = {"flat": (1.0, 0.003), "cells": (1.2, 0.0)}  # guessed: processor time of one, and by size
+MEMBER_MS_S = {"flat": (1.0, 0.003), "cells": (1.0, 0.0)}  # thought: processor time of one, and by size
 
 
 def processes(size: int, real: int, mode: str) -> int:
-    """Of hollow members: none is to take over half of a core, and none hosts over HOSTED."""
+    """Of hollow members: none is to take over A_PROCESS_MS_S at rest, while there are cores for them."""
     base, slope = MEMBER_MS_S[mode]
     hollow = size - real
-    return max(1, -(-hollow // HOSTED), min(PROCESSES_MOST, round(hollow * (base + slope * size) / 500)))
+    wanted = -(-hollow * (base + slope * size) // A_PROCESS_MS_S)
+    return max(1, -(-hollow // HOSTED), min(PROCESSES_MOST, round(wanted)))
 
 
 def one(told: argparse.Namespace, size: int, seed: int, mode: str) -> dict:
