One ticket costs the module the same among many customers and traffic types

Cause: share_left (logic/intake.py) faded the count of every customer in the settings at every arrival, and learn (logic/learned.py) sorted the runs of all types once for each type that had too few, at every end of a run. Change: a ticket of now counts more and more instead of all others fading; customers that stay away are forgotten. All runs are kept in order, one out and one in.

--- a/crowwing/logic/books.py
+++ b/crowwing/logic/books.py
@@ -37,6 +37,7 @@
         self.limit, self.stretch, self.call_late, self.pace = float(facts.cores), 1.0, 0.0, 0.0
         self.calls = deque([facts.calls_over // (8 * CALL_PATIENCE)] * ENOUGH, 2 * ENOUGH)  # times of calls
         self.runs: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in facts.types]
+        self.ranked: list[int] = []  # all of these, in order
         self.timeout = [t.expected_time for t in facts.types]
         self.span = self.timeout[:]  # the time that tickets come with
         self.median, self.usual = [0] * len(facts.types), [0.0] * len(facts.types)  # usual: uncrowded ones
@@ -44,7 +45,10 @@
         total = facts.calls_share * facts.calls_over  # call time that the rule leaves us in its span
         self.burst = max(CALL_BURST * total, min(2.0 * facts.lingers, CALL_BURST_MOST * total))
         self.call_pace = max(CALL_PACE * total, SURVIVE * total - self.burst) / max(1, facts.calls_over)
-        self.flow, self.flow_at = [0.0] * len(facts.shares), now  # tickets of each customer of late; fades
+        # Tickets of each customer of late, in units of one that comes now: those grow, so that nothing fades
+        # by itself and a ticket costs the same among all customers; emptied as a customer stays away.
+        self.flow: dict[int, float] = {}
+        self.flow_unit, self.flow_at = 1.0, now
         self.ready, self.idle, self.told, self.returning = True, facts.idle_most, -1.0, 1.0
         self.weights: dict[int, float] = {}  # tickets by caller, of late; fades away
         self.bounds: list[dict[int, float]] = [{} for _ in facts.types]  # eight at most a type; they fade
--- a/crowwing/logic/intake.py
+++ b/crowwing/logic/intake.py
@@ -7,6 +7,7 @@
 ALIKE, BOUNDS = 20_000, 8  # tries whose bounds are so close share one; bounds remembered a traffic type
 
 SHARE_SPAN = 5_000_000  # the time over which a customer's traffic is held against its share
+FLOW_UNITS = 1e9  # a unit so large is made 1 again, and whoever has faded away is forgotten
 
 
 class Intake(Books):
@@ -83,10 +84,14 @@
         if not self.facts.shares:
             return 1.0
         left, self.flow_at = max(0.0, 1 - (now - self.flow_at) / SHARE_SPAN), now
-        self.flow = [left * seen for seen in self.flow]
-        self.flow[t.team] += 1
+        self.flow_unit /= max(left, 1 / FLOW_UNITS)
+        if self.flow_unit >= FLOW_UNITS:
+            least, unit = 1e-6 if left else FLOW_UNITS, self.flow_unit
+            self.flow = {team: seen / unit for team, seen in self.flow.items() if seen > least * unit}
+            self.flow_unit = 1.0
+        self.flow[t.team] = self.flow.get(t.team, 0.0) + self.flow_unit
         even = 1.3 * self.facts.shares[t.team] / max(1, self.facts.fleet) * self.parts[t.team]
-        inside = min(1.0, (even * SHARE_SPAN / 1e6 + 2) / self.flow[t.team])
+        inside = min(1.0, (even * SHARE_SPAN / 1e6 + 2) * self.flow_unit / self.flow[t.team])
         return inside + self.facts.over_share_credit * (1 - inside)
 
     def worth(self, t: Ticket, part: float) -> float:
--- a/crowwing/logic/learned.py
+++ b/crowwing/logic/learned.py
@@ -1,5 +1,7 @@
 """What is learned: P90s and timeouts, the inflight limit, the cut, and the free value that follows."""
 
+from bisect import bisect_left, insort
+
 from crowwing.contract import Result, Signal, Step
 from crowwing.logic.books import ENOUGH, PROBE, SAMPLES, WAKE_QUIET, Books
 from crowwing.logic.ticket import ASKING, CALLING, HELD, PAUSED, Ticket
@@ -55,11 +57,14 @@
         if not good:
             return
         k, runs, own = t.kind, self.runs[t.kind], took - t.below
+        if len(runs) == SAMPLES:
+            del self.ranked[bisect_left(self.ranked, runs[0])]
         runs.append(took)
+        insort(self.ranked, took)
         for j, own_runs in enumerate(self.runs):  # a type without enough of its own goes by all of them
             few = len(own_runs) < ENOUGH
-            ranked = sorted(took for kind in self.runs for took in kind) if few else sorted(own_runs)
-            if (few or j == k) and len(ranked) >= ENOUGH:
+            ranked = self.ranked if few else sorted(own_runs) if j == k else ()
+            if len(ranked) >= ENOUGH:
                 self.median[j] = ranked[len(ranked) // 2]
                 p90 = ranked[len(ranked) * 9 // 10]
                 self.timeout[j] = max(self.span[j] // 8, min(p90, self.span[j] - p90))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -8,7 +8,7 @@
 def test_over_share_tickets_rank_below_all_others() -> None:
     world = crowded()
     world.manager.facts = World(1, shares=(0.1, 100.0)).facts
-    world.manager.flow, world.manager.parts = [200.0, 100.0], [1.0, 1.0]
+    world.manager.flow, world.manager.parts = {0: 200.0, 1: 100.0}, [1.0, 1.0]
     flood, fair = world.arrive(0, 0.4, team=0), world.arrive(0, 0.99, team=1)
     world.turn(FULL)
     assert world.tickets[flood].rank < 0.1 and world.tickets[fair].rank == 0.99
