Reports go over one connection where the control plane answers 204 without a length

Cause: ReplyReader (protocol/reply.py) took a reply that no length frames for one that ends with its connection; a 204 has no body and may have no length (RFC 9112, 6.3). And the reporter's idle connections were swept at half of twice the time between reports, which is the age they have then. Change: 204 and 304 end with their head and leave the connection; idle ones are kept for four reports' time. Test: test_program_life, four reports on one connection and the next one after the control plane cut it; test_parsers. Both are red without either half.

--- a/crowwing/program/reporter.py
+++ b/crowwing/program/reporter.py
@@ -24,7 +24,8 @@
         book: Book,
     ) -> None:
         self.loop, self.name, self.book = loop, name, book
-        self.exchanges = Exchanges(loop, address, pool, ReplyReader, 2 * EVERY, 2)
+        # Idle connections are looked at by halves of their time: kept for longer than two reports are apart.
+        self.exchanges = Exchanges(loop, address, pool, ReplyReader, 4 * EVERY, 2)
         self.good = self.told = False
         self.changed = asyncio.Event()  # what is to be said, or to whom
 
--- a/crowwing/protocol/reply.py
+++ b/crowwing/protocol/reply.py
@@ -5,6 +5,7 @@
 import httptools
 
 REPLY_MOST = 1 << 16
+BODILESS = (204, 304)  # RFC 9112, 6.3: no length frames them, and none has to
 
 
 class Reply(NamedTuple):
@@ -66,5 +67,7 @@
     def on_message_complete(self) -> None:
         if self.reply is not None or self.parser.get_status_code() < 200:
             return  # a copy behind the reply, or a word before it
-        self.reusable = self.framed and self.parser.should_keep_alive()
-        self.reply = Reply(self.parser.get_status_code(), self.turned_away, bytes(self.body))
+        status = self.parser.get_status_code()
+        framed = self.framed or status in BODILESS  # these end with their head
+        self.reusable = framed and self.parser.should_keep_alive()
+        self.reply = Reply(status, self.turned_away, bytes(self.body))
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -154,6 +154,18 @@
         assert reader.feed(memoryview(good + behind)) == Reply(200, False, b"good") and not reader.reusable
 
 
+def test_a_reply_that_has_no_body_by_its_status_leaves_its_connection_to_the_next() -> None:
+    for head in (b"HTTP/1.1 204 So\r\n", b"HTTP/1.1 304 So\r\n"):
+        reader = ReplyReader()
+        assert reader.feed(memoryview(head + b"\r\n")).body == b"" and reader.reusable
+        for last in (head + b"Connection: close\r\n\r\n", head + b"\r\nHTTP/1.1 500 So\r\n\r\n"):
+            reader = ReplyReader()
+            assert reader.feed(memoryview(last)).status != 500 and not reader.reusable
+    reader = ReplyReader()  # this one's body ends with its connection
+    assert reader.feed(memoryview(b"HTTP/1.1 200 So\r\n\r\nab")) is None
+    assert reader.end() == Reply(200, False, b"ab") and not reader.reusable
+
+
 def test_what_each_reply_proves() -> None:
     proofs = [(200, False), (503, True), (409, True), (503, False), (500, False), (504, False), (404, False)]
     good, away, failed, unsure = Outcome.GOOD, Outcome.NEVER_RAN, Outcome.FAILED, Outcome.UNSURE
--- a/tests/test_program_life.py
+++ b/tests/test_program_life.py
@@ -39,6 +39,18 @@
     play_in(Town(), scene)
 
 
+def test_reports_that_count_go_over_one_connection() -> None:
+    async def scene(town: Town) -> None:  # it answers 204 with no length, as it has no body
+        await town.until(lambda: len(town.control.heard) >= 4)
+        assert town.control.links == 1
+        town.control.cut()  # an idle one that ends costs no report
+        heard = len(town.control.heard)
+        await town.until(lambda: len(town.control.heard) >= heard + 2)
+        assert town.control.links == 2 and town.counts["control_lost"] == 0
+
+    play_in(Town(), scene)
+
+
 def test_the_control_plane_is_told_again_after_an_outage_and_at_once_of_a_change() -> None:
     async def scene(town: Town) -> None:
         town.control.answers += ["break", reply(500), "hang"]
