The rig gives each member addresses that no other is to have, and says who ended

Change: all addresses of a rig are chosen together; a wait ends with the last line of a member that ended by itself (MemberEnded), so that a next failure tells. That line said None for a fleet socket that is taken (wires/link.py): uvloop tells of it in words alone. Test: test_fleet_processes, two, red without the change.

--- a/crowwing/emulator/fleet/rig.py
+++ b/crowwing/emulator/fleet/rig.py
@@ -36,6 +36,10 @@
 }
 
 
+class MemberEnded(RuntimeError):
+    """A member's process ended by itself, with an error; its last line is told, the log is in the folder."""
+
+
 _rigs = itertools.count()
 
 
@@ -108,7 +112,12 @@
         self.folder, self.seed, self.host = folder, seed, own_host()
         folder.mkdir(parents=True, exist_ok=True)
         self.names = list(names) or [f"m{n}" for n in range(size)]
-        self.fleet_at: dict[str, tuple[str, int]] = {}  # chosen once the relay's sockets are open
+        # Chosen once the relay's sockets are open, and no one twice: until a member has bound its own, the
+        # system would give it to another that asks for any, and that member could not start.
+        self.fleet_at: dict[str, tuple[str, int]] = {}
+        self.fronts: dict[
+            str, tuple[str, str]
+        ] = {}  # where it listens, and its farm agent, which is not there
         self.told = {"size": size, "seed": seed, "faults": faults, "places": places, "fleet": fleet}
         (folder / "rig.json").write_bytes(orjson.dumps(self.told, option=orjson.OPT_INDENT_2))
         self.relay = Relay(self.names, script(faults, self.names), seed, self.host)
@@ -125,14 +134,17 @@
     def connect(self) -> None:
         """The relay's sockets are open, and each member's own address is chosen."""
         self.relay.start()
-        ports = free_ports(len(self.names), set(self.relay.ports.values()), self.host)
-        self.fleet_at.update((name, (self.host, port)) for name, port in zip(self.names, ports, strict=True))
+        size = len(self.names)
+        ports = free_ports(3 * size, set(self.relay.ports.values()), self.host)
+        self.fleet_at.update((name, (self.host, port)) for name, port in zip(self.names, ports, strict=False))
+        others = (f"{self.host}:{port}" for port in ports[size:])
+        self.fronts.update((name, (next(others), next(others))) for name in self.names)
         self.relay.members.update(self.fleet_at)
 
     def _files(self, name: str) -> tuple[Path, Path]:
+        listen, agent = self.fronts[name]
         configuration = orjson.loads(EXAMPLE.read_bytes()) | {
-            "name": name, "listen": f"{self.host}:{free_port(socket.SOCK_STREAM, self.host)}",
-            "agent": f"{self.host}:{free_port(socket.SOCK_STREAM, self.host)}",
+            "name": name, "listen": listen, "agent": agent,
             "seed": f"{self.seed:08x}{self.names.index(name):08x}",
         }  # fmt: skip
         peers = [
@@ -243,10 +255,18 @@
         return {view["me"]} | {m["name"] for m in view["members"] if m["state"] in ("alive", "suspect")}
 
     def until(self, check: object, most_s: float, every_s: float = 0.1) -> float | None:
-        """Seconds until `check()` holds, or None if it did not within `most_s`."""
+        """Seconds until `check()` holds, or None if it did not within `most_s`. MemberEnded where a member
+        refused to start or broke down meanwhile: what is waited for would not come, and nothing say why."""
         began = time.monotonic()
         while time.monotonic() - began < most_s:
             if check():
                 return time.monotonic() - began
+            self._look()
             time.sleep(every_s)
         return None
+
+    def _look(self) -> None:
+        for name, child in self.children.items():
+            if (code := child.poll()) is not None and code > 0:
+                told = (self.folder / f"{name}.log").read_text(errors="replace").splitlines()
+                raise MemberEnded(f"{name} ended with {code}: {told[-1] if told else 'said nothing'}")
--- a/crowwing/fleet/wires/link.py
+++ b/crowwing/fleet/wires/link.py
@@ -77,7 +77,8 @@
             await self.loop.create_datagram_endpoint(lambda: self, local_addr=self.listen)
             await self.server.open(self.listen)
         except OSError as wrong:
-            raise OSError(wrong.errno, wrong.strerror, "{}:{} (fleet)".format(*self.listen)) from None
+            why = wrong.strerror or str(wrong)  # uvloop tells of UDP in words alone
+            raise OSError(wrong.errno, why, "{}:{} (fleet)".format(*self.listen)) from None
         self.event("fleet_open", listen=f"{self.listen[0]}:{self.listen[1]}", peers=len(self.addresses))
         if self.disk is not None:
             rows = self.disk.read()
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -11,6 +11,7 @@
 import orjson
 import pytest
 
+from crowwing.emulator.fleet import rig as rig_module
 from crowwing.emulator.fleet.rig import FleetRig, free_port
 from crowwing.emulator.processes import ROOT
 
@@ -29,6 +30,34 @@
         assert rig.until(lambda: agree(rig, everyone), 20) is not None
 
 
+def test_no_member_is_given_an_address_that_another_is_to_have(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    rig = FleetRig(tmp_path, 4, 6, [], **FAST)
+    rig.connect()
+    # What the system may give to whoever asks for a free port: one that m3 has not bound yet.
+    monkeypatch.setattr(rig_module, "free_port", lambda kind, host="": rig.fleet_at["m3"][1])
+    told = [[orjson.loads(path.read_bytes()) for path in rig._files(name)] for name in rig.names]
+    rig.end()
+    every = [one["listen"] for one, _ in told] + [one["agent"] for one, _ in told]
+    every += [operator["fleet"]["listen"] for _, operator in told]
+    assert len(set(every)) == 12
+
+
+def test_what_is_waited_for_ends_with_the_line_of_a_member_that_could_not_start(tmp_path: Path) -> None:
+    rig = FleetRig(tmp_path, 3, 6, [], **FAST)
+    rig.connect()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(rig.fleet_at["m2"])
+        for name in rig.names:
+            rig.launch(name)
+        try:
+            with pytest.raises(rig_module.MemberEnded, match="m2 ended with 1: .*fleet.: could not bind"):
+                rig.until(lambda: False, 20)
+        finally:
+            rig.end()
+
+
 def test_a_killed_member_is_held_dead_by_all_and_comes_back_when_started_again(tmp_path: Path) -> None:
     with FleetRig(tmp_path, 5, seed=1, faults=[], **FAST) as rig:
         everyone = set(rig.names)
