Cells: a lost zone is looked for by its neighbours, and a whole start reads one copy each

Change: while a cell is suspected a speaker asks its neighbours (zone, then region) four a period, in bare pings, twice. News within 100 ms goes out together. A copy far behind is read from one other at a time, is not told on, and is given within a bound by each. An empty copy is told without sums, a fetch tells packed ones. An empty member first reads from one whose word does not count, then from keepers, those that do not speak first, one at a time; a connection for it may take 1 s.

--- a/crowwing/emulator/fleet/hollow_member.py
+++ b/crowwing/emulator/fleet/hollow_member.py
@@ -217,7 +217,7 @@
         try:
             way = host.between.stream(self.region, host.regions[name])
             if way is None:
-                await asyncio.sleep(FETCH_WITHIN)
+                await asyncio.sleep(whole.CONNECT_WITHIN)
                 raise TimeoutError
             if name in host.real:  # a hollow one sees to it itself
                 await asyncio.sleep(way)
--- a/crowwing/fleet/member.py
+++ b/crowwing/fleet/member.py
@@ -12,9 +12,9 @@
 
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from crowwing.fleet.membership.cells import Layout
+from crowwing.fleet.membership.cells import SPEAKERS, Layout
 from crowwing.fleet.membership.reach import Reach, Told
 from crowwing.fleet.membership.swim import Kind, Membership, Message, Timing
 from crowwing.fleet.state.catchup import CatchUp, Patience
@@ -89,9 +89,16 @@
         in_fleet = Reached(in_cell.keepers, layout.cell_of, self._beyond)
         self.spread = Spread(me, peers, self.copies, now, chance, manner.pace, in_cell)
         self.wide = Spread(me, peers, for_all, now, chance, manner.pace, in_fleet)
-        self.catch_up = CatchUp(len(peers) + 1, now, manner.patience, len(keepers), chance)
-        self.fetch_order = [name for name in keepers if name != me]
-        chance.shuffle(self.fetch_order)  # guards the first of them against a cell that starts together
+        patience = replace(manner.patience, at_once=1)  # the second tells what it holds, and gets little
+        self.catch_up = CatchUp(len(peers) + 1, now, patience, len(keepers), chance)
+        # Guards the first of them, who speak besides, against a cell that starts together.
+        order = [name for name in keepers if name != me]
+        chance.shuffle(order)
+        self.fetch_order = sorted(order, key=lambda name: name in keepers[:SPEAKERS])
+        # Whom an empty member asks first, before those whose word counts. Guards the keepers, who are the
+        # speakers too, against giving the whole to each of a cell that starts within seconds.
+        others = [name for name in peers if name not in keepers]
+        self.ask_first = chance.choice(others) if others else None
 
     def _beyond(self, cells: int) -> list[str]:
         """Members of so many other cells, where this one speaks for its cell."""
@@ -136,17 +143,19 @@
 
     def digests(self) -> dict[str, list[int]]:
         """What a fetch tells of our copies, so that only what differs comes."""
-        told = {"leaves": list(self.copies.leaves)}
-        return told if self.reach is None else told | {"wide": list(self.wide.copies.leaves)}
+        if self.reach is None:
+            return {"leaves": list(self.copies.leaves)}
+        near, wide = (kept.copies.packed() for kept in self.keeping)
+        return {"leaves": near, "wide": wide}
 
     def missing(self, asker: str, told: dict) -> list[Row]:
         """What a member lacks of ours that told its digests; one of another cell gets what is for all.
         ValueError, KeyError or TypeError for what are none."""
         rows: list[Row] = []
         if self.reach is None or asker in self.spread.peers:
-            rows += self.spread.missing([int(leaf) for leaf in told["leaves"]])
+            rows += self.spread.missing(told["leaves"])
         if self.reach is not None:
-            rows += self.wide.missing([int(leaf) for leaf in told["wide"]])
+            rows += self.wide.missing(told["wide"])
         return rows
 
     # Messages and time
@@ -206,7 +215,7 @@
         if self.labels is not None:
             self.labels.turn(now)
         self.catch_up.reaches(now, len(alive))
-        wanted = [*self.catch_up.fetch(now, self._to_fetch_from(alive)), *self.spread.far, *self.wide.far]
+        wanted = [*self._to_catch_up(now, alive), *self.spread.far, *self.wide.far]
         for kept in self.keeping:
             kept.far.clear()
         self.fetches += [name for name in dict.fromkeys(wanted) if name not in self.fetching]
@@ -217,11 +226,13 @@
         self.membership.changes.clear()
         self._tell_ready()
 
-    def _to_fetch_from(self, alive: list[str]) -> list[str]:
+    def _to_catch_up(self, now: int, alive: list[str]) -> list[str]:
         if self.layout is None or self.catch_up.began is None:
-            return alive
-        known = set(alive)
-        return [name for name in self.fetch_order if name in known]
+            return self.catch_up.fetch(now, alive)
+        if self.ask_first is not None and self.wide.is_empty and self.ask_first in alive:
+            return [self.ask_first, *self.catch_up.fetch(now, [])]  # which also ends the waiting
+        self.ask_first, known = None, set(alive)
+        return self.catch_up.fetch(now, [name for name in self.fetch_order if name in known])
 
     def _carry(self) -> None:
         for to, message in self.membership.outbox:
@@ -278,7 +289,10 @@
             for kept in self.keeping:
                 news += kept.took(wall, apart[kept is self.wide])
             self.events.append(("fetched", {"name": name, "rows": len(rows), "news": news}))
-        self.catch_up.fetched(now, name, rows is not None)
+        if self.layout is not None and name == self.ask_first:
+            self.ask_first = None
+        else:
+            self.catch_up.fetched(now, name, rows is not None)
         self.turn(now, wall)
 
     def wake_at(self, now: int) -> int:
--- a/crowwing/fleet/membership/reach.py
+++ b/crowwing/fleet/membership/reach.py
@@ -10,7 +10,10 @@
 bury every cell for all), a probe that goes unanswered is sent once more to another of the cell, and whoever
 refutes its death to one that answered it says so at once, so that after a cut both sides know each other by
 three messages. One cell that comes back is a sign for others: a speaker that hears it asks all that it
-suspects or holds out of reach, once in `SWEEP_EVERY`.
+suspects or holds out of reach, once in `SWEEP_EVERY`. And one that goes silent is a sign for its neighbours:
+while a cell is suspected a speaker asks the others of its zone, and of its region once a whole zone is
+silent, a few a period beside its probe. Guards against a lost zone or region that each speaker finds cell by
+cell, one a period.
 
 Which members speak for another cell is learned by hearing from them; until then, and after silence, those of
 the roster in turn. Every table here holds at most one entry a cell, or one a probe carried for others, which
@@ -21,11 +24,14 @@
 from collections import Counter
 from dataclasses import replace
 
-from crowwing.fleet.membership.cells import Layout, covers
-from crowwing.fleet.membership.swim import ALIVE, DEAD, GONE, Kind, Membership, Message, Timing
+from crowwing.fleet.membership.cells import SPEAKERS, Layout, covers
+from crowwing.fleet.membership.swim import ALIVE, DEAD, GONE, SUSPECT, Kind, Membership, Message, Timing
 
 SWEEP_EVERY = 2_000_000  # µs
 CONTACTS = 3  # of one cell
+DOUBTED = 4  # cells asked in a period beside the probe, while some are suspected
+UNHEARD = 10  # periods without a word from it, after which a neighbour of silent cells is asked
+ASKED_TWICE = 2  # who answers neither time is suspected
 
 Told = (
     list  # of a cell by its speakers: [alive, of how many, since when (Unix ms), digest of what is for all]
@@ -60,8 +66,14 @@
         self.contacts: dict[str, list[str]] = {}  # who of late spoke for a cell, `CONTACTS` at most
         self.sweep_at = now
         self.silent: Counter[str] = Counter()  # how many of its roster in turn did not answer
+        # Whom of a roster to ask where nothing is known: one that speaks, since others pass no news on.
+        # Guards its first one against being asked by all.
+        self.first = chance.randrange(SPEAKERS)
         self.askers: dict[tuple[str, int], str] = {}  # of probes carried for others; emptied by ack or nack
         self.told: dict[str, Told] = {}  # what each cell says of itself
+        self.heard_at = dict.fromkeys(others, now - UNHEARD * timing.period)
+        self.asked: dict[str, int] = {}  # in doubt -> how often asked; emptied by an answer, or by suspicion
+        self.zones = {cell: layout.zone_of(cell) for cell in others}
         self.outbox: list[tuple[str, Message]] = []
 
     def out(self) -> frozenset[str]:
@@ -89,9 +101,11 @@
             self.swim.probe = None
         self.speaks = speaks
         if speaks:
-            probe = self.swim.probe
+            probe, periods = self.swim.probe, self.swim.periods
             direct = probe is not None and probe.helpers is None
             self.swim.turn(now)
+            if self.swim.periods > periods:
+                self._doubt(now)
             if probe is not None and self.swim.probe is not probe:
                 self._unanswered(probe.target)
             elif direct and probe.helpers is not None:
@@ -112,12 +126,45 @@
         swim.period_at = now - self.chance.randrange(swim.timing.period)  # speakers do not probe in step
         swim.rumours.clear()
         swim.round.clear()
+        self.asked.clear()
+
+    def _doubt(self, now: int) -> None:
+        """Once a period: who was asked in doubt and did not answer is asked again, or suspected."""
+        members, again = self.swim.members, []
+        for cell, times in list(self.asked.items()):
+            self._unanswered(cell)
+            if members[cell].state == ALIVE and times < ASKED_TWICE:
+                again.append(cell)
+                continue
+            del self.asked[cell]
+            if members[cell].state == ALIVE:
+                self.swim.suspect(cell, now)
+        for cell in [*again, *self._in_doubt(now, DOUBTED - len(again))]:
+            self.asked[cell] = self.asked.get(cell, 0) + 1
+            self.swim.ask(cell)
+
+    def _in_doubt(self, now: int, count: int) -> list[str]:
+        """Neighbours of silent cells that have not been heard from of late."""
+        members = self.swim.members
+        suspected = {self.zones[cell] for cell, seen in members.items() if seen.state == SUSPECT}
+        if not suspected or count <= 0:
+            return []
+        answer = {self.zones[cell] for cell, seen in members.items() if seen.state == ALIVE}
+        silent = {zone.partition("/")[0] for zone in suspected - answer}
+        since = now - UNHEARD * self.swim.timing.period
+        able = [
+            cell
+            for cell, seen in members.items()
+            if seen.state == ALIVE and cell not in self.asked and self.heard_at[cell] <= since
+            and (self.zones[cell] in suspected or cell.partition("/")[0] in silent)
+        ]  # fmt: skip
+        return self.chance.sample(able, min(count, len(able)))
 
     def _contact(self, cell: str) -> str:
         roster = self.layout.rosters[cell]
         if known := self.contacts.get(cell):
             return self.chance.choice(known)
-        return roster[self.silent[cell] % len(roster)]
+        return roster[(self.first + self.silent[cell]) % len(roster)]
 
     def _unanswered(self, cell: str) -> None:
         """Whoever was asked: it is not known which of the contacts it was, nor whether the others answer."""
@@ -153,6 +200,8 @@
             contacts.append(sender)
             del contacts[:-CONTACTS]
         self.silent.pop(cell, None)
+        self.asked.pop(cell, None)
+        self.heard_at[cell] = now
         if gone and seen.state not in GONE:
             self._sweep(now)
         if row_told is not None:
@@ -190,7 +239,7 @@
             if to is None and sender is not None and self.layout.cell_of[sender] == cell:
                 to = sender
             told = message | {"from": self.me, "cell": 1}
-            if row is not None:
+            if row is not None and cell not in self.asked:
                 told["row"] = row
             self.outbox.append((to or self._contact(cell), told))
         self.swim.outbox.clear()
--- a/crowwing/fleet/membership/swim.py
+++ b/crowwing/fleet/membership/swim.py
@@ -239,6 +239,16 @@
             self.seq += 1
         self._send(name, Kind.PING, seq=self.seq if seq is None else seq)
 
+    def ask(self, name: str) -> None:
+        """Whether it is there, in the fewest bytes: a ping that brings no news."""
+        self.seq += 1
+        self.outbox.append((name, {"k": 0, "from": self.me, "inc": self.incarnation, "seq": self.seq}))
+
+    def suspect(self, name: str, now: int) -> None:
+        """One that was asked beside the probes and did not answer."""
+        member = self.members[name]
+        self._become(member, SUSPECT, member.incarnation, self.me, now)
+
     def _acked(self, sender: str, seq: int) -> None:
         if seq in self.relayed:
             asker, its_seq, _ = self.relayed.pop(seq)
--- a/crowwing/fleet/state/copies.py
+++ b/crowwing/fleet/state/copies.py
@@ -19,7 +19,9 @@
 Digests: 256 leaves by a hash of the key, each the exclusive or of its entries' hashes, in 16 groups.
 """
 
+import base64
 import heapq
+import struct
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
@@ -33,6 +35,10 @@
 
 LEAVES, GROUPS = 256, 16
 A_GROUP = LEAVES // GROUPS
+# In cells a fetch tells sums by their last 32 bits: two that differ pass for alike once in 4 billion, and the
+# next comparing, by whole sums, finds them. Up to `FEW` entries it tells groups alone, since the entries of
+# one that differs are then fewer bytes than the sums of all leaves.
+SHORT, FEW = 0xFFFFFFFF, 400
 VALUE_MOST, KEY_MOST = 512, 160  # bytes: an entry has to fit one datagram with room to spare
 ROOM = 7 / 8  # part of a space that what is put here may fill
 
@@ -71,6 +77,14 @@
     return bytes(memoryview(orjson.dumps(value, option=orjson.OPT_SORT_KEYS)))
 
 
+def unpacked(sums: str) -> tuple[int, ...]:
+    """Sums of all groups or of all leaves, as `packed` tells them. ValueError for what are none."""
+    data = base64.b64decode(sums, validate=True)
+    if len(data) not in (4 * GROUPS, 4 * LEAVES):
+        raise ValueError("no sums of ours")
+    return struct.unpack(f"<{len(data) // 4}I", data)
+
+
 def leaf_of(key: str) -> int:
     return xxhash.xxh64_intdigest(key.encode()) % LEAVES
 
@@ -113,6 +127,23 @@
     def _root(self) -> int:
         return xxhash.xxh64_intdigest(b"".join(leaf.to_bytes(8, "little") for leaf in self.leaves))
 
+    def packed(self) -> str:
+        """What a fetch tells of this copy, so that only what differs comes; empty where nothing is held."""
+        if not self.entries:
+            return ""
+        sums = self.groups() if len(self.entries) <= FEW else self.leaves
+        return base64.b64encode(struct.pack(f"<{len(sums)}I", *(one & SHORT for one in sums))).decode()
+
+    def unlike(self, sums: str) -> list[int]:
+        """The leaves in which a copy that told these may differ. ValueError for what are none."""
+        if not sums:
+            return list(range(LEAVES))
+        theirs = unpacked(sums)
+        mine = self.groups() if len(theirs) == GROUPS else self.leaves
+        size = LEAVES // len(theirs)
+        differ = (n for n, one in enumerate(theirs) if one != mine[n] & SHORT)
+        return [leaf for n in differ for leaf in range(n * size, (n + 1) * size)]
+
     def groups(self) -> list[int]:
         """A sum for each group of leaves."""
         whole = b"".join(leaf.to_bytes(8, "little") for leaf in self.leaves)
--- a/crowwing/fleet/state/spread.py
+++ b/crowwing/fleet/state/spread.py
@@ -18,7 +18,10 @@
 to `fan` members drawn by chance and, from a speaker of a state that is for all, to one member each of some
 other cells (rumours pushed and dropped: Eugster, Guerraoui, Kermarrec, Massoulié, "Epidemic Information
 Dissemination in Distributed Systems", Computer 2004); it rides less; copies are compared by one sum first;
-and a few keepers by rule hold what is acknowledged, not a majority of all.
+and a few keepers by rule hold what is acknowledged, not a majority of all. What a member far behind reads
+by comparing comes from one other at a time, is not told on as news, and each member gives a bounded part of
+it: guards against a cell or zone that starts whole and reads the same copy from all sides. An empty copy is
+told as that, without its sums.
 
 Times in µs and chance are handed in: `now` only goes forward and times what is waited for, `wall` goes into
 stamps. What is to be sent gathers in `outbox` as (member, message).
@@ -60,6 +63,11 @@
     rides_in_cells: int = 2
     quiet: int = 1_000_000  # in cells: copies are compared this long after the last news,
     quiet_most: int = 5_000_000  # or this long after the last comparing, if news does not end
+    gather: int = 100_000  # in cells: news that comes so soon after the last goes out together
+    fill: int = 500_000  # in cells: so long what is far behind waits for one other before it asks the next
+    eager: int = 10_000_000  # in cells: after a start, while nothing is kept, copies are compared oftener
+    copies_burst: int = 48_000  # in cells: bytes that one member gives by comparing, at once
+    copies_per_s: int = 200  # and for good; who starts with many others finds others that give
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,12 +112,19 @@
         self.number = 0
         self.sync_at = now + chance.randrange(pace.sync_every)
         self.news_at = self.compared_at = now - pace.quiet
+        self.filling_until, self.eager_until = now, now + pace.eager
+        # Bytes left to give by comparing; keepers give over streams besides.
+        self.burst = pace.copies_burst / (2 if me in self.keepers else 1)
+        self.may_give, self.gave_at = self.burst, now
         self.outbox: list[tuple[str, Message]] = []
         self.far: set[str] = set()  # members to fetch the whole from; emptied by whoever fetches
         self.sent = 0  # rows
 
     def wake_at(self) -> int:
-        return min([self.sync_at, *(min(u.again, u.until) for u in self.updates.values())])
+        moments = [self.sync_at, *(min(u.again, u.until) for u in self.updates.values())]
+        if self.fresh:
+            moments.append(self.news_at + self.pace.gather)
+        return min(moments)
 
     # Saying something
 
@@ -185,7 +200,7 @@
                 update.again = now + self.pace.again
                 self._give_again(number, update, alive)
         self._settle(now)
-        if self.fresh:
+        if self.fresh and now - self.news_at >= self.pace.gather:
             self.news_at = now
             self._push(alive)
         if now >= self.sync_at and self.reached is not None and self._is_busy(now):
@@ -193,12 +208,18 @@
         if now >= self.sync_at:
             self.compared_at = now
             # Within a tenth by chance: members started together do not compare in step.
-            self.sync_at = now + round(self.pace.sync_every * (0.9 + 0.2 * self.chance.random()))
+            every = self.pace.sync_every // (4 if self.is_empty and now < self.eager_until else 1)
+            self.sync_at = now + round(every * (0.9 + 0.2 * self.chance.random()))
             if alive:
                 self.compare(self.chance.choice(list(alive)))
             for name in self._beyond(1):
                 self.compare(name)
 
+    @property
+    def is_empty(self) -> bool:
+        """In cells: nothing is kept here, as after a start without a disk."""
+        return self.reached is not None and not self.copies.entries
+
     def _is_busy(self, now: int) -> bool:
         """Guards against comparing copies, thousands of bytes where they differ, while news is still on its
         way to both."""
@@ -239,20 +260,22 @@
             if int(message["root"]) != self.copies.root():
                 self._send_sums(sender)
         elif word is Word.SUMS:
-            self._sums(sender, [int(one) for one in message["groups"]])
+            self._sums(now, sender, [int(one) for one in message["groups"]], int(message["n"]))
         elif word is Word.DIFFERS:
             theirs = {int(leaf): int(one) for leaf, one in message["leaves"]}
             if any(not 0 <= leaf < LEAVES for leaf in theirs):
                 raise ValueError("no leaf")
-            self._differs(sender, theirs, int(message["n"]))
+            self._differs(now, sender, theirs, int(message["n"]))
         elif word is Word.WANTS:
             wanted = [int(leaf) for leaf in message["leaves"]]
             if any(not 0 <= leaf < LEAVES for leaf in wanted):
                 raise ValueError("no leaf")
-            self._give(sender, wanted)
+            self._give(now, sender, wanted)
         elif word is Word.GIVE:
             rows = message["rows"]
-            self.changed(self.copies.merge(wall, rows))
+            changed = self.copies.merge(wall, rows)
+            if not message.get("copy"):
+                self.changed(changed)
             if "ack" in message and all(self.copies.holds(row) for row in rows):
                 self._send(sender, Word.GOT, ack=int(message["ack"]))
         elif word is Word.GOT:
@@ -261,7 +284,16 @@
                 update.held.add(sender)
                 self._settle(now)
 
-    def _sums(self, sender: str, groups: list[int]) -> None:
+    def _fills(self, now: int, differ: int, of: int) -> bool:
+        """Whether to read what differs now: much of it from one other at a time."""
+        if self.reached is None or 2 * differ < of:
+            return True
+        if now < self.filling_until:
+            return False
+        self.filling_until = now + self.pace.fill
+        return True
+
+    def _sums(self, now: int, sender: str, groups: list[int], n: int) -> None:
         if len(groups) != GROUPS:
             raise ValueError("no sums of ours")
         mine = self.copies.groups()
@@ -269,22 +301,47 @@
         if not differ:
             self._send(sender, Word.SAME)
             return
+        if self.reached is not None and not n:
+            self._give(now, sender, range(LEAVES))
+            return
+        if not self._fills(now, len(differ), GROUPS):
+            return
+        if self.is_empty:
+            self._send(sender, Word.DIFFERS, leaves=[], n=0)
+            return
         leaves = [leaf for n in differ for leaf in range(n * A_GROUP, (n + 1) * A_GROUP)]
         told = [[leaf, self.copies.leaves[leaf]] for leaf in leaves]
         self._send(sender, Word.DIFFERS, leaves=told, n=len(self.copies.entries))
 
-    def _differs(self, sender: str, theirs: dict[int, int], n: int) -> None:
+    def _differs(self, now: int, sender: str, theirs: dict[int, int], n: int) -> None:
+        if self.reached is not None and not n:
+            self._give(now, sender, range(LEAVES))
+            return
         differ = [leaf for leaf, one in theirs.items() if one != self.copies.leaves[leaf]]
         if len(differ) >= self.pace.far_leaves and n >= self.pace.far_entries:
             self.far.add(sender)
             return
         self.chance.shuffle(differ)  # of what is too much for one round, another part each time
-        self._give(sender, differ)
-        self._send(sender, Word.WANTS, leaves=differ)
+        self._give(now, sender, differ)
+        if self._fills(now, len(differ), LEAVES):
+            self._send(sender, Word.WANTS, leaves=differ)
 
-    def _give(self, to: str, leaves: Iterable[int]) -> None:
-        for rows in self._batches(self.copies.rows(leaves), self.pace.give_most):
-            self._send(to, Word.GIVE, rows=rows)
+    def _give(self, now: int, to: str, leaves: Iterable[int]) -> None:
+        if self.reached is None:
+            for rows in self._batches(self.copies.rows(leaves), self.pace.give_most):
+                self._send(to, Word.GIVE, rows=rows)
+            return
+        came = (now - self.gave_at) * self.pace.copies_per_s / 1e6
+        self.may_give, self.gave_at = min(self.may_give + came, self.burst), now
+        batches = list(self._batches(self.copies.rows(leaves), self.pace.give_most))
+        if len(batches) == 1:  # what was missed on its way: news to whoever gets it
+            self._send(to, Word.GIVE, rows=batches[0])
+            return
+        for rows in batches:
+            if self.may_give <= 0:
+                return
+            self.may_give -= len(orjson.dumps(rows))
+            self._send(to, Word.GIVE, rows=rows, copy=1)
 
     def _batches(self, every: Iterable[Row], most: int | None = None) -> Iterator[list[Row]]:
         """Rows as they go into datagrams, up to `most` bytes of them in all."""
@@ -307,11 +364,14 @@
 
     # A whole copy over a stream
 
-    def missing(self, leaves: Sequence[int]) -> Iterable[Row]:
-        """What a member that holds these leaf sums lacks of ours; leaves that agree are left out."""
+    def missing(self, leaves: Sequence[int] | str) -> Iterable[Row]:
+        """What a member that holds these leaf sums lacks of ours; leaves that agree are left out. In cells
+        they are packed. ValueError for what are none."""
+        if isinstance(leaves, str):
+            return self.copies.rows(self.copies.unlike(leaves))
         if len(leaves) != LEAVES:
             raise ValueError("no sums of ours")
-        return self.copies.rows([n for n in range(LEAVES) if leaves[n] != self.copies.leaves[n]])
+        return self.copies.rows([n for n in range(LEAVES) if int(leaves[n]) != self.copies.leaves[n]])
 
     def took(self, wall: int, rows: Iterable[Row]) -> int:
         """What came over a stream; how much of it was news. It does not ride: the others have it."""
--- a/crowwing/fleet/wires/whole.py
+++ b/crowwing/fleet/wires/whole.py
@@ -1,9 +1,9 @@
 """A member's whole copy over a stream, to one that is too far behind: TCP over IPv4, on the fleet's port.
 
-The asker sends one line, `{"from": name, "leaves": [256 sums]}`, in a fleet in cells with `wide` for what is
-for all; it gets lines of rows from the leaves that differ, then `{"end": rows, "sum": checksum}`. Without
-that last line, or with another sum, nothing is taken: a stream cut in the middle would else pass for the
-whole.
+The asker sends one line, `{"from": name, "leaves": [256 sums]}`, in a fleet in cells packed, or empty where
+nothing is held, with `wide` for what is for all; it gets lines of rows from the leaves that differ, then
+`{"end": rows, "sum": checksum}`. Without that last line, or with another sum, nothing is taken: a stream cut
+in the middle would else pass for the whole.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 LINE_MOST = 16_384  # bytes; 256 sums take 5,400, twice
 ROWS_A_LINE = 20
 ASK_WITHIN, SEND_WITHIN = 2.0, 20.0  # seconds: for the line that asks; for all that is sent
+CONNECT_WITHIN = 1.0  # seconds; who starts has 5 in all, and asks the next of those that are there
 STREAMS_MOST = 4  # served at once; guards a backend's core and memory while many catch up
 
 
@@ -81,7 +82,8 @@
     rows: list[Row] = []
     checksum, count = xxhash.xxh64(), 0
     async with asyncio.timeout(within):
-        reader, writer = await asyncio.open_connection(*where, limit=64 * LINE_MOST)
+        async with asyncio.timeout(CONNECT_WITHIN):
+            reader, writer = await asyncio.open_connection(*where, limit=64 * LINE_MOST)
         try:
             writer.write(orjson.dumps(asked) + b"\n")
             await writer.drain()
