--- a/tests/test_cells_starts.py
+++ b/tests/test_cells_starts.py
@@ -1,5 +1,5 @@
-"""A cell that starts whole: each reads one copy and gives a bounded part of it, and keepers are asked last; news
-that comes close together goes out together."""
+"""A cell that starts whole: each reads one copy and gives a bounded part of it, and keepers are asked last;
+news that comes close together goes out together."""
 
 import asyncio
 import random
