Who starts empty reads from one that answers as whole, and other parts from each

Change: three are asked, and the first whose answer says that it is whole is read from; within a probe's time, else keepers as before. Leaves are given in an order by chance. Test: test_cells_starts (the whole start tells nothing on: red with the order as it was; a little is news only later).

--- a/crowwing/fleet/member.py
+++ b/crowwing/fleet/member.py
@@ -27,6 +27,7 @@
 # Kinds of message from here on are the state's, of loans, of labels; those under all of them the
 # membership's.
 OF_STATE, OF_LOANS, OF_LABELS = 10, 20, 30
+HELPERS = 3  # asked whether they are whole, by a member that starts empty
 # Each claim ranks all members by a hash: beyond these many it would cost more than a ticket does.
 LABELS_MEMBERS_MOST = 1000
 
@@ -95,10 +96,14 @@
         order = [name for name in keepers if name != me]
         chance.shuffle(order)
         self.fetch_order = sorted(order, key=lambda name: name in keepers[:SPEAKERS])
-        # Whom an empty member asks first, before those whose word counts. Guards the keepers, who are the
-        # speakers too, against giving the whole to each of a cell that starts within seconds.
+        # An empty member reads from one that is whole and answers first, before it asks those whose word
+        # counts. Guards the keepers, some of whom speak, against giving the whole to each of a cell that
+        # starts within seconds.
         others = [name for name in peers if name not in keepers]
-        self.ask_first = chance.choice(others) if others else None
+        self.helpers = chance.sample(others, min(HELPERS, len(others)))
+        self.asked_help: set[str] = set()  # emptied by the end of the reading
+        self.ask_first: str | None = None  # the one that did
+        self.help_until = now + manner.timing.probe_timeout if others else now
 
     def _beyond(self, cells: int) -> list[str]:
         """Members of so many other cells, where this one speaks for its cell."""
@@ -183,6 +188,8 @@
             self.catch_up.reaches(now, len(self.membership.alive()))
             if message.get("whole"):
                 self.catch_up.heard_whole(now)
+                if self.layout is not None and self.ask_first is None and message["from"] in self.asked_help:
+                    self.ask_first = message["from"]
         self.turn(now, wall)
 
     def _ridden(self, message: Message) -> list[tuple[Spread, list[Row]]]:
@@ -229,9 +236,14 @@
     def _to_catch_up(self, now: int, alive: list[str]) -> list[str]:
         if self.layout is None or self.catch_up.began is None:
             return self.catch_up.fetch(now, alive)
-        if self.ask_first is not None and self.wide.is_empty and self.ask_first in alive:
-            return [self.ask_first, *self.catch_up.fetch(now, [])]  # which also ends the waiting
-        self.ask_first, known = None, set(alive)
+        if self.wide.is_empty and (self.ask_first is not None or now < self.help_until):
+            for name in self.helpers:
+                self.membership.ping(name)
+            self.asked_help |= set(self.helpers)
+            self.helpers.clear()
+            first = [] if self.ask_first is None else [self.ask_first]
+            return [*first, *self.catch_up.fetch(now, [])]  # which also ends the waiting
+        known = set(alive)
         return self.catch_up.fetch(now, [name for name in self.fetch_order if name in known])
 
     def _carry(self) -> None:
@@ -290,7 +302,8 @@
                 news += kept.took(wall, apart[kept is self.wide])
             self.events.append(("fetched", {"name": name, "rows": len(rows), "news": news}))
         if self.layout is not None and name == self.ask_first:
-            self.ask_first = None
+            self.ask_first, self.help_until = None, now
+            self.asked_help.clear()
         else:
             self.catch_up.fetched(now, name, rows is not None)
         self.turn(now, wall)
@@ -303,6 +316,9 @@
             parts.append(self.labels.wake_at())
         if self.reach is not None:
             parts += [self.reach.wake_at(), self.verdicts.wake_at()]
+            parts.append(
+                self.help_until if self.catch_up.began is not None and now < self.help_until else None
+            )
         return min([*moments, *(at for at in parts if at is not None)])
 
     def _tell_ready(self) -> None:
--- a/crowwing/fleet/state/spread.py
+++ b/crowwing/fleet/state/spread.py
@@ -274,7 +274,8 @@
         elif word is Word.GIVE:
             rows = message["rows"]
             changed = self.copies.merge(wall, rows)
-            if not message.get("copy"):
+            # By comparing comes news where it is little, missed on its way; not after one's own start.
+            if not (copied := int(message.get("copy", 0))) or (copied == 1 and now >= self.eager_until):
                 self.changed(changed)
             if "ack" in message and all(self.copies.holds(row) for row in rows):
                 self._send(sender, Word.GOT, ack=int(message["ack"]))
@@ -333,15 +334,14 @@
             return
         came = (now - self.gave_at) * self.pace.copies_per_s / 1e6
         self.may_give, self.gave_at = min(self.may_give + came, self.burst), now
-        batches = list(self._batches(self.copies.rows(leaves), self.pace.give_most))
-        if len(batches) == 1:  # what was missed on its way: news to whoever gets it
-            self._send(to, Word.GIVE, rows=batches[0])
-            return
+        order = list(leaves)
+        self.chance.shuffle(order)  # who starts with many others has another part from each
+        batches = list(self._batches(self.copies.rows(order), self.pace.give_most))
         for rows in batches:
-            if self.may_give <= 0:
+            if self.may_give <= 0 and len(batches) > 1:
                 return
             self.may_give -= len(orjson.dumps(rows))
-            self._send(to, Word.GIVE, rows=rows, copy=1)
+            self._send(to, Word.GIVE, rows=rows, copy=len(batches))
 
     def _batches(self, every: Iterable[Row], most: int | None = None) -> Iterator[list[Row]]:
         """Rows as they go into datagrams, up to `most` bytes of them in all."""
--- a/tests/test_cells_starts.py
+++ b/tests/test_cells_starts.py
@@ -31,14 +31,15 @@
 
 
 def counted(world: StateWorld, given: Counter, told_on: Counter) -> None:
-    """By member: bytes of rows that it gives by comparing, and rows that it tells as news."""
+    """By member: bytes of rows that it gives by comparing, more than a datagram at a time, and as news."""
     carry = world._carry
 
     def watched(name: str) -> None:
         for _, message in world.members[name].outbox:
             if message["k"] == Word.GIVE:
-                rows = len(orjson.dumps(message["rows"]))
-                (given if message.get("copy") else told_on)[name] += rows
+                copied, rows = message.get("copy", 0), len(orjson.dumps(message["rows"]))
+                given[name] += rows if copied > 1 else 0
+                told_on[name] += rows if not copied else 0
         carry(name)
 
     world._carry = watched
@@ -173,12 +174,21 @@
 def test_what_comes_by_comparing_much_is_no_news_and_a_little_is() -> None:
     rows = list(copy(40).every())
     much, little = spread(), spread()
-    much.heard(0, WALL, {"k": int(Word.GIVE), "from": "m1", "rows": rows, "copy": 1})
+    much.heard(0, WALL, {"k": int(Word.GIVE), "from": "m1", "rows": rows, "copy": 4})
     little.heard(0, WALL, {"k": int(Word.GIVE), "from": "m1", "rows": rows[:1]})
     assert len(much.copies.entries) == 40 and not much.fresh and not much.hot
     assert list(little.fresh) == list(little.hot) == [rows[0][0]]
 
 
+def test_a_little_that_comes_by_comparing_is_news_but_not_to_one_that_has_just_started() -> None:
+    rows, one = list(copy(2).every()), spread()
+    give = {"k": int(Word.GIVE), "from": "m1", "copy": 1}
+    one.heard(one.pace.eager - 1, WALL, give | {"rows": rows[:1]})
+    assert len(one.copies.entries) == 1 and not one.fresh
+    one.heard(one.pace.eager, WALL, give | {"rows": rows[1:]})
+    assert list(one.fresh) == [rows[1][0]]
+
+
 def test_much_that_differs_is_read_from_one_other_at_a_time() -> None:
     one, far = spread(), copy(300, first=1000)
     one.put(WALL, "said/mine", 1, LIFE)
