--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -67,7 +67,8 @@
     for name in {name for sum_, _ in sums() for name in re.findall(r"backend\.(\w+)", sum_)}:
         told = copy.deepcopy(TOLD)
         for which in ("value", "least", "most"):
-            told["backend"]["figures"][name][which] *= 1.5
+            figure = told["backend"]["figures"][name]
+            figure[which] = figure[which] * 1.5 or 1.0  # half as much again of nothing is no change
         assert capacity.differences(PAGE, told), name
 
 
