--- a/crowwing/__main__.py
+++ b/crowwing/__main__.py
@@ -3,6 +3,11 @@
 import signal
 import sys
 
+if sys.argv[1:2] == ["tier"]:
+    from crowwing.tier.cli import main as tier_main
+
+    sys.exit(tier_main(sys.argv[2:]))
+
 if len(sys.argv) > 1:
     from crowwing.cli import main
 
--- a/crowwing/logic/learned.py
+++ b/crowwing/logic/learned.py
@@ -4,10 +4,10 @@
 
 from crowwing.contract import Result, Signal, Step
 from crowwing.logic.books import ENOUGH, PROBE, SAMPLES, WAKE_QUIET, Books
+from crowwing.logic.feedback import step_cut
 from crowwing.logic.ticket import ASKING, CALLING, HELD, PAUSED, Ticket
 
-CUT_NOW, CUT_RISE, CUT_FALL, CUT_IDLE = 0.4, 0.3, 0.15, 0.5  # gains of the cut's loop: at once, and a second
-CUT_FROM, CUT_MOST = 0.6, 5 / 6  # the wait, in timeouts, it is steered to; its end: tier t0 is never cut
+CUT_MOST = 5 / 6  # the cut's end: tier t0 is never cut
 STRETCH = 1.3  # the run latency, against an uncrowded one, that the limit is steered to
 KP, KI, KD = 0.5, 0.6, 0.05  # the limit's PID, in cores
 HOLD = 0.3  # held tickets a core that callers are let send
@@ -43,13 +43,8 @@
             (now - t.arrived) / max(1, self.patience(t) - t.arrived) for queue in self.queues for t in queue
         ]
         outwait, self.waited = max([self.waited, *waits]), 0.0
-        over = min(1.0, outwait - CUT_FROM)
-        if over > 0 and self.busy > 0.9 and stuck:
-            self.cut_base = min(CUT_MOST, self.cut_base + CUT_RISE * dt * over)
-        else:  # waits clear: faster while cores idle
-            over = min(over, 0.0)
-            self.cut_base = max(0, self.cut_base + dt * (CUT_FALL * over - CUT_IDLE * max(0, idle) / f.cores))
-        self.cut = min(CUT_MOST, self.cut_base + CUT_NOW * max(0.0, over))
+        full = self.busy > 0.9 and stuck
+        self.cut_base, self.cut = step_cut(self.cut_base, dt, outwait, full, idle / f.cores, CUT_MOST)
 
     def learn(self, t: Ticket, took: int, good: bool) -> None:
         """A run ended by itself. Failed runs are quick: they count as errors, never as latency."""
--- /dev/null
+++ b/crowwing/tier/distribution/relay.py
@@ -0,0 +1,245 @@
+"""One backend's place in the relay tree, kept up by itself, and the shuffles that mend what the tree loses.
+
+The root is the primary of the store machines. Every other backend attaches to a parent that passes documents
+on to a bounded number of children and sends a full asker to one of these. Beats come from the root and count
+up, so a backend whose branch has lost the root, or runs in a circle, sees that they stand still and attaches
+anew.
+"""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from crowwing.tier.distribution.documents import Document, Documents, Order
+from crowwing.tier.distribution.sampling import PartialView, Peer
+from crowwing.tier.wire.codec import message
+from crowwing.tier.wire.connection import CallError, Connection, Links
+
+log = logging.getLogger("crowwing.relay")
+
+FANOUT = 4
+BEAT_S = 0.25
+LOST_S = 0.9  # without a new beat of the root
+SHUFFLE_S = 0.5
+CALL_S = 0.5
+MAX_REDIRECTS = 6
+
+
+@message
+@dataclass(frozen=True)
+class Attach:
+    """A backend asks to become a child; it tells what it holds."""
+
+    host: str
+    orders: dict[str, Order]
+
+
+@message
+@dataclass(frozen=True)
+class Attached:
+    """It is a child now."""
+
+    documents: tuple[Document, ...]
+    beat: Order
+
+
+@message
+@dataclass(frozen=True)
+class Redirect:
+    """There is no room, or no connection to the root; these may have some."""
+
+    hosts: tuple[str, ...]
+
+
+@message
+@dataclass(frozen=True)
+class Beat:
+    """The root is there: its ballot's round and a number that counts up, with what is the newest."""
+
+    beat: Order
+    orders: dict[str, Order]
+
+
+@message
+@dataclass(frozen=True)
+class Push:
+    """A document on its way down."""
+
+    document: Document
+
+
+@message
+@dataclass(frozen=True)
+class Shuffle:
+    """Two backends exchange peers and compare what they hold."""
+
+    peers: tuple[Peer, ...]
+    orders: dict[str, Order]
+
+
+@message
+@dataclass(frozen=True)
+class Shuffled:
+    """The answer to a shuffle, with what the other lacked and what the answering one holds."""
+
+    peers: tuple[Peer, ...]
+    documents: tuple[Document, ...]
+    orders: dict[str, Order]
+
+
+class Relay:
+    """Keeps this backend's documents as new as the root's."""
+
+    def __init__(
+        self, me: Peer, seeds: tuple[str, ...], documents: Documents, links: Links, random: Random
+    ) -> None:
+        self.me, self._seeds, self._links, self._random = me, seeds, links, random
+        self.documents = documents
+        self.view = PartialView(me, random)
+        self.root_order: Callable[[], int | None] = lambda: None  # the ballot's round, at the root itself
+        self.root_hint: Callable[[], str | None] = lambda: None
+        self._children: dict[str, Connection] = {}
+        self._parent: Connection | None = None
+        self._beat: Order = (-1, 0)
+        self._beat_at = time.monotonic()
+        documents.listen(self._pass_on)
+
+    @property
+    def is_root(self) -> bool:
+        """Whether this backend is the primary of the store machines."""
+        return self.root_order() is not None
+
+    @property
+    def in_touch(self) -> bool:
+        """Whether the root's beats arrive."""
+        return time.monotonic() - self._beat_at < LOST_S
+
+    @property
+    def seconds_out_of_touch(self) -> float:
+        """How long ago the root's last beat came."""
+        return time.monotonic() - self._beat_at
+
+    async def handle(self, connection: Connection, body: Any) -> Any:  # noqa: ANN401
+        """Answers what other backends send of the messages above."""
+        match body:
+            case Attach():
+                return self._attach(connection, body)
+            case Beat():
+                self._take_beat(connection, body)
+            case Push(document):
+                self.documents.offer(document)
+            case Shuffle():
+                self.view.add(body.peers)
+                return Shuffled(
+                    self.view.sample(connection.remote),
+                    self.documents.newer_than(body.orders),
+                    self.documents.orders(),
+                )
+        return None
+
+    # Parent
+
+    def _attach(self, connection: Connection, ask: Attach) -> Attached | Redirect:
+        self._children = {host: child for host, child in self._children.items() if not child.closed}
+        if not self.is_root and not self.in_touch:
+            return Redirect(())
+        if len(self._children) >= FANOUT and ask.host not in self._children:
+            return Redirect(tuple(self._random.sample(list(self._children), FANOUT)))
+        self._children[ask.host] = connection
+        return Attached(self.documents.newer_than(ask.orders), self._beat)
+
+    def _pass_on(self, document: Document) -> None:
+        for child in self._children.values():
+            child.notify(Push(document))
+
+    def _take_beat(self, connection: Connection, beat: Beat) -> None:
+        if connection is not self._parent:
+            return
+        if tuple(beat.beat) > self._beat:
+            self._beat, self._beat_at = tuple(beat.beat), time.monotonic()
+            self._send_beats()
+
+    def _send_beats(self) -> None:
+        orders = self.documents.orders()
+        for child in self._children.values():
+            child.notify(Beat(self._beat, orders))
+
+    async def run_root(self) -> None:
+        """Sends beats for as long as this backend is the root."""
+        while True:
+            await asyncio.sleep(BEAT_S)
+            order = self.root_order()
+            if order is not None:
+                number = self._beat[1] + 1 if self._beat[0] == order else 1
+                self._beat, self._beat_at = (order, number), time.monotonic()
+                self._send_beats()
+
+    # Child
+
+    async def run_child(self) -> None:
+        """Keeps a parent."""
+        while True:
+            if not self.is_root and (self._parent is None or self._parent.closed or not self.in_touch):
+                await self._find_parent()
+            await asyncio.sleep(0.1 + 0.1 * self._random.random())
+
+    async def _find_parent(self) -> None:
+        hint = self.root_hint()
+        peers = [peer.host for peer in self.view.peers()]
+        self._random.shuffle(peers)
+        candidates = [
+            host for host in (hint, *self._seeds, *peers) if host is not None and host != self.me.host
+        ]
+        for host in dict.fromkeys(candidates):
+            if await self._try_parent(host, MAX_REDIRECTS):
+                return
+
+    async def _try_parent(self, host: str, redirects: int) -> bool:
+        try:
+            connection = await self._links.get(host)
+            answer = await connection.call(Attach(self.me.host, self.documents.orders()), CALL_S)
+        except CallError as error:
+            log.debug("no parent at %s: %s", host, error.reason)
+            return False
+        if isinstance(answer, Attached):
+            for document in answer.documents:
+                self.documents.offer(document)
+            self._parent = connection
+            if tuple(answer.beat) > self._beat:
+                self._beat, self._beat_at = tuple(answer.beat), time.monotonic()
+            log.info("relay parent is %s", host)
+            return self.in_touch
+        if isinstance(answer, Redirect) and redirects > 0:
+            for other in answer.hosts:
+                if other != self.me.host and await self._try_parent(other, redirects - 2):
+                    return True
+        return False
+
+    # Shuffles
+
+    async def run_shuffles(self) -> None:
+        """Shuffles with one peer after another, which also carries what the tree has lost."""
+        while True:
+            await asyncio.sleep(SHUFFLE_S * (0.8 + 0.4 * self._random.random()))
+            partner, sample = self.view.start_shuffle()
+            host = partner.host if partner else self._random.choice(self._seeds) if self._seeds else None
+            if host is not None and host != self.me.host:
+                await self._shuffle(host, sample or (self.me,))
+
+    async def _shuffle(self, host: str, sample: tuple[Peer, ...]) -> None:
+        try:
+            connection = await self._links.get(host)
+            answer = await connection.call(Shuffle(sample, self.documents.orders()), CALL_S)
+        except CallError:
+            self.view.remove(host)
+            return
+        self.view.add(answer.peers)
+        for document in answer.documents:
+            self.documents.offer(document)
+        lacking = self.documents.newer_than(answer.orders)
+        for document in lacking:
+            connection.notify(Push(document))
--- /dev/null
+++ b/crowwing/tier/front/admission.py
@@ -0,0 +1,187 @@
+"""What a front takes, holds, starts and refuses, for the sidecars of one service. Pure; times are seconds.
+
+The mechanism is that of the project's design: arrivals whose rank lies under a cut are refused at once, held
+requests start highest rank first within an inflight limit, a held request is refused past its class' queue
+timeout, and loops move the cut and the limit (crowwing/logic/feedback.py has the steps that both programs
+share).
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from crowwing.logic.feedback import step_cut
+
+BANDS = 6  # tiers t0 to t5, t0 the most important
+SAMPLES, ENOUGH = 64, 8  # latencies of a class that its P90 is taken from, and before it counts
+CUT_MOST = 1 - 1 / (4 * BANDS)  # a quarter of the highest band is never cut
+LIMIT_FLOOR = 4.0
+CLIMB = 4.0  # times the idle slots that the limit gains a second while work waits
+SHRINK = 0.5  # part of the limit that it loses a second while sidecars are over full
+BUSY = 0.9  # part of the slots from which sidecars count as full
+SURVIVED_LEAST = 1.0  # part of its slots that a sidecar is trusted with before anything is known
+TIMEOUT_AIM = 0.25  # part of the aim, the longest hold of a live request
+TIMEOUT_LEAST_S = 0.03
+
+
+@dataclass
+class Ticket:
+    """One request or item that asks to be started."""
+
+    class_name: str
+    rank: float
+    arrived: float
+    hold_until: float  # the latest moment at which starting it is worth anything
+    patient: bool  # items of lots wait for a place and are not refused by a queue timeout
+    data: Any = None
+    started: bool = False
+    refused: bool = False
+
+
+@dataclass
+class ClassQueue:
+    """What is held of one class, and the latencies that its timeout follows."""
+
+    aim_s: float
+    held: list[Ticket] = field(default_factory=list)
+    latencies: deque[float] = field(default_factory=lambda: deque(maxlen=SAMPLES))
+    timeout_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.timeout_s = TIMEOUT_AIM * self.aim_s
+
+    def learn(self, latency_s: float) -> None:
+        """Takes in the time to the first event of one run."""
+        self.latencies.append(latency_s)
+        if len(self.latencies) >= ENOUGH:
+            ranked = sorted(self.latencies)
+            p90 = ranked[len(ranked) * 9 // 10]
+            spare = self.aim_s - p90
+            self.timeout_s = max(TIMEOUT_LEAST_S, min(p90, spare, 0.5 * self.aim_s))
+
+
+@dataclass(frozen=True)
+class Load:
+    """What is known of a service's sidecars at one moment: requests running and waiting there, and slots."""
+
+    running: float
+    waiting: float
+    slots: float
+
+
+def rank_of(priority: int, spread: float) -> float:
+    """The rank of a request: its tier's band, and a place within it from `spread` (0 to 1)."""
+    tier = min(max(priority, 0), BANDS - 1)
+    return (BANDS - 1 - tier + min(max(spread, 0.0), 0.999)) / BANDS
+
+
+class Admission:
+    """Decides for the sidecars of one service."""
+
+    def __init__(self, now: float, share: float) -> None:
+        self.limit = max(LIMIT_FLOOR, share)
+        self.cut = self._cut_base = 0.0
+        self.inflight = 0
+        self.load = Load(0.0, 0.0, 1.0)
+        self.ceiling = max(LIMIT_FLOOR, share)
+        self._classes: dict[str, ClassQueue] = {}
+        self._stepped = now
+        self._outwait = 0.0
+
+    def class_queue(self, name: str, aim_s: float) -> ClassQueue:
+        """The queue of a class, made when first asked for."""
+        queue = self._classes.get(name)
+        if queue is None or queue.aim_s != aim_s:
+            held = queue.held if queue is not None else []
+            queue = self._classes[name] = ClassQueue(aim_s, held)
+        return queue
+
+    @property
+    def held(self) -> int:
+        """How many tickets wait."""
+        return sum(len(queue.held) for queue in self._classes.values())
+
+    @property
+    def room(self) -> int:
+        """How many more tickets could start now."""
+        return max(0, int(self.limit) - self.inflight - self.held)
+
+    @property
+    def saturated(self) -> bool:
+        """Whether the sidecars' slots are full."""
+        return self.load.running + self.load.waiting >= BUSY * self.load.slots
+
+    def arrive(self, now: float, ticket: Ticket, aim_s: float) -> bool:
+        """Takes a ticket into the hold; False where it is refused at once."""
+        queue = self.class_queue(ticket.class_name, aim_s)
+        if not ticket.patient and ticket.rank < self.cut:
+            ticket.refused = True
+            return False
+        queue.held.append(ticket)
+        return True
+
+    def remove(self, ticket: Ticket) -> None:
+        """A held ticket's caller has gone."""
+        queue = self._classes.get(ticket.class_name)
+        if queue is not None and ticket in queue.held:
+            queue.held.remove(ticket)
+
+    def expire(self, now: float) -> list[Ticket]:
+        """Takes out the held tickets whose time is up; they are to be refused."""
+        expired: list[Ticket] = []
+        for queue in self._classes.values():
+            for ticket in queue.held[:]:
+                patience = self._patience(queue, ticket)
+                if now >= patience:
+                    queue.held.remove(ticket)
+                    ticket.refused = True
+                    expired.append(ticket)
+                    if not ticket.patient:
+                        self._outwait = max(self._outwait, (now - ticket.arrived) / queue.timeout_s)
+        return expired
+
+    @staticmethod
+    def _patience(queue: ClassQueue, ticket: Ticket) -> float:
+        if ticket.patient:
+            return ticket.hold_until
+        return min(ticket.arrived + queue.timeout_s, ticket.hold_until)
+
+    def start(self, now: float, places: int) -> list[Ticket]:
+        """Takes out the held tickets that start now, highest rank first, at most `places`."""
+        started: list[Ticket] = []
+        waiting = [ticket for queue in self._classes.values() for ticket in queue.held]
+        for ticket in sorted(waiting, key=lambda ticket: -ticket.rank):
+            if self.inflight >= int(self.limit) or len(started) >= places:
+                break
+            self._classes[ticket.class_name].held.remove(ticket)
+            ticket.started = True
+            self.inflight += 1
+            started.append(ticket)
+        return started
+
+    def ended(self, ticket: Ticket) -> None:
+        """A started ticket has left its sidecar."""
+        self.inflight -= 1
+
+    def steer(self, now: float, load: Load, survived: float) -> None:
+        """One step of the loops. `survived`: the most requests of this front that the sidecars bear."""
+        dt = min(0.2, now - self._stepped)
+        self._stepped, self.load = now, load
+        self.ceiling = max(LIMIT_FLOOR, survived)
+        waits = any(queue.held for queue in self._classes.values())
+        idle = max(0.0, BUSY * load.slots - load.running - load.waiting)
+        if waits and idle > 0:
+            self.limit += CLIMB * max(1.0, idle) * dt
+        elif load.waiting > 0.1 * load.slots:
+            self.limit -= SHRINK * self.limit * dt
+        stuck = self.limit >= self.ceiling or idle <= 0
+        self.limit = min(max(self.limit, LIMIT_FLOOR), self.ceiling)
+        outwait, self._outwait = self._outwait, 0.0
+        for queue in self._classes.values():
+            for ticket in queue.held:
+                if not ticket.patient:
+                    outwait = max(outwait, (now - ticket.arrived) / queue.timeout_s)
+        idle_part = idle / max(1.0, load.slots)
+        self._cut_base, self.cut = step_cut(
+            self._cut_base, dt, outwait, self.saturated and stuck, idle_part, CUT_MOST
+        )
--- /dev/null
+++ b/crowwing/tier/front/dispatch.py
@@ -0,0 +1,202 @@
+"""Runs one admitted request or item at sidecars: choice, tries, and the one stream that comes out of them."""
+
+import asyncio
+import logging
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from crowwing.tier.configuration import Route
+from crowwing.tier.front.events import EventSplitter, StreamEvent
+from crowwing.tier.front.service_pool import ServicePool
+from crowwing.tier.front.sidecars import Part, SidecarState
+from crowwing.tier.front.upstream import (
+    HOP_BY_HOP,
+    Headers,
+    MayHaveRun,
+    NotRun,
+    Opened,
+    Outcome,
+    StreamBroken,
+    read_body,
+)
+
+log = logging.getLogger("crowwing.dispatch")
+
+MOST_SENDS = 6  # of one try of a client, counting those that did not run
+SILENT_S = 1.0  # without a head, after which a repeatable request is tried elsewhere
+PAUSE_S = 0.02  # before a sidecar is asked that may be the same
+DROPPED = HOP_BY_HOP | {b"deadline-ms", b"target-instance", b"content-length", b"last-event-id"}
+
+
+@dataclass
+class Job:
+    """What is to be run."""
+
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes
+    request_id: bytes
+    route: Route
+    service: str
+    parts: tuple[Part, ...]
+    deadline: float  # on the steady clock
+    runs_left: int
+    last_event: int | None = None
+    tried: set[str] = field(default_factory=set)
+
+
+@dataclass(frozen=True)
+class NotServed:
+    """Nothing has run and nothing will."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Failed:
+    """It may have run, and there is no answer."""
+
+    status: int
+    reason: str
+
+
+@dataclass
+class Running:
+    """A sidecar answers; `release` when done with it."""
+
+    opened: Opened
+    state: SidecarState
+
+
+class Dispatcher:
+    """Sends jobs to sidecars."""
+
+    def __init__(self, pool: ServicePool) -> None:
+        self._pool = pool
+
+    async def open(self, job: Job) -> Running | NotServed | Failed:
+        """Sends a job until a sidecar begins to answer it."""
+        reason = "no sidecar is there"
+        may_have_run = False
+        for _ in range(MOST_SENDS):
+            now = time.monotonic()
+            if now >= job.deadline:
+                reason = "the time is up"
+                break
+            state = self._pool.sidecars.choose(job.service, job.parts, now, frozenset(job.tried))
+            if state is None:
+                break
+            job.tried.add(state.entry.id)
+            outcome = await self._send(job, state)
+            if isinstance(outcome, Opened):
+                return Running(outcome, state)
+            reason = outcome.reason
+            if isinstance(outcome, NotRun):
+                if outcome.status is None:
+                    state.failed(time.monotonic())
+                elif outcome.status != 421:
+                    state.tell_load(time.monotonic(), state.entry.slots, 1, state.entry.slots)
+                continue
+            state.failed(time.monotonic())
+            may_have_run = True
+            job.runs_left -= 1
+            if not job.route.repeatable or job.runs_left <= 0:
+                break
+        if may_have_run:
+            return Failed(504 if time.monotonic() >= job.deadline else 502, reason)
+        return NotServed(reason)
+
+    async def _send(self, job: Job, state: SidecarState) -> Outcome:
+        client = self._pool.client(state)
+        left = job.deadline - time.monotonic()
+        another = job.route.repeatable and job.runs_left > 1
+        limit = min(left, SILENT_S) if another else left
+        self._pool.sent(state)
+        try:
+            async with asyncio.timeout(limit):
+                headers = self._headers(job, state, left)
+                outcome = await client.send(job.method, job.target, headers, job.body, job.request_id)
+        except TimeoutError:
+            outcome = MayHaveRun("no answer in time")
+        except BaseException:
+            self._pool.left(state)
+            raise
+        if isinstance(outcome, Opened):
+            self._pool.answered(state, outcome)
+            state.remember(job.parts)
+        else:
+            self._pool.left(state)
+        return outcome
+
+    @staticmethod
+    def _headers(job: Job, state: SidecarState, left_s: float) -> Headers:
+        headers = [(name, value) for name, value in job.headers if name.lower() not in DROPPED]
+        headers.append((b"Deadline-Ms", str(max(1, int(left_s * 1000))).encode()))
+        headers.append((b"Target-Instance", state.entry.id.encode()))
+        if job.last_event is not None:
+            headers.append((b"Last-Event-Id", str(job.last_event).encode()))
+        if job.body or job.method in ("POST", "PUT", "PATCH"):
+            headers.append((b"Content-Length", str(len(job.body)).encode()))
+        return headers
+
+    async def close(self, running: Running) -> None:
+        """Done with an answer; one that has not ended is broken off."""
+        self._pool.left(running.state)
+        await running.opened.response.aclose()
+
+    async def events(self, job: Job, running: Running) -> AsyncIterator[StreamEvent]:
+        """The whole events of a resumable job, taken up elsewhere where a sidecar breaks off.
+
+        Raises StreamBroken where it can't be gone on with. Closes what it opens.
+        """
+        while True:
+            splitter = EventSplitter()
+            try:
+                async for event in self._one_run(job, running, splitter):
+                    if event.id is not None:
+                        job.last_event = event.id
+                    yield event
+                return
+            except (StreamBroken, TimeoutError) as error:
+                running.state.failed(time.monotonic())
+                job.runs_left -= 1
+                if job.runs_left <= 0 or time.monotonic() >= job.deadline:
+                    raise StreamBroken(str(error)) from error
+            finally:
+                await self.close(running)
+            resumed = await self.open(job)
+            if not isinstance(resumed, Running):
+                raise StreamBroken(resumed.reason)
+            if resumed.opened.status != 200:
+                await self.close(resumed)
+                raise StreamBroken(f"status {resumed.opened.status} on going on")
+            running = resumed
+
+    async def _one_run(
+        self, job: Job, running: Running, splitter: EventSplitter
+    ) -> AsyncIterator[StreamEvent]:
+        after = job.last_event
+        async for chunk in with_silence_limit(read_body(running.opened), job):
+            for event in splitter.feed(chunk):
+                if event.id is not None and after is not None and event.id != after + 1:
+                    raise StreamBroken(f"event {event.id} after {after}")
+                after = event.id if event.id is not None else after
+                yield event
+        if splitter.rest.strip():
+            raise StreamBroken("it ended inside an event")
+
+
+async def with_silence_limit(chunks: AsyncIterator[bytes], job: Job) -> AsyncIterator[bytes]:
+    """The chunks; raises TimeoutError where none comes for long although another sidecar could go on."""
+    silence = 2 * SILENT_S
+    while True:
+        left = job.deadline - time.monotonic()
+        limit = min(left, silence) if job.runs_left > 1 else left
+        try:
+            async with asyncio.timeout(max(0.0, limit)):
+                chunk = await anext(chunks)
+        except StopAsyncIteration:
+            return
+        yield chunk
--- /dev/null
+++ b/crowwing/tier/front/main.py
@@ -0,0 +1,155 @@
+"""The process of a front."""
+
+import asyncio
+import logging
+import time
+from random import Random
+from typing import Any
+
+import httpx
+from litestar import Litestar, asgi
+from litestar.types import Receive, Scope, Send
+
+from crowwing.tier.configuration import Configuration, RoutingTable, parse_configuration
+from crowwing.tier.distribution.documents import CONFIGURATION, SIDECARS, Document, Documents
+from crowwing.tier.distribution.relay import Attach, Beat, Push, Relay, Shuffle
+from crowwing.tier.distribution.sampling import Peer
+from crowwing.tier.front.batch_api import BatchApi
+from crowwing.tier.front.lot_runner import LotRunner
+from crowwing.tier.front.proxy import Proxy
+from crowwing.tier.front.service_pool import ServicePool
+from crowwing.tier.front.store_client import StoreClient
+from crowwing.tier.http_server import Server, make_server, serve_until
+from crowwing.tier.platform_list import SidecarList, read_list
+from crowwing.tier.process import Tasks, watch_signals
+from crowwing.tier.settings import Settings
+from crowwing.tier.wire.codec import decode
+from crowwing.tier.wire.connection import Connection, Links, serve
+
+log = logging.getLogger("crowwing.front")
+
+RELAYED = (Attach, Beat, Push, Shuffle)
+UNLIST_S = 2.4  # from the notice to leave until the platform sends nobody here any more
+END_MARGIN_S = 0.7  # before the platform kills the process
+OWN_READ_AFTER_S, OWN_READ_EVERY_S = 1.2, 0.9  # without the root, a front reads the list by itself
+IDLE_DEFAULT_S = 75.0
+
+
+class FrontProcess:
+    """One front."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.random = Random()
+        self.documents = Documents()
+        self.pool = ServicePool()
+        self.links = Links(settings.internal_port, self.handle)
+        me = Peer(settings.ip, "front", settings.zone, 0)
+        self.relay = Relay(me, settings.seed_hosts, self.documents, self.links, self.random)
+        self.store = StoreClient(self.links, self.store_hosts)
+        self.proxy = Proxy(self.pool, BatchApi(self.store))
+        self.runner = LotRunner(settings.node, self.pool, self.store)
+        self.servers: list[Server] = []
+        self.documents.listen(self.take_document)
+
+    async def handle(self, connection: Connection, body: Any) -> Any:  # noqa: ANN401
+        """Answers other backends."""
+        if isinstance(body, RELAYED):
+            return await self.relay.handle(connection, body)
+        return None
+
+    def store_hosts(self) -> list[str]:
+        """Where the primary may be found, in a random order."""
+        known = {peer.host for peer in self.relay.view.peers("store")} | set(self.settings.seed_hosts)
+        hosts = sorted(known)
+        self.random.shuffle(hosts)
+        return hosts
+
+    def take_document(self, document: Document) -> None:
+        """A newer document has come."""
+        if document.kind == CONFIGURATION:
+            parsed = parse_configuration(document.body)
+            if isinstance(parsed, Configuration):
+                self.pool.table = RoutingTable(parsed)
+                log.info("configuration %d is in force", parsed.version)
+                self._apply_limits(parsed)
+            else:
+                log.error("configuration unreadable at %s: %s", parsed.place, parsed.reason)
+        elif document.kind == SIDECARS:
+            listed = decode(document.body)
+            self.pool.fronts = 1 + len(self.relay.view.peers("front"))
+            self.pool.take_list(listed)
+
+    def _apply_limits(self, configuration: Configuration) -> None:
+        for server in self.servers:
+            server.config.timeout_keep_alive = max(1, int(configuration.limits.idle_timeout_ms / 1000))
+
+    async def ready(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Tells the platform whether clients may come."""
+        is_ready = self.pool.table is not None and self.pool.listed and not self.proxy.draining
+        status = 200 if is_ready else 503
+        await send({"type": "http.response.start", "status": status, "headers": [(b"content-length", b"0")]})  # type: ignore[typeddict-item]
+        await send({"type": "http.response.body", "body": b""})  # type: ignore[typeddict-item]
+
+    async def run_own_reader(self) -> None:
+        """Reads the platform's list where the root does not send it."""
+        assert self.settings.cloud is not None
+        client = httpx.AsyncClient(trust_env=False)
+        while True:
+            await asyncio.sleep(OWN_READ_EVERY_S * (0.8 + 0.4 * self.random.random()))
+            if self.relay.seconds_out_of_touch >= OWN_READ_AFTER_S:
+                listed = await read_list(client, self.settings.cloud.address)
+                if isinstance(listed, SidecarList):
+                    self.pool.take_list(listed)
+                else:
+                    log.warning("the platform's list: %s", listed.reason)
+
+    async def run(self) -> int:
+        """Runs until SIGTERM; gives the exit status."""
+        stop, end = asyncio.Event(), asyncio.Event()
+        watch_signals(stop)
+        tasks = Tasks(stop)
+        settings = self.settings
+        internal = await serve(settings.ip, settings.internal_port, self.handle)
+        for work in (
+            self.relay.run_child(), self.relay.run_shuffles(), self.pool.run_loops(), self.runner.run(),
+        ):  # fmt: skip
+            tasks.start(work)
+        if settings.cloud is not None:
+            tasks.start(self.run_own_reader())
+
+        @asgi("/", is_mount=True, copy_scope=False)
+        async def proxied(scope: Scope, receive: Receive, send: Send) -> None:
+            await self.proxy(scope, receive, send)
+
+        @asgi("/", is_mount=True, copy_scope=False)
+        async def ready(scope: Scope, receive: Receive, send: Send) -> None:
+            await self.ready(scope, receive, send)
+
+        serving: list[asyncio.Task[None]] = []
+        for address, handler in ((settings.listen.front, proxied), (settings.listen.ready, ready)):
+            if address:
+                app = Litestar([handler], openapi_config=None, logging_config=None)
+                server = make_server(app, address, settings.bounds.grace_s, IDLE_DEFAULT_S)
+                self.servers.append(server)
+                serving.append(asyncio.ensure_future(serve_until(server, end)))
+        log.info("front listens at %s", settings.listen.front)
+
+        await stop.wait()
+        log.info("leaves: %d requests are open", self.proxy.open)
+        deadline = time.monotonic() + settings.bounds.grace_s - END_MARGIN_S
+        self.proxy.draining = self.runner.draining = True
+        await asyncio.sleep(UNLIST_S)
+        end.set()
+        await asyncio.wait(serving, timeout=max(0.1, deadline - time.monotonic()))
+        await self.runner.finish(max(0.0, deadline - time.monotonic()))
+        internal.close()
+        tasks.cancel()
+        self.links.close()
+        log.info("ends")
+        return 1 if tasks.failed else 0
+
+
+async def run_front(settings: Settings) -> int:
+    """Runs a front until SIGTERM; gives the exit status."""
+    return await FrontProcess(settings).run()
--- /dev/null
+++ b/crowwing/tier/front/proxy.py
@@ -0,0 +1,205 @@
+"""A client's request from its first byte to its last: route, admission, dispatch, and the answer."""
+
+import asyncio
+import hashlib
+import logging
+import time
+
+from litestar.types import Receive, Scope, Send
+
+from crowwing.tier.configuration import Route, RoutingTable
+from crowwing.tier.front.admission import Ticket, rank_of
+from crowwing.tier.front.asgi import (
+    BodyTooLarge,
+    ClientGone,
+    ClientRequest,
+    read_body,
+    refuse,
+    respond_json,
+    wait_disconnect,
+)
+from crowwing.tier.front.batch_api import BatchApi
+from crowwing.tier.front.dispatch import Dispatcher, Failed, Job, NotServed, Running
+from crowwing.tier.front.service_pool import ServicePool
+from crowwing.tier.front.sidecars import parse_prompt
+from crowwing.tier.front.upstream import HOP_BY_HOP, Headers, StreamBroken
+from crowwing.tier.front.upstream import read_body as read_answer
+
+log = logging.getLogger("crowwing.proxy")
+
+DEFAULT_DEADLINE_MS = 10_000.0
+RETRY_LEAST_S = 0.05
+EMPTY_MAX_BODY = 64 * 1024 * 1024
+
+
+class AnswerBroken(Exception):
+    """The answer can't be ended; the connection is closed, so that it does not look complete."""
+
+
+class Proxy:
+    """The front's ASGI application."""
+
+    def __init__(self, pool: ServicePool, batch: BatchApi) -> None:
+        self._pool, self._batch = pool, batch
+        self._dispatcher = Dispatcher(pool)
+        self.draining = False
+        self.open = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """One request."""
+        if scope["type"] != "http":
+            return
+        self.open += 1
+        try:
+            await self._serve(scope, receive, send)
+        except ClientGone:
+            pass
+        finally:
+            self.open -= 1
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        arrived = time.monotonic()
+        table = self._pool.table
+        most = table.configuration.limits.max_body_bytes if table is not None else EMPTY_MAX_BODY
+        try:
+            body = await read_body(receive, most)
+        except BodyTooLarge:
+            await respond_json(
+                send, 413, {"error": f"a body may have {most} bytes"}, [(b"connection", b"close")]
+            )
+            return
+        request = ClientRequest(
+            scope["method"],
+            scope["raw_path"].decode("latin-1"),
+            scope["query_string"],
+            scope["headers"],
+            body,
+        )
+        if table is None or not self._pool.listed:
+            await refuse(send, "this backend has no configuration yet", 0.3)
+            return
+        route = table.find(request.host, request.path)
+        if route is None:
+            if not await self._batch.serve_without_route(request, send):
+                await respond_json(send, 404, {"error": "no route has this host and path"})
+        elif route.kind == "batch_queue":
+            await self._batch.serve_route(request, route, send)
+        else:
+            await self._serve_route(request, route, table, arrived, receive, send)
+
+    async def _serve_route(
+        self,
+        request: ClientRequest,
+        route: Route,
+        table: RoutingTable,
+        arrived: float,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        work = asyncio.ensure_future(self._run(request, route, arrived, send))
+        gone = asyncio.ensure_future(wait_disconnect(receive))
+        try:
+            await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            gone.cancel()
+            if not work.done():
+                work.cancel()
+        try:
+            await work
+        except asyncio.CancelledError:
+            raise ClientGone from None
+
+    async def _run(self, request: ClientRequest, route: Route, arrived: float, send: Send) -> None:
+        service = choose_service(route, request)
+        told = request.header(b"deadline-ms")
+        deadline_ms = float(told) if told is not None and told.isdigit() else DEFAULT_DEADLINE_MS
+        deadline = arrived + min(deadline_ms, route.timeout_ms) / 1000
+        aim_s = route.slo_ms / 1000
+        ticket = Ticket(route.name, rank_of(route.priority, spread(request)), arrived, deadline, False)
+        if not await self._pool.admit(service, ticket, aim_s):
+            await refuse(send, "too much is asked of the sidecars", self._come_back(service, aim_s))
+            return
+        try:
+            await self._run_started(request, route, service, deadline, arrived, ticket, send)
+        finally:
+            self._pool.ended(service, ticket)
+
+    def _come_back(self, service: str, aim_s: float) -> float:
+        """When a refused request may try again, in seconds."""
+        admission = self._pool.admission(service)
+        return max(RETRY_LEAST_S, 0.25 * aim_s * (1 + 2 * admission.cut))
+
+    async def _run_started(
+        self, request: ClientRequest, route: Route, service: str, deadline: float, arrived: float,
+        ticket: Ticket, send: Send,
+    ) -> None:  # fmt: skip
+        parts = parse_prompt((request.header(b"prompt-prefix") or b"").decode("latin-1"))
+        resumed_at = request.header(b"last-event-id")
+        job = Job(
+            request.method, request.target, request.headers, request.body,
+            request.header(b"request-id") or b"", route, service, parts, deadline, route.max_attempts,
+            int(resumed_at) if resumed_at is not None and resumed_at.isdigit() else None,
+        )  # fmt: skip
+        started = await self._dispatcher.open(job)
+        if isinstance(started, NotServed):
+            await refuse(send, started.reason, RETRY_LEAST_S)
+        elif isinstance(started, Failed):
+            await respond_json(send, started.status, {"error": started.reason})
+        else:
+            aim_s = route.slo_ms / 1000
+            self._pool.admission(service).class_queue(route.name, aim_s).learn(time.monotonic() - arrived)
+            await self._relay(job, started, send)
+
+    async def _relay(self, job: Job, running: Running, send: Send) -> None:
+        opened = running.opened
+        streams = job.route.kind == "stream" and opened.status == 200
+        headers = passed_on(opened.headers, keeps_length=not (streams and job.route.resumable))
+        if not opened.framed and opened.status < 300 and not (streams and job.route.resumable):
+            await self._dispatcher.close(running)
+            await respond_json(send, 502, {"error": "the sidecar's answer has no end"})
+            return
+        await send({"type": "http.response.start", "status": opened.status, "headers": headers})
+        try:
+            if streams and job.route.resumable:
+                async for event in self._dispatcher.events(job, running):
+                    await send({"type": "http.response.body", "body": event.raw, "more_body": True})
+            else:
+                try:
+                    async with asyncio.timeout(max(0.0, job.deadline + 0.2 - time.monotonic())):
+                        async for chunk in read_answer(opened):
+                            await send({"type": "http.response.body", "body": chunk, "more_body": True})
+                finally:
+                    await self._dispatcher.close(running)
+        except (StreamBroken, TimeoutError) as error:
+            running.state.failed(time.monotonic())
+            raise AnswerBroken(str(error)) from None
+        await send({"type": "http.response.body", "body": b""})
+
+
+def passed_on(headers: Headers, keeps_length: bool) -> Headers:
+    """The headers of a sidecar that its client gets."""
+    dropped = HOP_BY_HOP if keeps_length else HOP_BY_HOP | {b"content-length"}
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+def spread(request: ClientRequest) -> float:
+    """A place from 0 to 1 that stays the same for all tries of one session or subject."""
+    parts = parse_prompt((request.header(b"prompt-prefix") or b"").decode("latin-1"))
+    key = request.header(b"request-id") or b""
+    del parts
+    return int.from_bytes(hashlib.blake2b(key, digest_size=4).digest(), "big") / 2**32
+
+
+def choose_service(route: Route, request: ClientRequest) -> str:
+    """The service of a request, by the route's weights."""
+    shares = [share for share in route.services if share.weight > 0]
+    if len(shares) == 1:
+        return shares[0].service
+    total = sum(share.weight for share in shares)
+    key = request.header(b"request-id") or b""
+    place = int.from_bytes(hashlib.blake2b(key, digest_size=4, salt=b"split").digest(), "big") / 2**32 * total
+    for share in shares:
+        place -= share.weight
+        if place < 0:
+            return share.service
+    return shares[-1].service
--- /dev/null
+++ b/crowwing/tier/front/service_pool.py
@@ -0,0 +1,161 @@
+"""The sidecars of all services, with their connections, and the admission before each service."""
+
+import asyncio
+import logging
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from crowwing.tier.configuration import RoutingTable
+from crowwing.tier.front.admission import Admission, Ticket
+from crowwing.tier.front.sidecars import SidecarState, SidecarTable
+from crowwing.tier.front.upstream import Opened, SidecarClient
+from crowwing.tier.platform_list import SidecarList
+
+log = logging.getLogger("crowwing.pool")
+
+STEER_S = 0.05
+CONNECTIONS_LEAST = 8
+START_SHARE = 1.0  # of the even part of all slots, which the limit starts at
+CONNECTION_SHARE = 0.9  # of the connections that a sidecar accepts, shared by all fronts
+
+
+@dataclass
+class Grant:
+    """The answer to a ticket: whether it may start."""
+
+    ticket: Ticket
+    future: "asyncio.Future[bool]" = field(repr=False)
+
+
+class ServicePool:
+    """Everything between an admitted request and its sidecar."""
+
+    def __init__(self) -> None:
+        self.sidecars = SidecarTable()
+        self.table: RoutingTable | None = None
+        self.fronts = 1  # how many fronts there are, as far as is known
+        self._clients: dict[str, SidecarClient] = {}
+        self._admissions: dict[str, Admission] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+        self.listed = False
+
+    # What is known
+
+    def take_list(self, listed: SidecarList) -> None:
+        """Takes the platform's list in."""
+        self.listed = True
+        for gone in self.sidecars.update(listed.sidecars):
+            client = self._clients.pop(gone, None)
+            if client is not None:
+                self._close_later(client)
+        self._start_all()
+
+    def _close_later(self, client: SidecarClient) -> None:
+        async def close() -> None:
+            await asyncio.sleep(30)  # answers that are still coming may end
+            await client.close()
+
+        task = asyncio.ensure_future(close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def client(self, state: SidecarState) -> SidecarClient:
+        """The connections to a sidecar."""
+        client = self._clients.get(state.entry.id)
+        if client is None:
+            service = self.table.services.get(state.entry.service) if self.table else None
+            accepted = service.max_conns if service is not None else 64
+            most = max(CONNECTIONS_LEAST, int(CONNECTION_SHARE * accepted / max(1, self.fronts)))
+            client = self._clients[state.entry.id] = SidecarClient(state.entry.address, most)
+        return client
+
+    def admission(self, service: str) -> Admission:
+        """The admission before a service."""
+        admission = self._admissions.get(service)
+        if admission is None:
+            now = time.monotonic()
+            share = START_SHARE * self.sidecars.load(service, now).slots / max(1, self.fronts)
+            admission = self._admissions[service] = Admission(now, share)
+        return admission
+
+    # Admission
+
+    async def admit(self, service: str, ticket: Ticket, aim_s: float) -> bool:
+        """Waits until a ticket may start; False where it is refused. Cancelling takes it out of the hold."""
+        admission = self.admission(service)
+        if not admission.arrive(time.monotonic(), ticket, aim_s):
+            return False
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        ticket.data = future
+        self._start(service, admission)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if ticket.started:
+                self.ended(service, ticket)
+            else:
+                admission.remove(ticket)
+            raise
+
+    def ended(self, service: str, ticket: Ticket) -> None:
+        """A started ticket has left its sidecar."""
+        admission = self.admission(service)
+        admission.ended(ticket)
+        self._start(service, admission)
+
+    def _start(self, service: str, admission: Admission) -> None:
+        now = time.monotonic()
+        for ticket in admission.expire(now):
+            _answer(ticket, False)
+        places = self.sidecars.places(service, now)
+        for ticket in admission.start(now, places):
+            _answer(ticket, True)
+
+    def _start_all(self) -> None:
+        for service, admission in self._admissions.items():
+            self._start(service, admission)
+
+    async def run_loops(self) -> None:
+        """Steers the limits and cuts, and expires what is held."""
+        while True:
+            await asyncio.sleep(STEER_S)
+            now = time.monotonic()
+            for service, admission in self._admissions.items():
+                load = self.sidecars.load(service, now)
+                admission.steer(now, load, self.sidecars.survived(service, now))
+                if admission.held:
+                    self._start(service, admission)
+
+    # Sidecars
+
+    def sent(self, state: SidecarState) -> None:
+        """A request goes to a sidecar."""
+        state.inflight += 1
+        state.sent_since += 1
+
+    def left(self, state: SidecarState) -> None:
+        """A request has left a sidecar."""
+        state.inflight -= 1
+
+    def answered(self, state: SidecarState, opened: Opened) -> None:
+        """A sidecar has begun to answer: it lives, and may tell its load."""
+        state.succeeded()
+        told = opened.header(b"server-load")
+        if told is not None:
+            self._tell_load(state, told)
+        if (opened.header(b"connection") or b"").lower() == b"close" and not state.entry.ready:
+            state.leaving = True
+
+    @staticmethod
+    def _tell_load(state: SidecarState, told: bytes) -> None:
+        numbers = told.split(b",")
+        if len(numbers) == 3 and all(number.strip().isdigit() for number in numbers):
+            running, waiting, slots = (float(number) for number in numbers)
+            state.tell_load(time.monotonic(), running, waiting, slots)
+
+
+def _answer(ticket: Ticket, started: bool) -> None:
+    future: Any = ticket.data
+    if future is not None and not future.done():
+        future.set_result(started)
--- /dev/null
+++ b/crowwing/tier/front/sidecars.py
@@ -0,0 +1,175 @@
+"""The sidecars that this front knows, what it believes of each, and which one gets the next request. Pure."""
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from crowwing.tier.front.admission import Load
+from crowwing.tier.platform_list import Sidecar
+
+CACHED_PARTS = 4000  # remembered prompt parts a sidecar
+LOAD_FRESH_S = 1.0  # how long a report of load counts in full
+BACKOFF_LEAST_S, BACKOFF_MOST_S = 0.5, 4.0
+LOAD_COST_MS = 120.0  # of a sidecar whose slots are all taken
+OVERFULL_COST_MS = 400.0  # more for each further slots' worth
+READ_TOKENS_PER_MS = 128.0
+SHARED_PART_LEAST = 1000  # tokens from which fronts agree on a home for a shared part
+HOME_SHARE = 0.6  # of a part's reading that its home is credited with before it is known to be there
+
+
+@dataclass(frozen=True)
+class Part:
+    """One part of a prompt."""
+
+    id: str
+    tokens: int
+
+
+def parse_prompt(header: str) -> tuple[Part, ...]:
+    """The parts that `Prompt-Prefix` names; what can't be read is left out."""
+    parts: list[Part] = []
+    for piece in header.split(","):
+        name, _, tokens = piece.strip().partition(":")
+        if name and tokens.isdigit():
+            parts.append(Part(name, int(tokens)))
+    return tuple(parts)
+
+
+@dataclass
+class SidecarState:
+    """What this front knows of one sidecar."""
+
+    entry: Sidecar
+    inflight: int = 0
+    most_survived: int = 0
+    running: float = 0.0  # as last told by it
+    waiting: float = 0.0
+    told_at: float = -1e9
+    sent_since: int = 0  # by this front since then
+    failures: int = 0
+    avoid_until: float = 0.0
+    leaving: bool = False  # its answers say so, before the list does
+    cached: OrderedDict[str, None] = field(default_factory=OrderedDict)
+
+    def estimate(self, now: float) -> float:
+        """Requests that it probably has now."""
+        age = now - self.told_at
+        if age > 4 * LOAD_FRESH_S:
+            return float(self.inflight)
+        told = self.running + self.waiting
+        return max(float(self.inflight), told + self.sent_since)
+
+    def tell_load(self, now: float, running: float, waiting: float, slots: float) -> None:
+        """Takes in what it says of itself."""
+        self.running, self.waiting, self.told_at, self.sent_since = running, waiting, now, 0
+
+    def usable(self, now: float) -> bool:
+        """Whether new requests may go there."""
+        return self.entry.ready and not self.leaving and now >= self.avoid_until
+
+    def failed(self, now: float) -> None:
+        """It could not be reached, or fell silent: stay away for a while that grows."""
+        self.failures += 1
+        pause = min(BACKOFF_MOST_S, BACKOFF_LEAST_S * 2 ** (self.failures - 1))
+        self.avoid_until = now + pause
+
+    def succeeded(self) -> None:
+        """It has answered."""
+        self.failures, self.avoid_until = 0, 0.0
+        self.most_survived = max(self.most_survived, self.inflight)
+
+    def remember(self, parts: Iterable[Part]) -> None:
+        """These parts have been read there."""
+        for part in parts:
+            self.cached[part.id] = None
+            self.cached.move_to_end(part.id)
+        while len(self.cached) > CACHED_PARTS:
+            self.cached.popitem(last=False)
+
+    def unread_tokens(self, parts: tuple[Part, ...]) -> int:
+        """Prompt tokens that it would have to read: all from the first part on that is not kept there."""
+        for place, part in enumerate(parts):
+            if part.id not in self.cached:
+                return sum(later.tokens for later in parts[place:])
+        return 0
+
+
+def home_of(part: str, candidates: Iterable[SidecarState]) -> str:
+    """The sidecar that all fronts take for the home of a shared part, by rendezvous hashing."""
+
+    def weight(state: SidecarState) -> bytes:
+        return hashlib.blake2b(f"{part}|{state.entry.id}".encode(), digest_size=8).digest()
+
+    return max(candidates, key=weight).entry.id
+
+
+class SidecarTable:
+    """All sidecars by id."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, SidecarState] = {}
+
+    def update(self, entries: Iterable[Sidecar]) -> list[str]:
+        """Takes a list in; gives the ids that are gone."""
+        listed = {entry.id: entry for entry in entries}
+        gone = [sidecar_id for sidecar_id in self._states if sidecar_id not in listed]
+        for sidecar_id in gone:
+            del self._states[sidecar_id]
+        for sidecar_id, entry in listed.items():
+            state = self._states.get(sidecar_id)
+            if state is None:
+                self._states[sidecar_id] = SidecarState(entry)
+            else:
+                state.entry = entry
+        return gone
+
+    def of_service(self, service: str) -> list[SidecarState]:
+        """The sidecars of a service that are listed."""
+        return [state for state in self._states.values() if state.entry.service == service]
+
+    def load(self, service: str, now: float) -> Load:
+        """What is known of a service as a whole."""
+        states = [state for state in self.of_service(service) if state.usable(now)]
+        slots = sum(state.entry.slots for state in states)
+        running = sum(min(state.estimate(now), state.entry.slots) for state in states)
+        waiting = sum(max(0.0, state.estimate(now) - state.entry.slots) for state in states)
+        return Load(running, waiting, float(max(1, slots)))
+
+    def survived(self, service: str, now: float) -> float:
+        """The most requests of this front that the sidecars of a service may have at once."""
+        states = [state for state in self.of_service(service) if state.usable(now)]
+        return sum(max(state.entry.slots, state.most_survived) for state in states)
+
+    def places(self, service: str, now: float) -> int:
+        """How many more requests the sidecars of a service can take without waiting there."""
+        states = [state for state in self.of_service(service) if state.usable(now)]
+        return int(sum(max(0.0, state.entry.slots - state.estimate(now)) for state in states))
+
+    def choose(
+        self, service: str, parts: tuple[Part, ...], now: float, tried: frozenset[str] = frozenset()
+    ) -> SidecarState | None:
+        """The sidecar that will probably have read the prompt first."""
+        candidates = [
+            state for state in self.of_service(service) if state.usable(now) and state.entry.id not in tried
+        ]
+        if not candidates:
+            candidates = [  # better one in doubt than none
+                state
+                for state in self.of_service(service)
+                if state.entry.ready and not state.leaving and state.entry.id not in tried
+            ]
+        if not candidates:
+            return None
+        shared = [part for part in parts[:-1] if part.tokens >= SHARED_PART_LEAST]
+        home = home_of(shared[0].id, candidates) if shared else None
+        return min(candidates, key=lambda state: self._cost_ms(state, parts, home, now))
+
+    @staticmethod
+    def _cost_ms(state: SidecarState, parts: tuple[Part, ...], home: str | None, now: float) -> float:
+        part_taken = (state.estimate(now) + 1) / max(1, state.entry.slots)
+        cost = LOAD_COST_MS * part_taken + OVERFULL_COST_MS * max(0.0, part_taken - 1)
+        unread = state.unread_tokens(parts)
+        if home == state.entry.id and unread:
+            unread = int(unread * (1 - HOME_SHARE))
+        return cost + unread / READ_TOKENS_PER_MS
--- /dev/null
+++ b/crowwing/tier/http_server.py
@@ -0,0 +1,52 @@
+"""uvicorn servers that share one event loop and leave signals to their process."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+
+BACKLOG = 512
+
+
+class Server(uvicorn.Server):
+    """A server that takes no signals."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Signals are the process's own matter."""
+        yield
+
+
+def make_server(app: Any, address: str, grace_s: float, keep_alive_s: float) -> Server:  # noqa: ANN401
+    """A server for `host:port`. `grace_s` bounds how long its end waits for open requests."""
+    host, port = address.rsplit(":", 1)
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=int(port),
+        http="httptools",
+        loop="none",
+        lifespan="off",
+        ws="none",
+        access_log=False,
+        log_config=None,
+        server_header=False,
+        date_header=False,
+        proxy_headers=False,
+        backlog=BACKLOG,
+        timeout_keep_alive=int(keep_alive_s),
+        timeout_graceful_shutdown=max(1, int(grace_s)),
+    )
+    return Server(config)
+
+
+async def serve_until(server: Server, stop: asyncio.Event) -> None:
+    """Serves until `stop` is set, then until open requests have ended."""
+    serving = asyncio.ensure_future(server.serve())
+    stopping = asyncio.ensure_future(stop.wait())
+    await asyncio.wait({serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    server.should_exit = True
+    stopping.cancel()
+    await serving
--- /dev/null
+++ b/crowwing/tier/process.py
@@ -0,0 +1,53 @@
+"""What every role's process does: logs, signals, and an end in order."""
+
+import asyncio
+import logging
+import signal
+import sys
+from collections.abc import Coroutine
+from typing import Any
+
+log = logging.getLogger("crowwing.process")
+
+
+def set_up_logging(node: str, level: int = logging.INFO) -> None:
+    """One line an event on standard output, with the machine's name."""
+    line = f"%(asctime)s.%(msecs)03d {node} %(name)s %(levelname)s %(message)s"
+    logging.basicConfig(stream=sys.stdout, level=level, format=line, datefmt="%H:%M:%S")
+    for noisy in ("httpx", "httpcore", "uvicorn.error", "asyncio"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
+
+
+def watch_signals(stop: asyncio.Event) -> None:
+    """SIGTERM and SIGINT ask for the end; SIGHUP is heard and noted."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("SIGHUP: settings are read at the next start"))
+
+
+class Tasks:
+    """Tasks that last as long as the process. One that ends with a defect ends the process."""
+
+    def __init__(self, stop: asyncio.Event) -> None:
+        self._stop = stop
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self.failed = False
+
+    def start(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Starts a task."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("a task ended", exc_info=task.exception())
+            self.failed = True
+            self._stop.set()
+
+    def cancel(self) -> None:
+        """Ends all tasks."""
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/crowwing/tier/replication/messages.py
@@ -0,0 +1,223 @@
+"""What replicas say to each other, and what they keep on disk."""
+
+from dataclasses import dataclass
+
+from crowwing.tier.wire.codec import message
+
+Ballot = tuple[int, str]  # a round and the replica that opened it; later rounds win
+Position = tuple[Ballot, int]  # of a log entry: the ballot that it was written under and its index
+
+NO_BALLOT: Ballot = (-1, "")
+FIRST_BALLOT: Ballot = (0, "")
+START: Position = (FIRST_BALLOT, 0)
+
+
+@message
+@dataclass(frozen=True)
+class View:
+    """Who keeps the data, and who decides failover, from one ballot on."""
+
+    ballot: Ballot
+    members: tuple[str, ...]
+    witnesses: tuple[str, ...]
+
+
+@message
+@dataclass(frozen=True)
+class Entry:
+    """One entry of the log."""
+
+    ballot: Ballot
+    index: int
+    payload: bytes
+
+
+@message
+@dataclass(frozen=True)
+class Prepare:
+    """A candidate asks a witness not to serve lower ballots. `handover`: the primary itself asked for it."""
+
+    ballot: Ballot
+    sender: str
+    handover: bool
+
+
+@message
+@dataclass(frozen=True)
+class Promise:
+    """A witness' yes, with the highest view that it has accepted and how far its own data goes."""
+
+    ballot: Ballot
+    sender: str
+    view: View | None
+    synced: Ballot
+    last: Position
+
+
+@message
+@dataclass(frozen=True)
+class Refuse:
+    """A witness' or member's no to anything sent under `ballot`, with the ballot that it is bound to."""
+
+    ballot: Ballot
+    sender: str
+    promised: Ballot
+
+
+@message
+@dataclass(frozen=True)
+class Sync:
+    """The data of a candidate or primary: entries that follow `previous`, or a whole snapshot."""
+
+    ballot: Ballot
+    sender: str
+    previous: Position
+    entries: tuple[Entry, ...]
+    snapshot: bytes | None
+
+
+@message
+@dataclass(frozen=True)
+class Synced:
+    """The receiver's data equals the sender's, on disk, up to `last`. `matched` is False if it could not
+    follow.
+    """
+
+    ballot: Ballot
+    sender: str
+    last: Position
+    matched: bool
+
+
+@message
+@dataclass(frozen=True)
+class Accept:
+    """A candidate asks witnesses to accept a view."""
+
+    sender: str
+    view: View
+
+
+@message
+@dataclass(frozen=True)
+class Accepted:
+    """A witness has the view on disk."""
+
+    ballot: Ballot
+    sender: str
+
+
+@message
+@dataclass(frozen=True)
+class Append:
+    """New entries from the primary to the other members of its view."""
+
+    ballot: Ballot
+    sender: str
+    entries: tuple[Entry, ...]
+
+
+@message
+@dataclass(frozen=True)
+class Appended:
+    """A member has the entries on disk up to `index`."""
+
+    ballot: Ballot
+    sender: str
+    index: int
+
+
+@message
+@dataclass(frozen=True)
+class Heartbeat:
+    """The primary is there."""
+
+    ballot: Ballot
+    sender: str
+    round: int
+    view: View
+
+
+@message
+@dataclass(frozen=True)
+class HeartbeatReply:
+    """The answer to one heartbeat. `whole` is False while the sender's own disk lacks what it promised."""
+
+    ballot: Ballot
+    sender: str
+    round: int
+    last: Position
+    synced: Ballot
+    whole: bool
+
+
+@message
+@dataclass(frozen=True)
+class Join:
+    """A replica that hears no primary asks to be taken in; a member passes this on to the primary once."""
+
+    sender: str
+    forwarded: bool
+
+
+@message
+@dataclass(frozen=True)
+class Learn:
+    """A replica without memory asks what has been promised."""
+
+    sender: str
+
+
+@message
+@dataclass(frozen=True)
+class Learned:
+    """What a replica with memory has promised and accepted."""
+
+    sender: str
+    promised: Ballot
+    view: View | None
+
+
+@message
+@dataclass(frozen=True)
+class Handover:
+    """The primary asks a member to take over."""
+
+    ballot: Ballot
+    sender: str
+
+
+# Records on disk.
+
+
+@message
+@dataclass(frozen=True)
+class PromiseRecord:
+    """The highest ballot promised."""
+
+    ballot: Ballot
+
+
+@message
+@dataclass(frozen=True)
+class ViewRecord:
+    """The highest view accepted."""
+
+    view: View
+
+
+@message
+@dataclass(frozen=True)
+class SyncedRecord:
+    """The ballot whose candidate last made this replica's data equal to its own."""
+
+    ballot: Ballot
+
+
+@message
+@dataclass(frozen=True)
+class SnapshotRecord:
+    """The whole state at a position; what stood before does not count."""
+
+    last: Position
+    state: bytes
--- /dev/null
+++ b/crowwing/tier/settings.py
@@ -0,0 +1,118 @@
+"""The settings file that the platform gives to each process."""
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+SETTINGS_VARIABLE = "CROWWING_SETTINGS"
+DEFAULT_SETTINGS_PATH = "/etc/crowwing/settings.toml"
+
+
+class Listen(BaseModel):
+    """Addresses that the process serves to the outside, as `host:port`."""
+
+    model_config = ConfigDict(extra="ignore")
+    front: str | None = None
+    ready: str | None = None
+    control: str | None = None
+
+
+class Limits(BaseModel):
+    """What one process may use."""
+
+    model_config = ConfigDict(extra="ignore")
+    max_fds: int = Field(1024, alias="maxFds", gt=0)
+    memory_mb: int = Field(256, alias="memoryMb", gt=0)
+    disk_mb: int = Field(0, alias="diskMb", ge=0)
+
+
+class FaultTolerance(BaseModel):
+    """How many counted machines may be lost at one time."""
+
+    model_config = ConfigDict(extra="ignore")
+    machines: int = Field(1, ge=0)
+
+
+class Bounds(BaseModel):
+    """Time bounds of the rules; the unit stands in each name, seconds for names that end in `S`."""
+
+    model_config = ConfigDict(extra="ignore")
+    contact_ms: float = Field(3000, alias="contactMs")
+    ack_ms: float = Field(4000, alias="ackMs")
+    drain_ms: float = Field(3000, alias="drainMs")
+    grace_s: float = Field(8, alias="graceS")
+    config_apply_ms: float = Field(2000, alias="configApplyMs")
+    status_s: float = Field(120, alias="statusS")
+    cancel_ms: float = Field(3000, alias="cancelMs")
+
+
+class Cloud(BaseModel):
+    """The platform's list of sidecars."""
+
+    model_config = ConfigDict(extra="ignore")
+    address: str
+    rate_per_s: float = Field(10.0, alias="ratePerS", gt=0)
+
+
+class Settings(BaseModel):
+    """Everything a process is told at its start. Unknown fields are ignored."""
+
+    model_config = ConfigDict(extra="ignore")
+    node: str
+    ip: str
+    zone: str = ""
+    region: str = ""
+    machine_class: str = Field("", alias="machineClass")
+    port_range: tuple[int, int] = Field(alias="portRange")
+    seeds: list[str] = []
+    bootstrap: bool = False
+    data_dir: Path | None = Field(None, alias="dataDir")
+    listen: Listen = Listen()
+    limits: Limits = Limits()  # type: ignore[call-arg]
+    fault_tolerance: FaultTolerance = Field(FaultTolerance(), alias="faultTolerance")  # type: ignore[call-arg]
+    bounds: Bounds = Bounds()  # type: ignore[call-arg]
+    cloud: Cloud | None = None
+
+    @property
+    def internal_port(self) -> int:
+        """The port on which backends speak with each other: the first of the range, at every machine."""
+        return self.port_range[0]
+
+    @property
+    def seed_hosts(self) -> tuple[str, ...]:
+        """The addresses of the seeds without their ports."""
+        return tuple(seed.rsplit(":", 1)[0] for seed in self.seeds)
+
+
+@dataclass(frozen=True)
+class SettingsError:
+    """Why the settings cannot be used, and where the mistake stands."""
+
+    path: str
+    place: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.place}: {self.reason}"
+
+
+def read_settings(path: str | None = None) -> Settings | SettingsError:
+    """Reads and checks the settings file; the path comes from CROWWING_SETTINGS where none is given."""
+    path = path or os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
+    try:
+        text = Path(path).read_bytes().decode()
+    except (OSError, UnicodeDecodeError) as error:
+        return SettingsError(path, "file", str(error))
+    try:
+        values: dict[str, Any] = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return SettingsError(path, "syntax", str(error))
+    try:
+        return Settings.model_validate(values)
+    except ValidationError as error:
+        first = error.errors()[0]
+        return SettingsError(path, ".".join(str(part) for part in first["loc"]), first["msg"])
--- /dev/null
+++ b/crowwing/tier/state/views.py
@@ -0,0 +1,114 @@
+"""The views that are folded from the events."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from crowwing.tier.state import events as e
+from crowwing.tier.wire.codec import decode, encode
+
+
+@dataclass
+class Lot:
+    """One lot: what was handed in, what has a result, and in which order."""
+
+    id: str
+    host: str
+    path: str
+    at_ms: int
+    total: int
+    open_items: dict[str, e.Item] = field(default_factory=dict)
+    results: list[e.Result] = field(default_factory=list)
+    failures: dict[str, int] = field(default_factory=dict)
+    ended: bool = False
+
+    @property
+    def done(self) -> bool:
+        """Whether nothing of it is left to run."""
+        return self.ended or not self.open_items
+
+
+class TierState:
+    """The folded state. It is changed by `apply` and `load` alone."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.base = 0
+        self.configuration: bytes | None = None
+        self.lots: dict[str, Lot] = {}
+        self.stores: dict[str, str] = {}  # name to address
+        self.retired: set[str] = set()  # names
+
+    def apply(self, payload: bytes) -> None:
+        """Folds one event in."""
+        self.fold(decode(payload))
+
+    def fold(self, event: Any) -> None:  # noqa: ANN401
+        """Folds one event in."""
+        match event:
+            case e.ConfigurationTaken(version, base, text):
+                self.version, self.base, self.configuration = version, base, text
+            case e.LotTaken(lot, host, path, items, at_ms):
+                open_items = {item.id: item for item in items}
+                self.lots[lot] = Lot(lot, host, path, at_ms, len(items), open_items)
+            case e.ItemsEnded(lot, results):
+                self._end_items(self.lots[lot], results)
+            case e.AttemptFailed(lot, item):
+                failures = self.lots[lot].failures
+                failures[item] = failures.get(item, 0) + 1
+            case e.LotEnded(lot):
+                self.lots[lot].ended = True
+                self.lots[lot].open_items.clear()
+            case e.LotDropped(lot):
+                self.lots.pop(lot, None)
+            case e.StoreSeen(node, host):
+                self.stores[node] = host
+            case e.RetireAsked(node):
+                self.retired.add(node)
+
+    @staticmethod
+    def _end_items(lot: Lot, results: tuple[e.Result, ...]) -> None:
+        for result in results:
+            if lot.open_items.pop(result.item, None) is not None:
+                lot.results.append(result)
+                lot.failures.pop(result.item, None)
+
+    def retired_hosts(self) -> frozenset[str]:
+        """The addresses of the machines that are to be emptied."""
+        return frozenset(self.stores[node] for node in self.retired if node in self.stores)
+
+    def waiting(self) -> Iterator[tuple[Lot, e.Item]]:
+        """All items that have no result yet, oldest lot first."""
+        for lot in self.lots.values():
+            if not lot.ended:
+                for item in lot.open_items.values():
+                    yield lot, item
+
+    def dump(self) -> bytes:
+        """The whole state."""
+        lots = [
+            (
+                x.id,
+                x.host,
+                x.path,
+                x.at_ms,
+                x.total,
+                list(x.open_items.values()),
+                x.results,
+                x.failures,
+                x.ended,
+            )
+            for x in self.lots.values()
+        ]
+        plain = (self.version, self.base, self.configuration, lots, self.stores, sorted(self.retired))
+        return encode(plain)
+
+    def load(self, state: bytes) -> None:
+        """Replaces the whole state by a dumped one."""
+        self.version, self.base, self.configuration, lots, stores, retired = decode(state)
+        self.stores, self.retired, self.lots = dict(stores), set(retired), {}
+        for lot_id, host, path, at_ms, total, items, results, failures, ended in lots:
+            open_items = {item.id: item for item in items}
+            self.lots[lot_id] = Lot(
+                lot_id, host, path, at_ms, total, open_items, list(results), dict(failures), ended
+            )
--- /dev/null
+++ b/crowwing/tier/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files of the tier's own state."""
--- /dev/null
+++ b/crowwing/tier/store/disk.py
@@ -0,0 +1,50 @@
+"""The replica's records on disk: one writer thread, one sync for all that has gathered."""
+
+import asyncio
+import logging
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+from crowwing.tier.storage.record_file import RecordFile
+from crowwing.tier.wire.codec import decode, encode
+
+log = logging.getLogger("crowwing.disk")
+
+LEAST_REWRITE_BYTES = 8 * 1024 * 1024
+REWRITE_FACTOR = 3
+
+
+class Disk:
+    """Keeps records; `write` returns once they outlast a loss of power."""
+
+    def __init__(self, folder: Path) -> None:
+        self._file = RecordFile(folder / "state.log")
+        self._thread = ThreadPoolExecutor(1, "disk")
+        self._compacted_bytes = 0
+
+    def open(self) -> list[Any]:
+        """All records that the disk holds."""
+        return [decode(record) for record in self._file.open()]
+
+    @property
+    def size(self) -> int:
+        """The file's length in bytes."""
+        return self._file.size
+
+    @property
+    def is_long(self) -> bool:
+        """Whether the file should be rewritten."""
+        return self._file.size > max(LEAST_REWRITE_BYTES, REWRITE_FACTOR * self._compacted_bytes)
+
+    async def write(self, records: list[Any]) -> None:
+        """Appends records and syncs them."""
+        payloads = [encode(record) for record in records]
+        await asyncio.get_running_loop().run_in_executor(self._thread, self._file.append, payloads)
+
+    async def rewrite(self, records: list[Any]) -> None:
+        """Replaces everything by these records."""
+        payloads = [encode(record) for record in records]
+        self._compacted_bytes = sum(len(payload) for payload in payloads)
+        log.info("rewrites %d bytes as %d", self._file.size, self._compacted_bytes)
+        await asyncio.get_running_loop().run_in_executor(self._thread, self._file.rewrite, payloads)
--- /dev/null
+++ b/crowwing/tier/store/node.py
@@ -0,0 +1,198 @@
+"""Runs one replica on a clock, a disk and a network."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from crowwing.tier.replication.replica import Output, Replica, Role
+from crowwing.tier.state.views import TierState
+from crowwing.tier.store import commands as c
+from crowwing.tier.store.decisions import Decision
+from crowwing.tier.store.disk import Disk
+from crowwing.tier.wire.codec import encode
+from crowwing.tier.wire.connection import Links
+
+log = logging.getLogger("crowwing.store")
+
+TICK_S = 0.02
+READ_LIMIT_S = 1.5
+COMMIT_LIMIT_S = 3.0
+
+Decide = Callable[[TierState], Decision]
+
+
+@dataclass
+class Pending:
+    """An outcome that waits until the log is committed up to an index."""
+
+    index: int
+    ballot: tuple[int, str]
+    future: asyncio.Future[bool] = field(repr=False)
+
+
+class ReplicaNode:
+    """One replica with its disk and its links; asks the replica for decisions and carries them out."""
+
+    def __init__(
+        self, me: str, seeds: tuple[str, ...], faults: int, disk: Disk, links: Links, random: Random
+    ) -> None:
+        self.state = TierState()
+        self.replica = Replica(me, seeds, self.state, faults, time.monotonic(), random.random)
+        self._disk, self._links = disk, links
+        self._pending: list[Pending] = []
+        self._queue: list[Output] = []
+        self._work = asyncio.Event()
+        self.changed = asyncio.Event()  # replaced at each step that may matter to who waits
+        self._was = Role.FOLLOWER
+        self.on_role: list[Callable[[bool], None]] = []
+        self.on_commit: list[Callable[[int], None]] = []
+
+    def start(self, bootstrap: bool, bootstrap_members: tuple[str, ...]) -> None:
+        """Takes in the disk, or starts anew."""
+        records = self._disk.open()
+        if records:
+            self.replica.recover(records)
+        elif bootstrap and self.replica.me in bootstrap_members:
+            self.replica.bootstrap(bootstrap_members)
+        self.step()
+
+    async def run_clock(self) -> None:
+        """Ticks the replica."""
+        while True:
+            self.replica.excluded = self.state.retired_hosts()
+            self.replica.tick(time.monotonic())
+            self.step()
+            await asyncio.sleep(TICK_S)
+
+    async def run_disk(self) -> None:
+        """Writes what has gathered, then sends what waited for it."""
+        while True:
+            await self._work.wait()
+            self._work.clear()
+            queue, self._queue = self._queue, []
+            records = [record for output in queue for record in output.records]
+            if records and self._disk.is_long:
+                await self._disk.rewrite(self.replica.compacted())
+            elif records:
+                await self._disk.write(records)
+            for output in queue:
+                for receiver, message in output.durable:
+                    self._deliver(receiver, message)
+            self.step()
+
+    def receive(self, message: Any) -> None:  # noqa: ANN401
+        """Takes a message of another replica in."""
+        self.replica.receive(time.monotonic(), message)
+        self.step()
+
+    def _deliver(self, receiver: str, message: Any) -> None:  # noqa: ANN401
+        if receiver == self.replica.me:
+            self.replica.receive(time.monotonic(), message)
+        else:
+            self._links.notify(receiver, message)
+
+    def step(self) -> None:
+        """Carries out what the replica asks for."""
+        output = self.replica.take_output()
+        for receiver, message in output.immediate:
+            self._deliver(receiver, message)
+        if output.records or output.durable:
+            self._queue.append(output)
+            self._work.set()
+        self._settle()
+        is_primary = self.replica.role is Role.PRIMARY
+        if is_primary != (self._was is Role.PRIMARY) and self.replica.role is not Role.CANDIDATE:
+            for listener in self.on_role:
+                listener(is_primary)
+        if self.replica.role is not Role.CANDIDATE:
+            self._was = self.replica.role
+        if is_primary:
+            for on_commit in self.on_commit:
+                on_commit(self.replica.commit_index)
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+    def _settle(self) -> None:
+        role, committed = self.replica.role, self.replica.commit_index
+        if role is Role.CANDIDATE and self._was is Role.PRIMARY:
+            return  # it may be the primary again in a moment, with the same log
+        rest: list[Pending] = []
+        for pending in self._pending:
+            if pending.future.done():
+                continue
+            if role is not Role.PRIMARY:
+                pending.future.set_result(False)
+            elif pending.index <= committed:
+                pending.future.set_result(True)
+            else:
+                rest.append(pending)
+        self._pending = rest
+
+    @property
+    def leader(self) -> str | None:
+        """The primary, as far as this replica knows."""
+        return self.replica.leader
+
+    async def _wait_primary(self) -> bool:
+        """Waits out a change of its own view; False where this is not the primary."""
+        deadline = time.monotonic() + COMMIT_LIMIT_S
+        while (
+            self.replica.role is Role.CANDIDATE and self._was is Role.PRIMARY and time.monotonic() < deadline
+        ):
+            await self._next_change(0.1)
+        return self.replica.role is Role.PRIMARY
+
+    async def _next_change(self, limit_s: float) -> None:
+        try:
+            async with asyncio.timeout(limit_s):
+                await self.changed.wait()
+        except TimeoutError:
+            pass
+
+    async def decide(self, decide: Decide) -> Any:  # noqa: ANN401
+        """Decides a command on the newest state; its outcome is told once everything it rests on is kept."""
+        if not await self._wait_primary():
+            return c.NotPrimary(self.leader)
+        now = time.monotonic()
+        decision = decide(self.state)
+        for event in decision.events:
+            self.replica.propose(now, encode(event))
+        index = self.replica.log.last[1]
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._pending.append(Pending(index, self.replica.promised, future))
+        self.step()
+        try:
+            async with asyncio.timeout(COMMIT_LIMIT_S):
+                committed = await future
+        except TimeoutError:
+            committed = False
+        if not committed:
+            return c.Unsure("the store machines did not agree in time")
+        if not decision.events and not await self.confirm():
+            return c.Unsure("it is not known whether this machine still decides")
+        return decision.outcome
+
+    async def confirm(self) -> bool:
+        """Whether this replica is still the only primary, shown by a lease or a round that starts now."""
+        if self.replica.holds_lease(time.monotonic()):
+            return True
+        return await self.confirm_round()
+
+    async def confirm_round(self) -> bool:
+        """Whether a majority of the witnesses still knows this replica as primary at this moment."""
+        if self.replica.role is not Role.PRIMARY:
+            return False
+        ballot, number = self.replica.promised, self.replica.beat_now(time.monotonic())
+        self.step()
+        deadline = time.monotonic() + READ_LIMIT_S
+        while time.monotonic() < deadline:
+            if self.replica.role is not Role.PRIMARY or self.replica.promised != ballot:
+                return False
+            if self.replica.round_confirmed(number):
+                return True
+            await self._next_change(0.1)
+        return False
--- /dev/null
+++ b/tests/tier/simulated_stores.py
@@ -0,0 +1,245 @@
+"""Store machines on a simulated network and simulated disks, played by simpy from one seed."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import simpy
+
+from crowwing.tier.replication import messages as m
+from crowwing.tier.replication.replica import Output, Replica, Role
+
+TICK_S = 0.02
+DELAY_S = (0.0005, 0.003)
+SYNC_S = (0.0005, 0.012)
+
+
+class Ledger:
+    """The simplest state: the payloads in order."""
+
+    def __init__(self) -> None:
+        self.payloads: list[bytes] = []
+
+    def apply(self, payload: bytes) -> None:
+        """Takes one payload in."""
+        self.payloads.append(payload)
+
+    def dump(self) -> bytes:
+        """All payloads."""
+        return b"\n".join(self.payloads)
+
+    def load(self, state: bytes) -> None:
+        """Replaces all payloads."""
+        self.payloads = state.split(b"\n") if state else []
+
+
+@dataclass
+class Machine:
+    """One store machine: what is on its disk outlasts its lives."""
+
+    host: str
+    disk: list[Any] = field(default_factory=list)
+    unsynced: list[Any] = field(default_factory=list)
+    life: int = 0
+    replica: Replica | None = None
+    ledger: Ledger = field(default_factory=Ledger)
+    queue: list[Output] = field(default_factory=list)
+    frozen_until: float = 0.0
+    inbox: list[Any] = field(default_factory=list)  # what came while it stood still
+
+
+@dataclass
+class Wanted:
+    """A payload that a client has handed in, and whether it was acknowledged."""
+
+    payload: bytes
+    index: int
+    ballot: m.Ballot
+    host: str
+    life: int
+
+
+class StoreWorld:
+    """Some store machines, the links between them, and the rules that must hold after each step."""
+
+    def __init__(self, seed: int, hosts: Iterable[str], seeds: Iterable[str], faults: int = 1) -> None:
+        self.random = Random(seed)
+        self.env = simpy.Environment()
+        self.seeds = tuple(seeds)
+        self.faults = faults
+        self.machines: dict[str, Machine] = {}
+        self.cut: set[tuple[str, str]] = set()  # (from, to)
+        self.loss = 0.0
+        self.acknowledged: list[bytes] = []
+        self.places: dict[bytes, int] = {}  # of what was acknowledged, in the log
+        self.waiting: list[Wanted] = []
+        self.excluded: frozenset[str] = frozenset()
+        self.on_acknowledged: Callable[[Machine], None] = lambda machine: None
+        for host in hosts:
+            self.start(host, bootstrap=True)
+
+    # Lives
+
+    def start(self, host: str, bootstrap: bool = False) -> None:
+        """Starts a machine with what its disk holds."""
+        machine = self.machines.setdefault(host, Machine(host))
+        machine.life += 1
+        machine.ledger = Ledger()
+        machine.queue, machine.inbox = [], []
+        machine.frozen_until = 0.0
+        replica = Replica(host, self.seeds, machine.ledger, self.faults, self.env.now, self.random.random)
+        machine.replica = replica
+        if machine.disk:
+            replica.recover(machine.disk)
+        elif bootstrap and host in self.seeds:
+            replica.bootstrap(self.seeds)
+        self.env.process(self._clock(machine, machine.life))
+        self.env.process(self._disk(machine, machine.life))
+        self.env.process(self._first_tick(machine, machine.life))
+
+    def stop(self, host: str, power: bool = False, wipe: bool = False) -> None:
+        """Ends a machine's life; a loss of power may keep any part of what was not synced, and a wipe nothing."""
+        machine = self.machines[host]
+        machine.life += 1
+        machine.replica = None
+        if power:
+            kept = self.random.randint(0, len(machine.unsynced))
+            machine.disk += machine.unsynced[:kept]
+        machine.unsynced = []
+        if wipe:
+            machine.disk = []
+
+    def freeze(self, host: str, span_s: float) -> None:
+        """A machine stands still for a while; its clock goes on."""
+        self.machines[host].frozen_until = self.env.now + span_s
+
+    def alive(self) -> list[Machine]:
+        """The machines that run."""
+        return [machine for machine in self.machines.values() if machine.replica is not None]
+
+    # Running
+
+    def _first_tick(self, machine: Machine, life: int) -> Any:  # noqa: ANN401
+        yield self.env.timeout(self.random.random() * TICK_S)
+        if machine.life == life:
+            self._step(machine)
+
+    def _clock(self, machine: Machine, life: int) -> Any:  # noqa: ANN401
+        while machine.life == life:
+            if self.env.now < machine.frozen_until:
+                yield self.env.timeout(machine.frozen_until - self.env.now)
+                continue
+            self._thaw(machine)
+            assert machine.replica is not None
+            machine.replica.excluded = self.excluded
+            machine.replica.tick(self.env.now)
+            self._step(machine)
+            yield self.env.timeout(TICK_S)
+
+    def _thaw(self, machine: Machine) -> None:
+        inbox, machine.inbox = machine.inbox, []
+        for message in inbox:
+            if machine.replica is not None:
+                machine.replica.receive(self.env.now, message)
+                self._step(machine)
+
+    def _disk(self, machine: Machine, life: int) -> Any:  # noqa: ANN401
+        while machine.life == life:
+            if not machine.queue or self.env.now < machine.frozen_until:
+                yield self.env.timeout(0.001)
+                continue
+            queue, machine.queue = machine.queue, []
+            records = [record for output in queue for record in output.records]
+            if records:
+                machine.unsynced = records
+                yield self.env.timeout(self.random.uniform(*SYNC_S))
+                if machine.life != life:
+                    return
+                machine.disk += records
+                machine.unsynced = []
+            for output in queue:
+                for receiver, message in output.durable:
+                    self._deliver(machine, receiver, message)
+            self._step(machine)
+
+    def _step(self, machine: Machine) -> None:
+        assert machine.replica is not None
+        output = machine.replica.take_output()
+        for receiver, message in output.immediate:
+            self._deliver(machine, receiver, message)
+        if output.records or output.durable:
+            machine.queue.append(output)
+        self._settle()
+        self.check()
+
+    def _deliver(self, sender: Machine, receiver: str, message: Any) -> None:  # noqa: ANN401
+        if receiver == sender.host:
+            assert sender.replica is not None
+            sender.replica.receive(self.env.now, message)
+        elif (sender.host, receiver) not in self.cut and self.random.random() >= self.loss:
+            self.env.process(self._travel(sender.host, receiver, message))
+
+    def _travel(self, sender: str, receiver: str, message: Any) -> Any:  # noqa: ANN401
+        yield self.env.timeout(self.random.uniform(*DELAY_S))
+        machine = self.machines.get(receiver)
+        if machine is None or machine.replica is None or (sender, receiver) in self.cut:
+            return
+        if self.env.now < machine.frozen_until:
+            machine.inbox.append(message)
+            return
+        machine.replica.receive(self.env.now, message)
+        self._step(machine)
+
+    # Clients
+
+    def propose(self, payload: bytes) -> bool:
+        """Hands a payload to whoever says that it is the primary; False where nobody does."""
+        for machine in self.alive():
+            if machine.replica.role is Role.PRIMARY and self.env.now >= machine.frozen_until:
+                index = machine.replica.propose(self.env.now, payload)
+                assert index is not None
+                ballot = machine.replica.promised
+                self.waiting.append(Wanted(payload, index, ballot, machine.host, machine.life))
+                self._step(machine)
+                return True
+        return False
+
+    def _settle(self) -> None:
+        rest: list[Wanted] = []
+        for wanted in self.waiting:
+            machine = self.machines[wanted.host]
+            replica = machine.replica
+            if machine.life != wanted.life or replica is None or replica.role is Role.FOLLOWER:
+                continue
+            if replica.role is Role.PRIMARY and replica.commit_index >= wanted.index:
+                self.acknowledged.append(wanted.payload)
+                self.places[wanted.payload] = wanted.index
+                self.on_acknowledged(machine)
+            else:
+                rest.append(wanted)
+        self.waiting = rest
+
+    # Rules
+
+    def check(self) -> None:
+        """At most one primary holds a lease; a primary has all that was acknowledged, each in its place."""
+        leased = [x.host for x in self.alive() if x.replica.holds_lease(self.env.now) and self._awake(x)]
+        assert len(leased) <= 1, f"{self.env.now:.3f}: {leased} hold leases at once"
+        for machine in self.alive():
+            if machine.host in leased:
+                payloads = machine.ledger.payloads
+                for payload, index in self.places.items():
+                    held = payloads[index - 1] if index <= len(payloads) else None
+                    assert held == payload, f"{self.env.now:.3f}: {machine.host} has {held!r} for {payload!r}"
+
+    def _awake(self, machine: Machine) -> bool:
+        return self.env.now >= machine.frozen_until
+
+    def run_for(self, span_s: float) -> None:
+        """Lets simulated time pass."""
+        self.env.run(until=self.env.now + span_s)
+
+    def primary(self) -> Machine | None:
+        """The one that holds a lease."""
+        return next((x for x in self.alive() if x.replica.holds_lease(self.env.now)), None)
