Tier: load that fades, room kept for live requests, quicker failover, own tests

A failover left lots' 202s late, since calls waited for the old primary. Change: told load fades into a guess, reports are read while work waits; items leave a third of the slots; overdue lots come last; heartbeats each 0.07 s; beats name the root, and calls move to it. A record's checksum covers its length (zeros were a record). Tests of storage, admission, sidecars, events and decisions.

--- a/crowwing/tier/distribution/relay.py
+++ b/crowwing/tier/distribution/relay.py
@@ -45,6 +45,7 @@
 
     documents: tuple[Document, ...]
     beat: Order
+    root: str | None
 
 
 @message
@@ -61,6 +62,7 @@
     """The root is there: its ballot's round and a number that counts up, with what is the newest."""
 
     beat: Order
+    root: str | None
     orders: dict[str, Order]
 
 
@@ -106,6 +108,8 @@
         self._parent: Connection | None = None
         self._beat: Order = (-1, 0)
         self._beat_at = time.monotonic()
+        self.root: str | None = None
+        self.on_root: list[Callable[[str], None]] = []
         documents.listen(self._pass_on)
 
     @property
@@ -150,7 +154,7 @@
         if len(self._children) >= FANOUT and ask.host not in self._children:
             return Redirect(tuple(self._random.sample(list(self._children), FANOUT)))
         self._children[ask.host] = connection
-        return Attached(self.documents.newer_than(ask.orders), self._beat)
+        return Attached(self.documents.newer_than(ask.orders), self._beat, self.root)
 
     def _pass_on(self, document: Document) -> None:
         for child in self._children.values():
@@ -159,14 +163,24 @@
     def _take_beat(self, connection: Connection, beat: Beat) -> None:
         if connection is not self._parent:
             return
-        if tuple(beat.beat) > self._beat:
-            self._beat, self._beat_at = tuple(beat.beat), time.monotonic()
+        if self._advance(tuple(beat.beat), beat.root):
             self._send_beats()
 
+    def _advance(self, beat: Order, root: str | None) -> bool:
+        """Notes a beat of the root; False where it is no newer one."""
+        if beat <= self._beat:
+            return False
+        self._beat, self._beat_at = beat, time.monotonic()
+        if root is not None and root != self.root:
+            self.root = root
+            for listener in self.on_root:
+                listener(root)
+        return True
+
     def _send_beats(self) -> None:
         orders = self.documents.orders()
         for child in self._children.values():
-            child.notify(Beat(self._beat, orders))
+            child.notify(Beat(self._beat, self.root, orders))
 
     async def run_root(self) -> None:
         """Sends beats for as long as this backend is the root."""
@@ -175,7 +189,7 @@
             order = self.root_order()
             if order is not None:
                 number = self._beat[1] + 1 if self._beat[0] == order else 1
-                self._beat, self._beat_at = (order, number), time.monotonic()
+                self._advance((order, number), self.me.host)
                 self._send_beats()
 
     # Child
@@ -209,8 +223,7 @@
             for document in answer.documents:
                 self.documents.offer(document)
             self._parent = connection
-            if tuple(answer.beat) > self._beat:
-                self._beat, self._beat_at = tuple(answer.beat), time.monotonic()
+            self._advance(tuple(answer.beat), answer.root)
             log.info("relay parent is %s", host)
             return self.in_touch
         if isinstance(answer, Redirect) and redirects > 0:
--- a/crowwing/tier/front/admission.py
+++ b/crowwing/tier/front/admission.py
@@ -69,6 +69,14 @@
     slots: float
 
 
+@dataclass(frozen=True)
+class Places:
+    """How many more requests the sidecars can take: live ones, and items of lots, which leave some free."""
+
+    live: int
+    patient: int
+
+
 def rank_of(priority: int, spread: float) -> float:
     """The rank of a request: its tier's band, and a place within it from `spread` (0 to 1)."""
     tier = min(max(priority, 0), BANDS - 1)
@@ -82,6 +90,7 @@
         self.limit = max(LIMIT_FLOOR, share)
         self.cut = self._cut_base = 0.0
         self.inflight = 0
+        self.refused, self.refused_at = 0, -1e9
         self.load = Load(0.0, 0.0, 1.0)
         self.ceiling = max(LIMIT_FLOOR, share)
         self._classes: dict[str, ClassQueue] = {}
@@ -116,10 +125,15 @@
         queue = self.class_queue(ticket.class_name, aim_s)
         if not ticket.patient and ticket.rank < self.cut:
             ticket.refused = True
+            self._note_refused(now)
             return False
         queue.held.append(ticket)
         return True
 
+    def _note_refused(self, now: float) -> None:
+        self.refused += 1
+        self.refused_at = now
+
     def remove(self, ticket: Ticket) -> None:
         """A held ticket's caller has gone."""
         queue = self._classes.get(ticket.class_name)
@@ -135,6 +149,7 @@
                 if now >= patience:
                     queue.held.remove(ticket)
                     ticket.refused = True
+                    self._note_refused(now)
                     expired.append(ticket)
                     if not ticket.patient:
                         self._outwait = max(self._outwait, (now - ticket.arrived) / queue.timeout_s)
@@ -146,12 +161,13 @@
             return ticket.hold_until
         return min(ticket.arrived + queue.timeout_s, ticket.hold_until)
 
-    def start(self, now: float, places: int) -> list[Ticket]:
-        """Takes out the held tickets that start now, highest rank first, at most `places`."""
+    def start(self, now: float, places: Places) -> list[Ticket]:
+        """Takes out the held tickets that start now, highest rank first, as far as there are places."""
         started: list[Ticket] = []
         waiting = [ticket for queue in self._classes.values() for ticket in queue.held]
         for ticket in sorted(waiting, key=lambda ticket: -ticket.rank):
-            if self.inflight >= int(self.limit) or len(started) >= places:
+            left = places.patient if ticket.patient else places.live
+            if self.inflight >= int(self.limit) or len(started) >= left:
                 break
             self._classes[ticket.class_name].held.remove(ticket)
             ticket.started = True
--- a/crowwing/tier/front/lot_runner.py
+++ b/crowwing/tier/front/lot_runner.py
@@ -69,9 +69,10 @@
             if route.kind == "batch_queue"
             for share in route.services
         }
+        now = time.monotonic()
         rooms = [
-            min(self._pool.admission(x).room, self._pool.sidecars.places(x, time.monotonic()))
-            for x in services
+            min(self._pool.admission(service).room, self._pool.sidecars.places(service, now).patient)
+            for service in services
         ]
         return max(0, min(max(rooms, default=0), MOST_RUNNING - len(self._running)))
 
--- a/crowwing/tier/front/main.py
+++ b/crowwing/tier/front/main.py
@@ -43,6 +43,7 @@
         self.random = Random()
         self.documents = Documents()
         self.pool = ServicePool()
+        self.pool.sidecars.zone = settings.zone
         self.links = Links(settings.internal_port, self.handle)
         me = Peer(settings.ip, "front", settings.zone, 0)
         self.relay = Relay(me, settings.seed_hosts, self.documents, self.links, self.random)
@@ -51,6 +52,7 @@
         self.runner = LotRunner(settings.node, self.pool, self.store)
         self.servers: list[Server] = []
         self.documents.listen(self.take_document)
+        self.relay.on_root.append(self.store.moved)
 
     async def handle(self, connection: Connection, body: Any) -> Any:  # noqa: ANN401
         """Answers other backends."""
@@ -77,7 +79,7 @@
                 log.error("configuration unreadable at %s: %s", parsed.place, parsed.reason)
         elif document.kind == SIDECARS:
             listed = decode(document.body)
-            self.pool.fronts = 1 + len(self.relay.view.peers("front"))
+            self.pool.sidecars.fronts = 1 + len(self.relay.view.peers("front"))
             self.pool.take_list(listed)
 
     def _apply_limits(self, configuration: Configuration) -> None:
@@ -96,13 +98,13 @@
         assert self.settings.cloud is not None
         client = httpx.AsyncClient(trust_env=False)
         while True:
-            await asyncio.sleep(OWN_READ_EVERY_S * (0.8 + 0.4 * self.random.random()))
-            if self.relay.seconds_out_of_touch >= OWN_READ_AFTER_S:
+            if self.relay.seconds_out_of_touch >= OWN_READ_AFTER_S or not self.pool.listed:
                 listed = await read_list(client, self.settings.cloud.address)
                 if isinstance(listed, SidecarList):
                     self.pool.take_list(listed)
                 else:
                     log.warning("the platform's list: %s", listed.reason)
+            await asyncio.sleep(OWN_READ_EVERY_S * (0.8 + 0.4 * self.random.random()))
 
     async def run(self) -> int:
         """Runs until SIGTERM; gives the exit status."""
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -15,6 +15,8 @@
 log = logging.getLogger("crowwing.pool")
 
 STEER_S = 0.05
+LOG_S = 1.0
+PRESSED_S = 1.0  # after a refusal, in which reports are read
 CONNECTIONS_LEAST = 8
 START_SHARE = 1.0  # of the even part of all slots, which the limit starts at
 CONNECTION_SHARE = 0.9  # of the connections that a sidecar accepts, shared by all fronts
@@ -34,11 +36,12 @@
     def __init__(self) -> None:
         self.sidecars = SidecarTable()
         self.table: RoutingTable | None = None
-        self.fronts = 1  # how many fronts there are, as far as is known
         self._clients: dict[str, SidecarClient] = {}
         self._admissions: dict[str, Admission] = {}
         self._closing: set[asyncio.Task[None]] = set()
+        self._asking: set[asyncio.Task[None]] = set()
         self.listed = False
+        self._logged: dict[str, tuple[int, float]] = {}  # refused so far, and when that was said
 
     # What is known
 
@@ -66,7 +69,7 @@
         if client is None:
             service = self.table.services.get(state.entry.service) if self.table else None
             accepted = service.max_conns if service is not None else 64
-            most = max(CONNECTIONS_LEAST, int(CONNECTION_SHARE * accepted / max(1, self.fronts)))
+            most = max(CONNECTIONS_LEAST, int(CONNECTION_SHARE * accepted / max(1, self.sidecars.fronts)))
             client = self._clients[state.entry.id] = SidecarClient(state.entry.address, most)
         return client
 
@@ -75,7 +78,7 @@
         admission = self._admissions.get(service)
         if admission is None:
             now = time.monotonic()
-            share = START_SHARE * self.sidecars.load(service, now).slots / max(1, self.fronts)
+            share = START_SHARE * self.sidecars.load(service, now).slots / max(1, self.sidecars.fronts)
             admission = self._admissions[service] = Admission(now, share)
         return admission
 
@@ -126,6 +129,35 @@
                 admission.steer(now, load, self.sidecars.survived(service, now))
                 if admission.held:
                     self._start(service, admission)
+                if admission.held or now - admission.refused_at < PRESSED_S:
+                    self._ask_reports(service, now)
+                self._log_changes(service, admission, now)
+
+    def _ask_reports(self, service: str, now: float) -> None:
+        """Asks sidecars that have told nothing lately, while work waits or was refused."""
+        for state in self.sidecars.to_be_asked(service, now):
+            state.asked_at = now
+            task = asyncio.ensure_future(self._ask_report(state))
+            self._asking.add(task)
+            task.add_done_callback(self._asking.discard)
+
+    async def _ask_report(self, state: SidecarState) -> None:
+        report = await self.client(state).report()
+        if report is not None:
+            state.tell_load(time.monotonic(), report.running, report.waiting, state.entry.slots)
+
+    def _log_changes(self, service: str, admission: Admission, now: float) -> None:
+        """One line a second while anything is refused, cut or near its limit."""
+        refused, at = self._logged.get(service, (0, 0.0))
+        if now - at < LOG_S or refused == admission.refused:
+            return
+        self._logged[service] = (admission.refused, now)
+        load = admission.load
+        log.info(
+            "%s: refused %d, cut %.2f, limit %.0f of %.0f, inflight %d, held %d, sidecars %.0f+%.0f of %.0f",
+            *(service, admission.refused - refused, admission.cut, admission.limit, admission.ceiling),
+            *(admission.inflight, admission.held, load.running, load.waiting, load.slots),
+        )
 
     # Sidecars
 
--- a/crowwing/tier/front/sidecars.py
+++ b/crowwing/tier/front/sidecars.py
@@ -1,17 +1,21 @@
 """The sidecars that this front knows, what it believes of each, and which one gets the next request. Pure."""
 
 import hashlib
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from crowwing.tier.front.admission import Load
+from crowwing.tier.front.admission import Load, Places
 from crowwing.tier.platform_list import Sidecar
 
 CACHED_PARTS = 4000  # remembered prompt parts a sidecar
-LOAD_FRESH_S = 1.0  # how long a report of load counts in full
+LOAD_FRESH_S, LOAD_FADES_S = 0.3, 1.0  # how long a report of load counts in full, and then fades
+LIVE_FILL, PATIENT_FILL = 0.95, 0.65  # of a sidecar's slots, up to which requests and items of lots go there
+ASK_AFTER_S = 0.4  # without news of its load, after which a sidecar is asked for its report
 BACKOFF_LEAST_S, BACKOFF_MOST_S = 0.5, 4.0
 LOAD_COST_MS = 120.0  # of a sidecar whose slots are all taken
+OTHER_ZONE_COST_MS = 4.0  # bytes between zones have a price
 OVERFULL_COST_MS = 400.0  # more for each further slots' worth
 READ_TOKENS_PER_MS = 128.0
 SHARED_PART_LEAST = 1000  # tokens from which fronts agree on a home for a shared part
@@ -46,19 +50,20 @@
     running: float = 0.0  # as last told by it
     waiting: float = 0.0
     told_at: float = -1e9
+    asked_at: float = -1e9
     sent_since: int = 0  # by this front since then
     failures: int = 0
     avoid_until: float = 0.0
     leaving: bool = False  # its answers say so, before the list does
     cached: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
-    def estimate(self, now: float) -> float:
-        """Requests that it probably has now."""
+    def estimate(self, now: float, fronts: int) -> float:
+        """Requests that it probably has now: as told, or later as if all fronts sent alike."""
         age = now - self.told_at
-        if age > 4 * LOAD_FRESH_S:
-            return float(self.inflight)
-        told = self.running + self.waiting
-        return max(float(self.inflight), told + self.sent_since)
+        weight = min(1.0, max(0.0, 1 - (age - LOAD_FRESH_S) / LOAD_FADES_S))
+        told = self.running + self.waiting + self.sent_since
+        guessed = float(self.inflight * fronts)
+        return max(float(self.inflight), weight * told + (1 - weight) * guessed)
 
     def tell_load(self, now: float, running: float, waiting: float, slots: float) -> None:
         """Takes in what it says of itself."""
@@ -108,6 +113,8 @@
     """All sidecars by id."""
 
     def __init__(self) -> None:
+        self.zone = ""  # this front's own
+        self.fronts = 1  # how many fronts there are, as far as is known
         self._states: dict[str, SidecarState] = {}
 
     def update(self, entries: Iterable[Sidecar]) -> list[str]:
@@ -132,8 +139,9 @@
         """What is known of a service as a whole."""
         states = [state for state in self.of_service(service) if state.usable(now)]
         slots = sum(state.entry.slots for state in states)
-        running = sum(min(state.estimate(now), state.entry.slots) for state in states)
-        waiting = sum(max(0.0, state.estimate(now) - state.entry.slots) for state in states)
+        estimates = [(state.estimate(now, self.fronts), state.entry.slots) for state in states]
+        running = sum(min(estimate, count) for estimate, count in estimates)
+        waiting = sum(max(0.0, estimate - count) for estimate, count in estimates)
         return Load(running, waiting, float(max(1, slots)))
 
     def survived(self, service: str, now: float) -> float:
@@ -141,10 +149,23 @@
         states = [state for state in self.of_service(service) if state.usable(now)]
         return sum(max(state.entry.slots, state.most_survived) for state in states)
 
-    def places(self, service: str, now: float) -> int:
+    def places(self, service: str, now: float) -> Places:
         """How many more requests the sidecars of a service can take without waiting there."""
-        states = [state for state in self.of_service(service) if state.usable(now)]
-        return int(sum(max(0.0, state.entry.slots - state.estimate(now)) for state in states))
+        live = patient = 0
+        for state in self.of_service(service):
+            if state.usable(now):
+                estimate = state.estimate(now, self.fronts)
+                live += max(0, math.ceil(LIVE_FILL * state.entry.slots - estimate))
+                patient += max(0, math.ceil(PATIENT_FILL * state.entry.slots - estimate))
+        return Places(live, patient)
+
+    def to_be_asked(self, service: str, now: float) -> list[SidecarState]:
+        """The sidecars whose load has not been told lately."""
+        return [
+            state
+            for state in self.of_service(service)
+            if state.usable(now) and now - max(state.told_at, state.asked_at) >= ASK_AFTER_S
+        ]
 
     def choose(
         self, service: str, parts: tuple[Part, ...], now: float, tried: frozenset[str] = frozenset()
@@ -165,11 +186,12 @@
         home = home_of(shared[0].id, candidates) if shared else None
         return min(candidates, key=lambda state: self._cost_ms(state, parts, home, now))
 
-    @staticmethod
-    def _cost_ms(state: SidecarState, parts: tuple[Part, ...], home: str | None, now: float) -> float:
-        part_taken = (state.estimate(now) + 1) / max(1, state.entry.slots)
+    def _cost_ms(self, state: SidecarState, parts: tuple[Part, ...], home: str | None, now: float) -> float:
+        part_taken = (state.estimate(now, self.fronts) + 1) / max(1, state.entry.slots)
         cost = LOAD_COST_MS * part_taken + OVERFULL_COST_MS * max(0.0, part_taken - 1)
         unread = state.unread_tokens(parts)
         if home == state.entry.id and unread:
             unread = int(unread * (1 - HOME_SHARE))
+        if state.entry.zone != self.zone:
+            cost += OTHER_ZONE_COST_MS
         return cost + unread / READ_TOKENS_PER_MS
--- a/crowwing/tier/front/store_client.py
+++ b/crowwing/tier/front/store_client.py
@@ -11,7 +11,7 @@
 
 log = logging.getLogger("crowwing.client")
 
-TRY_S = 1.2
+TRY_S = 0.7
 PAUSE_S = 0.08
 
 
@@ -21,6 +21,13 @@
     def __init__(self, links: Links, hosts: Callable[[], list[str]]) -> None:
         self._links, self._hosts = links, hosts
         self._primary: str | None = None
+        self._moved = asyncio.Event()  # replaced at each change of the primary
+
+    def moved(self, host: str) -> None:
+        """The primary is at this host now; calls to a former one are made again there."""
+        self._primary = host
+        moved, self._moved = self._moved, asyncio.Event()
+        moved.set()
 
     async def call(self, command: Any, limit_s: float, answer_s: float = TRY_S) -> Any:  # noqa: ANN401
         """The outcome of a command; Unsure where it may have been done, NotPrimary where it certainly was
@@ -38,7 +45,7 @@
                 self._primary = hosts.pop(0)
             host = self._primary
             try:
-                outcome = await self._links.call(host, c.Forwarded(command), min(left, answer_s))
+                outcome = await self._call_until_moved(host, command, min(left, answer_s))
             except CallError as error:
                 unsure = unsure or error.sent
                 self._forget(host)
@@ -57,6 +64,18 @@
                 return outcome
         return c.Unsure("no clear answer in time") if unsure else c.NotPrimary(None)
 
+    async def _call_until_moved(self, host: str, command: Any, limit_s: float) -> Any:  # noqa: ANN401
+        call = asyncio.ensure_future(self._links.call(host, c.Forwarded(command), limit_s))
+        moved = asyncio.ensure_future(self._moved.wait())
+        try:
+            await asyncio.wait({call, moved}, return_when=asyncio.FIRST_COMPLETED)
+            if not call.done() and self._primary not in (None, host):
+                raise CallError("the primary has moved", True)
+            return await call
+        finally:
+            moved.cancel()
+            call.cancel()
+
     def _forget(self, host: str) -> None:
         if self._primary == host:
             self._primary = None
--- a/crowwing/tier/front/upstream.py
+++ b/crowwing/tier/front/upstream.py
@@ -1,6 +1,7 @@
 """Requests to sidecars, over kept connections, and how each try ended."""
 
 import asyncio
+import json
 import logging
 import socket
 from collections.abc import AsyncIterator
@@ -12,6 +13,7 @@
 
 CONNECT_TIMEOUT_S = 0.6
 WRITE_TIMEOUT_S = 2.5
+REPORT_LIMIT_S = 0.5
 TIMEOUTS = {
     "connect": CONNECT_TIMEOUT_S,
     "read": None,  # the request's own deadline holds
@@ -60,6 +62,14 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class Report:
+    """A sidecar's load as it stood a moment ago."""
+
+    running: float
+    waiting: float
+
+
 class StreamBroken(Exception):
     """The body ended before its end."""
 
@@ -85,6 +95,19 @@
         """Closes all connections; open answers break."""
         await self._transport.aclose()
 
+    async def report(self) -> Report | None:
+        """What the sidecar says of its load; None where it says nothing in time."""
+        request = httpx.Request("GET", f"http://{self._address}/report")
+        request.extensions["timeout"] = TIMEOUTS
+        try:
+            async with asyncio.timeout(REPORT_LIMIT_S):
+                response = await self._transport.handle_async_request(request)
+                told = json.loads(await response.aread())
+            return Report(float(told["running"]), float(told["waiting"]))
+        except (httpx.HTTPError, TimeoutError, ValueError, KeyError, TypeError) as error:
+            log.debug("no report from %s: %s", self._address, error)
+            return None
+
     async def send(
         self, method: str, target: bytes, headers: Headers, body: bytes, request_id: bytes
     ) -> Outcome:
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -19,11 +19,11 @@
 
 log = logging.getLogger("crowwing.replication")
 
-HEARTBEAT_S = 0.1
-SUSPECT_S, SUSPECT_SPREAD_S = 0.7, 0.5  # silence after which a member campaigns, and its random part
-STICKY_S = 0.5  # a witness that heard the primary so lately helps nobody else
-MEMBER_SILENT_S = 0.6  # after which the primary leaves a member out
-LEASE_S = 0.45  # under STICKY_S: a primary confirmed so lately is the only one
+HEARTBEAT_S = 0.07
+SUSPECT_S, SUSPECT_SPREAD_S = 0.4, 0.25  # silence after which a member campaigns, and its random part
+STICKY_S = 0.35  # a witness that heard the primary so lately helps nobody else
+MEMBER_SILENT_S = 0.4  # after which the primary leaves a member out
+LEASE_S = 0.3  # under STICKY_S: a primary confirmed so lately is the only one
 PREPARE_GRACE_S, PREPARE_LIMIT_S = 0.08, 0.6
 SYNC_GRACE_S, SYNC_LIMIT_S, ACCEPT_LIMIT_S = 0.6, 3.0, 0.8
 RECONFIGURE_PAUSE_S = 0.3
--- a/crowwing/tier/state/views.py
+++ b/crowwing/tier/state/views.py
@@ -1,6 +1,5 @@
 """The views that are folded from the events."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -77,13 +76,6 @@
         """The addresses of the machines that are to be emptied."""
         return frozenset(self.stores[node] for node in self.retired if node in self.stores)
 
-    def waiting(self) -> Iterator[tuple[Lot, e.Item]]:
-        """All items that have no result yet, oldest lot first."""
-        for lot in self.lots.values():
-            if not lot.ended:
-                for item in lot.open_items.values():
-                    yield lot, item
-
     def dump(self) -> bytes:
         """The whole state."""
         lots = [
--- a/crowwing/tier/storage/record_file.py
+++ b/crowwing/tier/storage/record_file.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import BinaryIO
 
-HEADER = struct.Struct("<II")  # length and CRC-32 of the payload
+HEADER = struct.Struct("<II")  # the payload's length, and the CRC-32 of that length and the payload
+LENGTH = struct.Struct("<I")
 MAX_RECORD_BYTES = 64 * 1024 * 1024
 TEMPORARY_SUFFIX = ".new"
 
@@ -21,9 +22,14 @@
     reason: str
 
 
+def checksum_of(payload: bytes) -> int:
+    """The checksum of a record. Zeros, as a lost write leaves them, are no record of length 0."""
+    return zlib.crc32(payload, zlib.crc32(LENGTH.pack(len(payload))))
+
+
 def encode_record(payload: bytes) -> bytes:
     """One record as it stands in the file."""
-    return HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+    return HEADER.pack(len(payload), checksum_of(payload)) + payload
 
 
 def decode_records(data: bytes) -> tuple[list[bytes], int]:
@@ -36,7 +42,7 @@
         if length > MAX_RECORD_BYTES or end > len(data):
             break
         payload = data[position + HEADER.size : end]
-        if zlib.crc32(payload) != checksum:
+        if checksum_of(payload) != checksum:
             break
         records.append(payload)
         position = end
--- a/crowwing/tier/store/leases.py
+++ b/crowwing/tier/store/leases.py
@@ -2,13 +2,13 @@
 repeated.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from crowwing.tier.state.events import Item
 from crowwing.tier.state.views import Lot, TierState
 
-LEASE_S = 3.0
-GRACE_S = 1.2  # after a change of primary, in which fronts tell what they run
+LEASE_S = 1.8
+GRACE_S = 0.8  # after a change of primary, in which fronts tell what they run
 
 ItemKey = tuple[str, str]
 
@@ -35,13 +35,16 @@
                 self._grant(key, front, now)
         return tuple(stop)
 
-    def lease(self, state: TierState, front: str, most: int, now: float) -> list[tuple[Lot, Item]]:
-        """Leases waiting items, oldest lot first."""
+    def lease(
+        self, state: TierState, front: str, most: int, now: float, hopeless: Callable[[Lot], bool]
+    ) -> list[tuple[Lot, Item]]:
+        """Leases waiting items, oldest lot first, but lots that can't be in time any more last."""
         if now < self._not_before:
             return []
         self._forget_ended(state)
         leased: list[tuple[Lot, Item]] = []
-        for lot, item in state.waiting():
+        lots = [lot for lot in state.lots.values() if lot.open_items]
+        for lot, item in items_of(sorted(lots, key=hopeless)):
             if len(leased) >= most:
                 break
             key = (lot.id, item.id)
@@ -68,3 +71,10 @@
             lot = state.lots.get(key[0])
             if lot is None or key[1] not in lot.open_items:
                 self.release(key)
+
+
+def items_of(lots: Iterable[Lot]) -> Iterator[tuple[Lot, Item]]:
+    """All items without a result, lot after lot."""
+    for lot in lots:
+        for item in lot.open_items.values():
+            yield lot, item
--- a/crowwing/tier/store/service.py
+++ b/crowwing/tier/store/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from typing import Any
 
@@ -25,6 +26,7 @@
 HOUSEKEEPING_S = 0.5
 GIVE_UP_MARGIN_S = 5.0  # beyond maxWaitS, for clocks that differ
 MEGABYTE = 1024 * 1024
+RUN_MARGIN_MS = 1500.0  # what an item takes, once it is leased
 
 
 def now_ms() -> int:
@@ -169,7 +171,7 @@
                 return c.NotPrimary(self._node.leader)
             now, state, changed = time.monotonic(), self._node.state, self._node.changed
             stop = self._leases.renew(state, command.front, command.running, now)
-            found = self._leases.lease(state, command.front, command.most, now) if command.most else []
+            found = self._find_items(state, command, now)
             left = deadline - now
             if found or stop or left <= 0:
                 return c.ItemsLeased(tuple(self._leased(lot, item) for lot, item in found), stop)
@@ -179,6 +181,23 @@
             except TimeoutError:
                 pass
 
+    def _find_items(self, state: TierState, command: c.LeaseItems, now: float) -> list[tuple[Lot, e.Item]]:
+        if not command.most:
+            return []
+        due_ms = self._due_ms()
+        clock = now_ms()
+
+        def hopeless(lot: Lot) -> bool:
+            return clock - lot.at_ms > due_ms.get(lot.host, math.inf) - RUN_MARGIN_MS
+
+        return self._leases.lease(state, command.front, command.most, now, hopeless)
+
+    def _due_ms(self) -> dict[str, float]:
+        """By host, the time after which the results of its lots earn less."""
+        configuration = self.configuration
+        routes = configuration.routes if configuration is not None else []
+        return {x.host: x.completion_slo_ms for x in routes if x.completion_slo_ms is not None}
+
     @staticmethod
     def _leased(lot: Lot, item: e.Item) -> c.LeasedItem:
         return c.LeasedItem(lot.id, lot.host, item, max(0, now_ms() - lot.at_ms))
--- a/tests/tier/simulated_stores.py
+++ b/tests/tier/simulated_stores.py
@@ -99,7 +99,7 @@
         self.env.process(self._first_tick(machine, machine.life))
 
     def stop(self, host: str, power: bool = False, wipe: bool = False) -> None:
-        """Ends a machine's life; a loss of power may keep any part of what was not synced, and a wipe nothing."""
+        """Ends a life; a loss of power may keep any part of what was not synced, a wipe nothing."""
         machine = self.machines[host]
         machine.life += 1
         machine.replica = None
--- /dev/null
+++ b/tests/tier/test_admission.py
@@ -0,0 +1,98 @@
+"""Admission before one service: the cut, the order of starts, timeouts, the limit."""
+
+import pytest
+
+from crowwing.tier.front.admission import Admission, Load, Places, Ticket, rank_of
+
+AIM_S = 0.2
+FULL, IDLE = Load(240, 30, 240), Load(20, 0, 240)
+MANY = Places(1000, 1000)
+
+
+def ticket(rank: float, arrived: float = 0.0, patient: bool = False, name: str = "review") -> Ticket:
+    return Ticket(name, rank, arrived, arrived + 5, patient)
+
+
+def test_tiers_map_onto_six_equal_bands() -> None:
+    assert rank_of(0, 0.0) == pytest.approx(5 / 6)
+    assert rank_of(5, 0.0) == 0
+    assert rank_of(9, 0.5) == pytest.approx(0.5 / 6)
+    assert rank_of(2, 0.999) < rank_of(1, 0.0)
+
+
+def test_held_tickets_start_highest_rank_first_within_the_limit() -> None:
+    admission = Admission(0.0, 4)
+    for rank in (0.2, 0.9, 0.5, 0.1, 0.8, 0.7):
+        assert admission.arrive(0.0, ticket(rank), AIM_S)
+    assert [started.rank for started in admission.start(0.0, MANY)] == [0.9, 0.8, 0.7, 0.5]
+    assert admission.inflight == 4 and admission.held == 2
+
+
+def test_a_held_ticket_is_refused_once_its_timeout_is_over() -> None:
+    admission = Admission(0.0, 4)
+    late = ticket(0.9)
+    admission.arrive(0.0, late, AIM_S)
+    assert admission.expire(0.049) == []
+    assert admission.expire(0.051) == [late], "a quarter of the aim while nothing is known"
+    assert admission.held == 0 and admission.refused == 1
+
+
+def test_the_timeout_follows_the_p90_and_what_it_leaves_of_the_aim() -> None:
+    queue = Admission(0.0, 4).class_queue("review", AIM_S)
+    for _ in range(8):
+        queue.learn(0.08)
+    assert queue.timeout_s == pytest.approx(0.08)
+    for _ in range(64):
+        queue.learn(0.15)
+    assert queue.timeout_s == pytest.approx(0.05)
+
+
+def test_the_cut_rises_while_waits_outlast_timeouts_and_slots_are_full() -> None:
+    admission = Admission(0.0, 4)
+    now = 0.0
+    for _ in range(60):
+        now += 0.05
+        admission.arrive(now, ticket(0.99, now - 0.1), AIM_S)
+        admission.steer(now, FULL, 4)
+        admission.expire(now)
+    assert admission.cut > 0.5
+    assert not admission.arrive(now, ticket(0.1, now), AIM_S), "refused at once under the cut"
+    for _ in range(200):
+        now += 0.05
+        admission.steer(now, IDLE, 240)
+    assert admission.cut == 0, "waits that clear lower it"
+
+
+def test_a_quarter_of_the_highest_band_is_never_cut() -> None:
+    admission = Admission(0.0, 4)
+    now = 0.0
+    for _ in range(1000):
+        now += 0.05
+        admission.arrive(now, ticket(0.999, now - 5), AIM_S)
+        admission.steer(now, FULL, 4)
+        admission.expire(now)
+    assert admission.arrive(now, ticket(rank_of(0, 0.76), now), AIM_S)
+
+
+def test_the_limit_climbs_while_slots_idle_and_work_waits_up_to_what_was_survived() -> None:
+    admission = Admission(0.0, 4)
+    for _ in range(30):
+        admission.arrive(0.0, ticket(0.9, patient=True), 5.0)
+    now = 0.0
+    for _ in range(10):
+        now += 0.05
+        admission.steer(now, IDLE, 60)
+    assert admission.limit == 60
+    for _ in range(100):
+        now += 0.05
+        admission.steer(now, Load(240, 60, 240), 60)
+    assert admission.limit < 20, "it falls while requests wait at sidecars"
+
+
+def test_items_wait_where_live_requests_still_start() -> None:
+    admission = Admission(0.0, 10)
+    admission.arrive(0.0, ticket(0.9), AIM_S)
+    admission.arrive(0.0, ticket(0.5, patient=True, name="items"), AIM_S)
+    started = admission.start(0.0, Places(live=10, patient=0))
+    assert [one.patient for one in started] == [False]
+    assert admission.expire(1.0) == [], "an item has no queue timeout"
--- /dev/null
+++ b/tests/tier/test_decisions.py
@@ -0,0 +1,173 @@
+"""What the primary answers to commands, and the events that it makes."""
+
+import json
+from typing import Any
+
+import pytest
+
+from crowwing.tier.configuration import InvalidConfiguration, RoutingTable, parse_configuration
+from crowwing.tier.state import events as e
+from crowwing.tier.state.views import TierState
+from crowwing.tier.store import commands as c
+from crowwing.tier.store import decisions as d
+from crowwing.tier.store.leases import GRACE_S, LEASE_S, Leases
+from crowwing.tier.wire.codec import encode
+
+
+def configuration(version: int, **changes: Any) -> bytes:  # noqa: ANN401
+    route = {
+        "name": "r", "host": "h.example", "pathPrefix": "/p/", "kind": "batch_queue", "timeoutMs": 1000,
+        "sloMs": 400, "service": "s", "maxAttempts": 3, "completionSloMs": 12000, **changes.pop("route", {}),
+    }  # fmt: skip
+    whole = {"version": version, "routes": [route], "services": [{"name": "s"}], "limits": {}, **changes}
+    return json.dumps(whole).encode()
+
+
+def played(state: TierState, decision: d.Decision) -> Any:  # noqa: ANN401
+    for event in decision.events:
+        state.apply(encode(event))
+    return decision.outcome
+
+
+def put(state: TierState, base: int, text: bytes) -> Any:  # noqa: ANN401
+    return played(state, d.put_configuration(state, c.PutConfiguration(base, text)))
+
+
+def test_of_two_changes_on_one_version_one_wins() -> None:
+    state = TierState()
+    assert put(state, 0, configuration(3)) == c.Done()
+    assert put(state, 3, configuration(5)) == c.Done()
+    assert put(state, 3, configuration(6)).status == 412
+    assert put(state, 3, configuration(5, limits={"maxBodyBytes": 9})).status == 412, (
+        "the same number, other content"
+    )
+
+
+def test_the_same_change_is_acknowledged_again_until_another_comes() -> None:
+    state = TierState()
+    put(state, 0, configuration(3))
+    assert put(state, 0, configuration(3)) == c.Done()
+    assert state.version == 3
+    put(state, 3, configuration(4))
+    assert put(state, 0, configuration(3)).status == 412
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        (configuration(4)[:-9], "body"),
+        (configuration(4, route={"service": "unknown"}), "body"),
+        (configuration(4, route={"timeoutMs": 0}), "routes.0.timeoutMs"),
+        (configuration(4, route={"trafficSplit": [{"service": "s", "weight": 0}]}), "routes.0"),
+        (configuration(4, services=[]), "body"),
+        (b"[]", "body"),
+    ],
+)
+def test_an_invalid_configuration_is_refused_with_the_place(text: bytes, place: str) -> None:
+    parsed = parse_configuration(text)
+    assert isinstance(parsed, InvalidConfiguration) and parsed.place == place
+    state = TierState()
+    assert put(state, 0, text).status == 400 and state.version == 0
+
+
+def test_two_routes_with_one_place_and_old_versions_are_refused() -> None:
+    text = json.loads(configuration(4))
+    text["routes"].append({**text["routes"][0], "name": "other"})
+    assert isinstance(parse_configuration(json.dumps(text).encode()), InvalidConfiguration)
+    state = TierState()
+    put(state, 0, configuration(4))
+    assert put(state, 4, configuration(4, limits={"maxBodyBytes": 9})).status == 400
+    assert put(state, 4, configuration(2)).status == 400
+
+
+def test_the_longest_prefix_of_the_host_wins() -> None:
+    text = json.loads(configuration(4))
+    text["routes"].append({**text["routes"][0], "name": "longer", "pathPrefix": "/p/q/"})
+    routes = RoutingTable(parse_configuration(json.dumps(text).encode()))
+    assert routes.find("H.example", "/p/q/1").name == "longer"
+    assert routes.find("h.example:80", "/p/1").name == "r"
+    assert routes.find("h.example", "/other/") is None
+
+
+def submitted(count: int = 3) -> TierState:
+    state = TierState()
+    put(state, 0, configuration(3))
+    items = tuple(e.Item(f"i{number}", "/p/x", (), b"body", 10) for number in range(count))
+    played(state, d.submit_lot(state, c.SubmitLot("lot", "h.example", "/p/x", items), 1000, True))
+    return state
+
+
+def report(state: TierState, item: str, result: e.Result | None) -> Any:  # noqa: ANN401
+    parsed = parse_configuration(state.configuration)
+    return played(state, d.report_item(state, c.ReportItem("lot", item, result), parsed))
+
+
+def test_a_lot_is_taken_once_and_keeps_its_positions() -> None:
+    state = submitted()
+    again = d.submit_lot(state, c.SubmitLot("lot", "h.example", "/p/x", ()), 2000, True)
+    assert again == d.Decision((), c.Done())
+    report(state, "i1", e.Result("i1", e.COMPLETED, "one"))
+    report(state, "i1", e.Result("i1", e.COMPLETED, "two"))
+    page = d.read_lot(state, c.ReadLot("lot", 0, 0)).outcome
+    assert page == c.LotPage(3, (e.Result("i1", e.COMPLETED, "one"),))
+    assert d.read_body(state, c.ReadBody("lot", "i1")).outcome == c.Missing()
+    assert d.read_body(state, c.ReadBody("lot", "i0")).outcome == c.ItemBody(b"body")
+
+
+def test_failed_attempts_end_an_item_at_the_routes_bound() -> None:
+    state = submitted()
+    for _ in range(2):
+        report(state, "i0", None)
+    assert not state.lots["lot"].results
+    report(state, "i0", None)
+    assert state.lots["lot"].results == [e.Result("i0", e.DEAD_LETTER, "")]
+
+
+def test_an_ended_lot_keeps_what_is_listed_and_takes_nothing_more() -> None:
+    state = submitted()
+    report(state, "i0", e.Result("i0", e.COMPLETED, "one"))
+    assert played(state, d.end_lot(state, c.EndLot("lot"))) == c.Done()
+    assert played(state, d.end_lot(state, c.EndLot("lot"))) == c.Done()
+    assert report(state, "i1", e.Result("i1", e.COMPLETED, "late")) == c.Done()
+    assert len(state.lots["lot"].results) == 1
+    assert d.end_lot(state, c.EndLot("unknown")).outcome == c.Missing()
+
+
+def test_a_dumped_state_loads_as_it_was() -> None:
+    state = submitted()
+    report(state, "i0", e.Result("i0", e.COMPLETED, "one"))
+    report(state, "i2", None)
+    played(state, d.Decision((e.StoreSeen("store-1", "10.0.0.1"), e.RetireAsked("store-1")), None))
+    other = TierState()
+    other.load(state.dump())
+    assert other.dump() == state.dump() and other.retired_hosts() == {"10.0.0.1"}
+    assert other.lots["lot"].failures == {"i2": 1}
+
+
+def test_a_machine_is_emptied_only_while_enough_others_stay() -> None:
+    state = TierState()
+    for number in range(4):
+        state.fold(e.StoreSeen(f"store-{number}", f"10.0.0.{number}"))
+    assert d.retire(state, c.Retire("unknown"), 4, 3).outcome == c.Missing()
+    assert played(state, d.retire(state, c.Retire("store-0"), 4, 3)) == c.Done()
+    assert played(state, d.retire(state, c.Retire("store-0"), 4, 3)) == c.Done()
+    assert d.retire(state, c.Retire("store-1"), 4, 3).outcome.status == 409
+
+
+def test_items_are_leased_once_until_the_lease_ends_and_hopeless_lots_last() -> None:
+    state = submitted(2)
+    items = (e.Item("j0", "/p/x", (), b"", 1),)
+    state.fold(e.LotTaken("later", "h.example", "/p/x", items, 2000))
+    leases = Leases(0.0)
+    hopeful = lambda lot: False  # noqa: E731
+    assert leases.lease(state, "f1", 5, GRACE_S / 2, hopeful) == [], "fronts tell first what they run"
+    late_first = leases.lease(state, "f1", 1, 1.0, lambda lot: lot.id == "lot")
+    assert [item.id for _, item in late_first] == ["j0"]
+    assert [item.id for _, item in leases.lease(state, "f1", 5, 1.0, hopeful)] == ["i0", "i1"]
+    assert leases.lease(state, "f2", 5, 1.0, hopeful) == []
+    assert leases.renew(state, "f1", [("lot", "i0")], 1.0 + LEASE_S / 2) == ()
+    again = leases.lease(state, "f2", 5, 1.0 + LEASE_S, hopeful)
+    assert sorted(item.id for _, item in again) == ["i1", "j0"], "what was renewed stays"
+    assert leases.renew(state, "f1", [("lot", "i1")], 1.1 + LEASE_S) == (("lot", "i1"),)
+    state.fold(e.LotEnded("lot"))
+    assert leases.renew(state, "f1", [("lot", "i0")], 1.1 + LEASE_S) == (("lot", "i0"),)
--- /dev/null
+++ b/tests/tier/test_events.py
@@ -0,0 +1,28 @@
+"""Whole events out of the bytes of a stream."""
+
+from crowwing.tier.front.events import EventSplitter
+
+STREAM = (
+    b"id: 1\ndata: one\n\nversions: 2\nid: 2\ndata: two\ndata: more\n\n: note\n\nid: 3\r\ndata:three\r\n\r\n"
+)
+
+
+def test_any_cut_into_chunks_gives_the_same_events() -> None:
+    whole = EventSplitter().feed(STREAM)
+    assert [(event.id, event.data) for event in whole] == [
+        (1, "one"),
+        (2, "two\nmore"),
+        (None, ""),
+        (3, "three"),
+    ]
+    assert b"".join(event.raw for event in whole) == STREAM
+    for size in range(1, 12):
+        splitter = EventSplitter()
+        events = [e for at in range(0, len(STREAM), size) for e in splitter.feed(STREAM[at : at + size])]
+        assert events == whole and splitter.rest == b""
+
+
+def test_what_is_not_whole_is_kept_back() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: half") == []
+    assert splitter.rest == b"id: 1\ndata: half"
--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -135,7 +135,7 @@
 
 
 def random_troubles(seed: int, hosts: tuple[str, ...]) -> StoreWorld:
-    """Troubles at random moments, one counted loss at a time, and all machines killed at once now and then."""
+    """Troubles at random moments, one counted loss at a time, and at times all machines killed at once."""
     world = StoreWorld(seed, hosts, hosts[:3])
     random = world.random
     number = 0
--- /dev/null
+++ b/tests/tier/test_sidecars.py
@@ -0,0 +1,85 @@
+"""What a front believes of sidecars, and which one it chooses."""
+
+import pytest
+
+from crowwing.tier.front.sidecars import Part, SidecarTable, home_of, parse_prompt
+from crowwing.tier.platform_list import Sidecar
+
+
+def entry(name: str, ready: bool = True, zone: str = "z1") -> Sidecar:
+    return Sidecar(name, "advisor", f"10.0.0.{len(name)}:80", zone, 48, ready)
+
+
+def table(*names: str) -> SidecarTable:
+    made = SidecarTable()
+    made.zone = "z1"
+    made.update([entry(name) for name in names])
+    return made
+
+
+def test_a_prompt_is_read_as_its_parts() -> None:
+    assert parse_prompt("5c1e:800,91bd:410, junk,x:y") == (Part("5c1e", 800), Part("91bd", 410))
+
+
+def test_draining_and_unlisted_sidecars_get_nothing() -> None:
+    sidecars = table("a", "b")
+    sidecars.update([entry("a", ready=False), entry("b")])
+    assert sidecars.choose("advisor", (), 0.0).entry.id == "b"
+    assert sidecars.update([entry("a", ready=False)]) == ["b"]
+    assert sidecars.choose("advisor", (), 0.0) is None
+
+
+def test_the_less_loaded_sidecar_is_chosen() -> None:
+    sidecars = table("a", "b")
+    sidecars.of_service("advisor")[0].tell_load(0.0, 40, 0, 48)
+    assert sidecars.choose("advisor", (), 0.1).entry.id == "b"
+
+
+def test_a_told_load_fades_so_that_nobody_is_starved_by_old_news() -> None:
+    sidecars = table("a")
+    state = sidecars.of_service("advisor")[0]
+    state.tell_load(0.0, 48, 12, 48)
+    assert sidecars.places("advisor", 0.1).live == 0
+    assert sidecars.places("advisor", 2.0).live > 40
+    state.inflight, sidecars.fronts = 3, 9
+    assert state.estimate(2.0, 9) == pytest.approx(27), "as if all fronts sent alike"
+
+
+def test_items_leave_a_third_of_the_slots_to_live_requests() -> None:
+    sidecars = table("a")
+    sidecars.of_service("advisor")[0].tell_load(0.0, 35, 0, 48)
+    places = sidecars.places("advisor", 0.0)
+    assert places.patient == 0 and places.live > 8
+
+
+def test_a_large_shared_part_goes_where_it_is_kept_unless_that_is_crowded() -> None:
+    sidecars = table("a", "b", "c")
+    prompt = (Part("shared", 13_300), Part("own", 3_000))
+    home = home_of("shared", sidecars.of_service("advisor"))
+    chosen = sidecars.choose("advisor", prompt, 0.0)
+    assert chosen.entry.id == home
+    chosen.remember(prompt)
+    assert chosen.unread_tokens((Part("shared", 13_300), Part("other", 100))) == 100
+    chosen.tell_load(0.0, 48, 40, 48)
+    assert sidecars.choose("advisor", prompt, 0.0).entry.id != home
+
+
+def test_a_home_stays_where_it_is_when_another_sidecar_goes() -> None:
+    sidecars = table("a", "b", "c", "d")
+    states = sidecars.of_service("advisor")
+    home = home_of("part", states)
+    rest = [state for state in states if state.entry.id == home or state.entry.id == "a"]
+    assert home_of("part", rest) == home
+
+
+def test_a_sidecar_that_fails_is_avoided_for_longer_each_time_and_never_leaves_nobody() -> None:
+    sidecars = table("a", "b")
+    first = sidecars.of_service("advisor")[0]
+    first.failed(0.0)
+    assert not first.usable(0.4) and first.usable(0.6)
+    first.failed(0.6)
+    assert not first.usable(1.5) and first.usable(1.7)
+    first.succeeded()
+    for state in sidecars.of_service("advisor"):
+        state.failed(2.0)
+    assert sidecars.choose("advisor", (), 2.1) is not None, "one in doubt is better than none"
--- /dev/null
+++ b/tests/tier/test_storage.py
@@ -0,0 +1,82 @@
+"""The record file: every crash point between and inside its operations."""
+
+import os
+from pathlib import Path
+
+import pytest
+
+from crowwing.tier.storage.record_file import RecordFile, StorageError, decode_records, encode_record
+
+RECORDS = [b"first", b"", b"third" * 50]
+
+
+def test_records_come_back_in_order(tmp_path: Path) -> None:
+    file = RecordFile(tmp_path / "state.log")
+    assert file.open() == []
+    file.append(RECORDS[:1])
+    file.append(RECORDS[1:])
+    file.close()
+    assert RecordFile(tmp_path / "state.log").open() == RECORDS
+
+
+def test_each_torn_end_keeps_all_whole_records_before_it(tmp_path: Path) -> None:
+    data = b"".join(encode_record(record) for record in RECORDS)
+    ends = [len(b"".join(encode_record(record) for record in RECORDS[:count])) for count in range(4)]
+    for length in range(len(data) + 1):
+        path = tmp_path / "state.log"
+        path.write_bytes(data[:length])
+        whole = sum(1 for end in ends if end <= length) - 1
+        file = RecordFile(path)
+        assert file.open() == RECORDS[:whole], f"cut at {length}"
+        file.append([b"next"])
+        file.close()
+        assert RecordFile(path).open() == [*RECORDS[:whole], b"next"]
+
+
+def test_a_spoiled_byte_ends_what_is_read() -> None:
+    data = bytearray(b"".join(encode_record(record) for record in RECORDS))
+    data[10] ^= 1
+    assert decode_records(bytes(data)) == ([], 0)
+
+
+def test_zeros_where_a_write_was_lost_are_no_records(tmp_path: Path) -> None:
+    path = tmp_path / "state.log"
+    path.write_bytes(encode_record(b"kept") + bytes(4096))
+    assert RecordFile(path).open() == [b"kept"]
+
+
+@pytest.mark.parametrize("kept", [0, 3, 9])
+def test_a_rewrite_that_was_cut_short_leaves_the_old_content(tmp_path: Path, kept: int) -> None:
+    path = tmp_path / "state.log"
+    file = RecordFile(path)
+    file.open()
+    file.append(RECORDS)
+    file.close()
+    (tmp_path / "state.log.new").write_bytes(encode_record(b"replacement")[:kept])
+    assert RecordFile(path).open() == RECORDS
+    assert not (tmp_path / "state.log.new").exists()
+
+
+def test_a_rewrite_replaces_everything(tmp_path: Path) -> None:
+    path = tmp_path / "state.log"
+    file = RecordFile(path)
+    file.open()
+    file.append(RECORDS)
+    file.rewrite([b"all"])
+    file.append([b"more"])
+    file.close()
+    assert RecordFile(path).open() == [b"all", b"more"]
+
+
+def test_a_disk_that_fails_is_told_as_a_storage_error(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = RecordFile(tmp_path / "state.log")
+    file.open()
+
+    def fails(_: int) -> None:
+        raise OSError(28, "no space left")
+
+    monkeypatch.setattr(os, "fsync", fails)
+    with pytest.raises(StorageError):
+        file.append([b"lost"])
