Tier: silent sidecars are left out, members campaign in turn, refusals in time for a retry

Change: a sidecar without a byte for 0.35 s while a request waits gets no more until it answers a report; members campaign one after another; a promise is no sign of a living primary; no rewriting in a start; holds end at 0.23 of the aim and Retry-After spreads returns; a new root beats at once.

--- a/crowwing/tier/distribution/relay.py
+++ b/crowwing/tier/distribution/relay.py
@@ -109,6 +109,7 @@
         self._beat: Order = (-1, 0)
         self._beat_at = time.monotonic()
         self.root: str | None = None
+        self._beat_soon = asyncio.Event()
         self.on_root: list[Callable[[str], None]] = []
         documents.listen(self._pass_on)
 
@@ -182,10 +183,19 @@
         for child in self._children.values():
             child.notify(Beat(self._beat, self.root, orders))
 
+    def became_root(self) -> None:
+        """This backend is the root from now on: its beat goes out at once."""
+        self._beat_soon.set()
+
     async def run_root(self) -> None:
         """Sends beats for as long as this backend is the root."""
         while True:
-            await asyncio.sleep(BEAT_S)
+            try:
+                async with asyncio.timeout(BEAT_S):
+                    await self._beat_soon.wait()
+            except TimeoutError:
+                pass
+            self._beat_soon.clear()
             order = self.root_order()
             if order is not None:
                 number = self._beat[1] + 1 if self._beat[0] == order else 1
--- a/crowwing/tier/front/admission.py
+++ b/crowwing/tier/front/admission.py
@@ -20,7 +20,7 @@
 SHRINK = 0.5  # part of the limit that it loses a second while sidecars are over full
 BUSY = 0.9  # part of the slots from which sidecars count as full
 SURVIVED_LEAST = 1.0  # part of its slots that a sidecar is trusted with before anything is known
-TIMEOUT_AIM = 0.25  # part of the aim, the longest hold of a live request
+TIMEOUT_AIM = 0.23  # part of the aim, the longest hold of a live request: a refusal in time for another try
 TIMEOUT_LEAST_S = 0.03
 
 
@@ -57,7 +57,7 @@
             ranked = sorted(self.latencies)
             p90 = ranked[len(ranked) * 9 // 10]
             spare = self.aim_s - p90
-            self.timeout_s = max(TIMEOUT_LEAST_S, min(p90, spare, 0.5 * self.aim_s))
+            self.timeout_s = max(TIMEOUT_LEAST_S, min(p90, spare, TIMEOUT_AIM * self.aim_s))
 
 
 @dataclass(frozen=True)
--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -24,8 +24,8 @@
 log = logging.getLogger("crowwing.dispatch")
 
 MOST_SENDS = 6  # of one try of a client, counting those that did not run
-SILENT_S = 1.0  # without a head, after which a repeatable request is tried elsewhere
-PAUSE_S = 0.02  # before a sidecar is asked that may be the same
+SILENT_S = 0.6  # without a byte, after which a repeatable request is tried elsewhere
+EVENT_SILENT_S = 1.0  # between the events of one that can go on elsewhere
 DROPPED = HOP_BY_HOP | {b"deadline-ms", b"target-instance", b"content-length", b"last-event-id"}
 
 
@@ -113,7 +113,7 @@
         left = job.deadline - time.monotonic()
         another = job.route.repeatable and job.runs_left > 1
         limit = min(left, SILENT_S) if another else left
-        self._pool.sent(state)
+        number = self._pool.sent(state)
         try:
             async with asyncio.timeout(limit):
                 headers = self._headers(job, state, left)
@@ -123,6 +123,8 @@
         except BaseException:
             self._pool.left(state)
             raise
+        finally:
+            self._pool.head_came(state, number)
         if isinstance(outcome, Opened):
             self._pool.answered(state, outcome)
             state.remember(job.parts)
@@ -190,7 +192,7 @@
 
 async def with_silence_limit(chunks: AsyncIterator[bytes], job: Job) -> AsyncIterator[bytes]:
     """The chunks; raises TimeoutError where none comes for long although another sidecar could go on."""
-    silence = 2 * SILENT_S
+    silence = EVENT_SILENT_S
     while True:
         left = job.deadline - time.monotonic()
         limit = min(left, silence) if job.runs_left > 1 else left
--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import logging
+import random
 import time
 
 from litestar.types import Receive, Scope, Send
@@ -29,6 +30,7 @@
 
 DEFAULT_DEADLINE_MS = 10_000.0
 RETRY_LEAST_S = 0.05
+RETRY_CUT, RETRY_SPREAD_S = 4.0, 0.3  # later with the cut, in aims, and not all at once
 EMPTY_MAX_BODY = 64 * 1024 * 1024
 
 
@@ -126,8 +128,8 @@
 
     def _come_back(self, service: str, aim_s: float) -> float:
         """When a refused request may try again, in seconds."""
-        admission = self._pool.admission(service)
-        return max(RETRY_LEAST_S, 0.25 * aim_s * (1 + 2 * admission.cut))
+        cut = self._pool.admission(service).cut
+        return max(RETRY_LEAST_S, aim_s) * (1 + RETRY_CUT * cut) + RETRY_SPREAD_S * random.random()
 
     async def _run_started(
         self, request: ClientRequest, route: Route, service: str, deadline: float, arrived: float,
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -41,6 +41,7 @@
         self._closing: set[asyncio.Task[None]] = set()
         self._asking: set[asyncio.Task[None]] = set()
         self.listed = False
+        self._tries = 0
         self._logged: dict[str, tuple[int, float]] = {}  # refused so far, and when that was said
 
     # What is known
@@ -124,6 +125,7 @@
         while True:
             await asyncio.sleep(STEER_S)
             now = time.monotonic()
+            self._ask_silent(now)
             for service, admission in self._admissions.items():
                 load = self.sidecars.load(service, now)
                 admission.steer(now, load, self.sidecars.survived(service, now))
@@ -133,18 +135,28 @@
                     self._ask_reports(service, now)
                 self._log_changes(service, admission, now)
 
+    def _ask_silent(self, now: float) -> None:
+        """Asks sidecars that have fallen silent, so that one that speaks again is used again."""
+        for state in self.sidecars.silent(now):
+            self._ask(state, now)
+
     def _ask_reports(self, service: str, now: float) -> None:
         """Asks sidecars that have told nothing lately, while work waits or was refused."""
         for state in self.sidecars.to_be_asked(service, now):
-            state.asked_at = now
-            task = asyncio.ensure_future(self._ask_report(state))
-            self._asking.add(task)
-            task.add_done_callback(self._asking.discard)
+            self._ask(state, now)
+
+    def _ask(self, state: SidecarState, now: float) -> None:
+        state.asked_at = now
+        task = asyncio.ensure_future(self._ask_report(state))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
 
     async def _ask_report(self, state: SidecarState) -> None:
         report = await self.client(state).report()
         if report is not None:
-            state.tell_load(time.monotonic(), report.running, report.waiting, state.entry.slots)
+            now = time.monotonic()
+            state.tell_load(now, report.running, report.waiting, state.entry.slots)
+            state.heard_at, state.silent = now, False
 
     def _log_changes(self, service: str, admission: Admission, now: float) -> None:
         """One line a second while anything is refused, cut or near its limit."""
@@ -161,10 +173,17 @@
 
     # Sidecars
 
-    def sent(self, state: SidecarState) -> None:
-        """A request goes to a sidecar."""
+    def sent(self, state: SidecarState) -> int:
+        """A request goes to a sidecar; gives the number of this try."""
         state.inflight += 1
         state.sent_since += 1
+        self._tries += 1
+        state.unanswered[self._tries] = time.monotonic()
+        return self._tries
+
+    def head_came(self, state: SidecarState, number: int) -> None:
+        """A try has its head, or has ended without one."""
+        state.unanswered.pop(number, None)
 
     def left(self, state: SidecarState) -> None:
         """A request has left a sidecar."""
@@ -172,6 +191,7 @@
 
     def answered(self, state: SidecarState, opened: Opened) -> None:
         """A sidecar has begun to answer: it lives, and may tell its load."""
+        state.heard_at = time.monotonic()
         state.succeeded()
         told = opened.header(b"server-load")
         if told is not None:
--- a/crowwing/tier/front/sidecars.py
+++ b/crowwing/tier/front/sidecars.py
@@ -12,6 +12,7 @@
 CACHED_PARTS = 4000  # remembered prompt parts a sidecar
 LOAD_FRESH_S, LOAD_FADES_S = 0.3, 1.0  # how long a report of load counts in full, and then fades
 LIVE_FILL, PATIENT_FILL = 0.95, 0.65  # of a sidecar's slots, up to which requests and items of lots go there
+SILENT_S = 0.35  # without a byte while a request waits, after which a sidecar gets no more
 ASK_AFTER_S = 0.4  # without news of its load, after which a sidecar is asked for its report
 BACKOFF_LEAST_S, BACKOFF_MOST_S = 0.5, 4.0
 LOAD_COST_MS = 120.0  # of a sidecar whose slots are all taken
@@ -50,10 +51,15 @@
     running: float = 0.0  # as last told by it
     waiting: float = 0.0
     told_at: float = -1e9
+    heard_at: float = -1e9  # when anything came from it
     asked_at: float = -1e9
     sent_since: int = 0  # by this front since then
     failures: int = 0
     avoid_until: float = 0.0
+    unanswered: dict[int, float] = field(
+        default_factory=dict
+    )  # tries without a head, and when they were sent
+    silent: bool = False  # nothing comes from it although something should
     leaving: bool = False  # its answers say so, before the list does
     cached: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
@@ -71,7 +77,14 @@
 
     def usable(self, now: float) -> bool:
         """Whether new requests may go there."""
-        return self.entry.ready and not self.leaving and now >= self.avoid_until
+        return self.entry.ready and not self.leaving and not self.silent and now >= self.avoid_until
+
+    def notice_silence(self, now: float) -> bool:
+        """Whether it has been silent for long while a request waits there; noted until it speaks again."""
+        if not self.silent and self.unanswered:
+            quiet_since = max(min(self.unanswered.values()), self.heard_at)
+            self.silent = now - quiet_since >= SILENT_S
+        return self.silent
 
     def failed(self, now: float) -> None:
         """It could not be reached, or fell silent: stay away for a while that grows."""
@@ -81,6 +94,7 @@
 
     def succeeded(self) -> None:
         """It has answered."""
+        self.silent = False
         self.failures, self.avoid_until = 0, 0.0
         self.most_survived = max(self.most_survived, self.inflight)
 
@@ -159,6 +173,14 @@
                 patient += max(0, math.ceil(PATIENT_FILL * state.entry.slots - estimate))
         return Places(live, patient)
 
+    def silent(self, now: float) -> list[SidecarState]:
+        """The sidecars that are silent, as far as they have not been asked just now."""
+        return [
+            state
+            for state in self._states.values()
+            if state.notice_silence(now) and now - state.asked_at >= ASK_AFTER_S
+        ]
+
     def to_be_asked(self, service: str, now: float) -> list[SidecarState]:
         """The sidecars whose load has not been told lately."""
         return [
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -20,7 +20,8 @@
 log = logging.getLogger("crowwing.replication")
 
 HEARTBEAT_S = 0.07
-SUSPECT_S, SUSPECT_SPREAD_S = 0.4, 0.25  # silence after which a member campaigns, and its random part
+SUSPECT_S, SUSPECT_TURN_S, SUSPECT_SPREAD_S = 0.4, 0.12, 0.05  # silence after which the first member
+# campaigns, the time that each next one waits longer, and a random part
 STICKY_S = 0.35  # a witness that heard the primary so lately helps nobody else
 MEMBER_SILENT_S = 0.4  # after which the primary leaves a member out
 LEASE_S = 0.3  # under STICKY_S: a primary confirmed so lately is the only one
@@ -32,7 +33,6 @@
 JOIN_FRESH_S = 1.0  # how long one request to join counts
 GONE_S, REPLACED_S = 8.0, 1.0  # silence after which a witness is dropped; where another takes its place
 NEAR_ENTRIES = 200  # a learner so close behind is taken in
-BACKOFF_S = 0.4
 
 
 class Machine(Protocol):
@@ -122,7 +122,9 @@
         self.leader_heard = now
         self._output = Output()
         self._campaign: Campaign | None = None
-        self._campaign_at = now + SUSPECT_S + SUSPECT_SPREAD_S * random()
+        self._started = now
+        self._remembers = False  # whether this is a later life
+        self._campaign_at = now + SUSPECT_S
         self._asked_at = -1e9
         self._seen_round = 0
         self._learned: dict[str, m.Learned] = {}
@@ -162,6 +164,7 @@
 
     def recover(self, records: Iterable[Any]) -> None:
         """Takes in what the disk holds."""
+        self._remembers = True
         for record in records:
             match record:
                 case m.PromiseRecord(ballot):
@@ -179,6 +182,15 @@
                         self._machine.apply(record.payload)
                         self.log.append(record)
 
+        self._campaign_at = self._turn(self._started)
+
+    def _turn(self, heard: float) -> float:
+        """When this member campaigns if it hears nothing more: one member after another."""
+        members = self.view.members if self.view is not None else ()
+        others = [member for member in members if member != self.leader]
+        place = others.index(self.me) if self.me in others else len(others)
+        return heard + SUSPECT_S + SUSPECT_TURN_S * place + SUSPECT_SPREAD_S * self._random()
+
     def compacted(self) -> list[Any]:
         """Records that stand for everything so far."""
         records: list[Any] = [m.SnapshotRecord(self.log.last, self._machine.dump())]
@@ -279,13 +291,13 @@
 
     def _heard_leader(self, now: float, leader: str) -> None:
         self.leader, self.leader_heard = leader, now
-        self._campaign_at = now + SUSPECT_S + SUSPECT_SPREAD_S * self._random()
+        self._campaign_at = self._turn(now)
 
     def _step_down(self, now: float, why: str) -> None:
         if self.role is not Role.FOLLOWER:
             log.info("steps down from %s at ballot %s: %s", self.role.value, self.promised, why)
         self.role, self._campaign = Role.FOLLOWER, None
-        self._campaign_at = max(self._campaign_at, now + BACKOFF_S + SUSPECT_SPREAD_S * self._random())
+        self._campaign_at = max(self._campaign_at, self._turn(now))
 
     # Messages
 
@@ -327,6 +339,8 @@
     def _on_prepare(self, now: float, x: m.Prepare) -> None:
         if not self.whole:
             return
+        if now - self._started < STICKY_S and self._remembers and x.sender != self.me and not x.handover:
+            return  # it may have vouched for a primary just before it ended
         leader_lives = self.leader not in (None, x.sender) and now - self.leader_heard < STICKY_S
         if self.role is Role.PRIMARY and x.sender != self.me:
             leader_lives = self.holds_lease(now)
@@ -337,7 +351,7 @@
             if self.role is not Role.FOLLOWER:
                 self._step_down(now, f"{x.sender} prepares ballot {x.ballot}")
             self._promise(x.ballot)
-            self._heard_leader(now, x.sender)
+            self._campaign_at = self._turn(now)
         promise = m.Promise(x.ballot, self.me, self.view, self.synced, self.log.last)
         self._send(x.sender, promise, durable=True)
 
--- a/crowwing/tier/store/disk.py
+++ b/crowwing/tier/store/disk.py
@@ -25,7 +25,9 @@
 
     def open(self) -> list[Any]:
         """All records that the disk holds."""
-        return [decode(record) for record in self._file.open()]
+        records = [decode(record) for record in self._file.open()]
+        self._compacted_bytes = self._file.size  # no rewriting in the midst of a start
+        return records
 
     @property
     def size(self) -> int:
--- a/tests/tier/test_sidecars.py
+++ b/tests/tier/test_sidecars.py
@@ -83,3 +83,15 @@
     for state in sidecars.of_service("advisor"):
         state.failed(2.0)
     assert sidecars.choose("advisor", (), 2.1) is not None, "one in doubt is better than none"
+
+
+def test_a_sidecar_that_says_nothing_while_a_request_waits_gets_no_more_until_it_speaks() -> None:
+    sidecars = table("a", "b")
+    first = sidecars.of_service("advisor")[0]
+    first.unanswered[1] = 1.0
+    assert sidecars.silent(1.3) == []
+    assert sidecars.silent(1.4) == [first] and not first.usable(1.4)
+    assert sidecars.choose("advisor", (), 1.4).entry.id == "b"
+    first.succeeded()
+    first.heard_at = 1.5
+    assert first.usable(1.5) and sidecars.silent(1.6) == [], "it has spoken since"
