--- a/crowwing/tier/wire/connection.py
+++ b/crowwing/tier/wire/connection.py
@@ -1,6 +1,7 @@
 """Framed messages over TCP: calls with an answer, and messages without one, in both directions."""
 
 import asyncio
+import contextlib
 import itertools
 import logging
 import socket
@@ -106,7 +107,11 @@
         if self.closed:
             return
         data = encode((kind, number, body))
-        self._writer.write(LENGTH.pack(len(data)) + data)
+        try:
+            self._writer.write(LENGTH.pack(len(data)) + data)
+        except (RuntimeError, OSError) as error:  # the loop has closed it, and the reader is told later
+            log.debug("connection with %s has gone: %s", self.remote, error)
+            self.close()
 
     def notify(self, body: object) -> None:
         """Sends a message that has no answer; it is dropped where the far side reads far too slowly."""
@@ -219,6 +224,7 @@
     """Listens for other backends."""
 
     async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await Connection(reader, writer, handler).run()
+        with contextlib.suppress(asyncio.CancelledError):  # the process ends
+            await Connection(reader, writer, handler).run()
 
     return await asyncio.start_server(accept, host, port, reuse_address=True)
--- /dev/null
+++ b/tests/tier/test_connection.py
@@ -0,0 +1,88 @@
+"""Connections between backends, on loopback sockets."""
+
+import asyncio
+from typing import Any
+
+import pytest
+import uvloop
+
+from crowwing.tier.distribution.sampling import Peer
+from crowwing.tier.wire.codec import MessageError, decode, encode
+from crowwing.tier.wire.connection import CallError, Connection, Links, serve
+
+HOST = "127.0.0.1"
+PEER = Peer("10.0.0.1", "front", "z1", 3)
+
+
+async def echo(connection: Connection, body: Any) -> Any:  # noqa: ANN401
+    if body == "fails":
+        raise ValueError("a defect")
+    if body == "ends":
+        connection.close()
+    return body
+
+
+async def listening() -> tuple[asyncio.Server, int]:
+    server = await serve(HOST, 0, echo)
+    return server, server.sockets[0].getsockname()[1]
+
+
+def test_messages_come_back_as_they_were() -> None:
+    value = ("a", 1, None, {"k": (PEER, b"bytes")}, (PEER,))
+    assert decode(encode(value)) == value
+    for spoiled in (b"", b"\xff", encode(PEER)[:-3], encode(PEER).replace(b"Peer", b"Pear")):
+        with pytest.raises(MessageError):
+            decode(spoiled)
+
+
+def test_calls_are_answered_and_a_defect_ends_neither_side() -> None:
+    async def play() -> None:
+        server, port = await listening()
+        links = Links(port)
+        answers = await asyncio.gather(*(links.call(HOST, number, 5.0) for number in range(50)))
+        assert answers == list(range(50))
+        with pytest.raises(CallError) as told:
+            await links.call(HOST, "fails", 5.0)
+        assert told.value.sent
+        assert await links.call(HOST, PEER, 5.0) == PEER
+        links.close()
+        server.close()
+
+    uvloop.run(play())
+
+
+def test_a_call_says_whether_it_can_have_been_seen() -> None:
+    async def play() -> None:
+        server, port = await listening()
+        links = Links(port)
+        with pytest.raises(CallError) as ended:
+            await links.call(HOST, "ends", 5.0)
+        assert ended.value.sent
+        server.close()
+        await server.wait_closed()
+        links = Links(port)
+        with pytest.raises(CallError) as refused:
+            await links.call(HOST, "never", 5.0)
+        assert not refused.value.sent
+
+    uvloop.run(play())
+
+
+def test_a_connection_that_the_loop_has_closed_takes_messages_without_a_defect() -> None:
+    async def play() -> None:
+        server, port = await listening()
+        links = Links(port)
+        connection = await links.get(HOST)
+        connection._writer.transport.abort()
+        while not connection._writer.transport.is_closing():
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        connection.closed = False  # as it is until the reader has been told
+        connection.notify(PEER)
+        connection.notify(PEER)
+        assert connection.closed
+        with pytest.raises(CallError):
+            await connection.call(PEER, 1.0)
+        server.close()
+
+    uvloop.run(play())
