Tier: sockets bound before libraries load, operator's commands, tests with real processes

Change: listeners are bound first; a life counts from the first line of the program; a front holds requests for its first configuration; crowwing tier check, get, put, retire, show; a tier of real processes on loopback, killed and left.

--- a/crowwing/__main__.py
+++ b/crowwing/__main__.py
@@ -4,6 +4,10 @@
 import sys
 
 if sys.argv[1:2] == ["tier"]:
+    if sys.argv[2:3] in (["front"], ["store"]):
+        from crowwing.tier.early import bind_listeners
+
+        bind_listeners()
     from crowwing.tier.cli import main as tier_main
 
     sys.exit(tier_main(sys.argv[2:]))
--- a/crowwing/tier/cli.py
+++ b/crowwing/tier/cli.py
@@ -7,6 +7,7 @@
 import cappa
 import uvloop
 
+from crowwing.tier.operator_commands import Check, Get, Put, Retire, Show
 from crowwing.tier.process import set_up_logging
 from crowwing.tier.settings import Settings, SettingsError, read_settings
 
@@ -49,9 +50,9 @@
 @cappa.command(name="crowwing tier", help="the serving tier")
 @dataclass
 class Tier:
-    """All roles."""
+    """All roles, and what an operator asks."""
 
-    role: cappa.Subcommands[Front | Store]
+    role: cappa.Subcommands[Front | Store | Check | Get | Put | Retire | Show]
 
 
 def main(arguments: list[str]) -> int:
--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -29,6 +29,7 @@
 log = logging.getLogger("crowwing.proxy")
 
 DEFAULT_DEADLINE_MS = 10_000.0
+START_WAIT_S = 0.9  # for the first configuration, while this backend starts
 RETRY_LEAST_S = 0.05
 RETRY_CUT, RETRY_SPREAD_S = 4.0, 0.3  # later with the cut, in aims, and not all at once
 EMPTY_MAX_BODY = 64 * 1024 * 1024
@@ -61,7 +62,7 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         arrived = time.monotonic()
-        table = self._pool.table
+        table = await self._pool.wait_until_known(START_WAIT_S)
         most = table.configuration.limits.max_body_bytes if table is not None else EMPTY_MAX_BODY
         try:
             body = await read_body(receive, most)
@@ -77,7 +78,7 @@
             scope["headers"],
             body,
         )
-        if table is None or not self._pool.listed:
+        if table is None:
             await refuse(send, "this backend has no configuration yet", 0.3)
             return
         route = table.find(request.host, request.path)
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -16,6 +16,7 @@
 
 STEER_S = 0.05
 LOG_S = 1.0
+WAIT_STEP_S = 0.02
 PRESSED_S = 1.0  # after a refusal, in which reports are read
 CONNECTIONS_LEAST = 8
 START_SHARE = 1.0  # of the even part of all slots, which the limit starts at
@@ -55,6 +56,13 @@
                 self._close_later(client)
         self._start_all()
 
+    async def wait_until_known(self, limit_s: float) -> RoutingTable | None:
+        """The routes, once these and the sidecars are known; None where that takes too long."""
+        deadline = time.monotonic() + limit_s
+        while (self.table is None or not self.listed) and time.monotonic() < deadline:
+            await asyncio.sleep(WAIT_STEP_S)
+        return self.table if self.listed else None
+
     def _close_later(self, client: SidecarClient) -> None:
         async def close() -> None:
             await asyncio.sleep(30)  # answers that are still coming may end
--- a/crowwing/tier/http_server.py
+++ b/crowwing/tier/http_server.py
@@ -7,7 +7,7 @@
 
 import uvicorn
 
-BACKLOG = 512
+from crowwing.tier.early import BACKLOG, take_socket
 
 
 class Server(uvicorn.Server):
@@ -43,8 +43,9 @@
 
 
 async def serve_until(server: Server, stop: asyncio.Event) -> None:
-    """Serves until `stop` is set, then until open requests have ended."""
-    serving = asyncio.ensure_future(server.serve())
+    """Serves until `stop` is set, then until open requests have ended; raises OSError without the address."""
+    listener = take_socket(f"{server.config.host}:{server.config.port}")
+    serving = asyncio.ensure_future(server.serve(sockets=[listener]))
     stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait({serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
     server.should_exit = True
--- /dev/null
+++ b/crowwing/tier/operator_commands.py
@@ -0,0 +1,174 @@
+"""The operator's commands: check, read and put configurations, empty and show store machines."""
+
+import asyncio
+import json
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import httpx
+
+from crowwing.tier.configuration import InvalidConfiguration, parse_configuration
+from crowwing.tier.settings import SettingsError, read_settings
+from crowwing.tier.store.commands import ShowStatus, Status
+from crowwing.tier.wire.connection import CallError, Links
+
+DONE, FAILED, WRONG_USE = 0, 1, 2
+TRY_S = 1.5
+GIVE_UP_S = 20.0
+RETIRE_LIMIT_S = 120.0
+PAUSE_S = 0.3
+FINAL = frozenset((200, 400, 404, 409, 412, 413, 422))
+
+Control = Annotated[
+    list[str],
+    cappa.Arg(long="control", help="HOST:PORT of a store machine's control address; may be repeated"),
+]
+
+
+def _fail(text: str, status: int = FAILED) -> int:
+    print(f"crowwing: {text}", file=sys.stderr)
+    return status
+
+
+def ask(
+    control: list[str], method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+) -> httpx.Response | None:
+    """Asks one control address after another until one gives a clear answer; None where none does."""
+    deadline = time.monotonic() + GIVE_UP_S
+    with httpx.Client(trust_env=False, follow_redirects=True, timeout=TRY_S) as client:
+        while time.monotonic() < deadline:
+            for address in control:
+                try:
+                    answer = client.request(method, f"http://{address}{path}", content=body, headers=headers)
+                except httpx.HTTPError:
+                    continue
+                if answer.status_code in FINAL:
+                    return answer
+            time.sleep(PAUSE_S)
+    return None
+
+
+@cappa.command(name="check", help="check a settings or configuration file without using it")
+@dataclass
+class Check:
+    """Checks a file: `.toml` is read as settings, anything else as a configuration."""
+
+    file: Path
+
+    def __call__(self) -> int:
+        """0 where the file is valid, 2 with the place of the mistake where not."""
+        if self.file.suffix == ".toml":
+            settings = read_settings(str(self.file))
+            return _fail(str(settings), WRONG_USE) if isinstance(settings, SettingsError) else DONE
+        try:
+            text = self.file.read_bytes()
+        except OSError as error:
+            return _fail(str(error), WRONG_USE)
+        parsed = parse_configuration(text)
+        if isinstance(parsed, InvalidConfiguration):
+            return _fail(f"{self.file}: {parsed.place}: {parsed.reason}", WRONG_USE)
+        print(f"version {parsed.version}, {len(parsed.routes)} routes, {len(parsed.services)} services")
+        return DONE
+
+
+@cappa.command(name="get", help="print the newest configuration")
+@dataclass
+class Get:
+    """Prints the newest configuration."""
+
+    control: Control
+
+    def __call__(self) -> int:
+        """0 with the configuration on standard output."""
+        answer = ask(self.control, "GET", "/config")
+        if answer is None or answer.status_code != 200:
+            return _fail("no configuration" if answer is not None else "no store machine answers for certain")
+        print(answer.text)
+        return DONE
+
+
+@cappa.command(name="put", help="put a configuration that builds on a version")
+@dataclass
+class Put:
+    """Puts a configuration; the same call may be made again until it is acknowledged."""
+
+    file: Path
+    base: Annotated[int, cappa.Arg(long=True, help="the version that this one builds on, 0 for the first")]
+    control: Control
+
+    def __call__(self) -> int:
+        """0 once it is kept and will be in force everywhere."""
+        checked = Check(self.file)()
+        if checked != DONE:
+            return checked
+        answer = ask(self.control, "PUT", "/config", self.file.read_bytes(), {"If-Match": str(self.base)})
+        if answer is None:
+            return _fail("no clear answer; make the same call again")
+        if answer.status_code != 200:
+            return _fail(answer.text)
+        print("taken")
+        return DONE
+
+
+@cappa.command(name="retire", help="empty a store machine, and wait until it can be taken away")
+@dataclass
+class Retire:
+    """Asks that a store machine be emptied, and waits."""
+
+    node: str
+    control: Control
+
+    def __call__(self) -> int:
+        """0 once the machine may be taken away with its disk."""
+        order = json.dumps({"durationS": int(RETIRE_LIMIT_S)}).encode()
+        answer = ask(self.control, "POST", f"/retire/{self.node}", order)
+        if answer is None or answer.status_code != 200:
+            return _fail(answer.text if answer is not None else "no clear answer; make the same call again")
+        deadline = time.monotonic() + RETIRE_LIMIT_S
+        while time.monotonic() < deadline:
+            answer = ask(self.control, "GET", f"/retire/{self.node}")
+            if answer is not None and answer.json().get("state") == "completed":
+                print("completed")
+                return DONE
+            time.sleep(PAUSE_S)
+        return _fail(f"{self.node} is still being emptied")
+
+
+@cappa.command(name="show", help="show role, epoch, view, configuration and lots of each store machine")
+@dataclass
+class Show:
+    """Asks store machines on their internal port."""
+
+    hosts: Annotated[list[str], cappa.Arg(help="addresses of store machines")]
+    port: Annotated[int, cappa.Arg(long=True, help="the internal port: the first of portRange")]
+
+    def __call__(self) -> int:
+        """0 where all answer."""
+        return asyncio.run(self._show())
+
+    async def _show(self) -> int:
+        links = Links(self.port)
+        result = DONE
+        for host in self.hosts:
+            try:
+                status = await links.call(host, ShowStatus(), TRY_S)
+            except CallError as error:
+                result = _fail(f"{host}: {error.reason}")
+                continue
+            print("\n".join(describe(status)))
+        links.close()
+        return result
+
+
+def describe(status: Status) -> list[str]:
+    """Lines that tell a person what a store machine says of itself."""
+    return [
+        f"{status.node}: {status.role}, epoch {status.ballot[0]} of {status.ballot[1] or 'nobody'}",
+        f"  members {', '.join(status.members) or 'none'}; witnesses {', '.join(status.witnesses) or 'none'}",
+        f"  log {status.index}, committed {status.commit}; configuration {status.version}",
+        f"  {status.lots} lots, {status.open_items} items without a result",
+    ]
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -31,6 +31,7 @@
 LEARNER_SYNC_S = 0.5
 LEARN_S, JOIN_S = 0.2, 0.3
 JOIN_FRESH_S = 1.0  # how long one request to join counts
+LISTEN_S = 0.15  # after a start, for heartbeats of a primary that is there
 GONE_S, REPLACED_S = 8.0, 1.0  # silence after which a witness is dropped; where another takes its place
 NEAR_ENTRIES = 200  # a learner so close behind is taken in
 
@@ -106,7 +107,9 @@
         faults: int,
         now: float,
         random: Callable[[], float],
+        started: float | None = None,
     ) -> None:
+        """`started`: when this life began, if that was before `now`; nothing was answered in it yet."""
         self.me, self._machine, self._random = me, machine, random
         self._seeds = set(seeds) - {me}
         self.min_copies, self.min_witnesses = faults + 1, 2 * faults + 1
@@ -119,10 +122,11 @@
         self.commit_index = 0
         self.excluded: frozenset[str] = frozenset()
         self.leader: str | None = None
-        self.leader_heard = now
+        self.leader_heard = now if started is None else started
+        self._listen_until = now + LISTEN_S
         self._output = Output()
         self._campaign: Campaign | None = None
-        self._started = now
+        self._started = now if started is None else started
         self._remembers = False  # whether this is a later life
         self._campaign_at = now + SUSPECT_S
         self._asked_at = -1e9
@@ -265,7 +269,7 @@
             self._tick_primary(now)
         elif self.role is Role.CANDIDATE:
             self._tick_candidate(now)
-        elif now - self.leader_heard >= STICKY_S and now >= self._campaign_at:
+        elif now - self.leader_heard >= STICKY_S and now >= max(self._campaign_at, self._listen_until):
             self._tick_follower(now)
 
     def _tick_follower(self, now: float) -> None:
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Any
 
+from crowwing.tier.early import started_at
 from crowwing.tier.replication.replica import Output, Replica, Role
 from crowwing.tier.state.views import TierState
 from crowwing.tier.store import commands as c
@@ -41,7 +42,8 @@
         self, me: str, seeds: tuple[str, ...], faults: int, disk: Disk, links: Links, random: Random
     ) -> None:
         self.state = TierState()
-        self.replica = Replica(me, seeds, self.state, faults, time.monotonic(), random.random)
+        now = time.monotonic()
+        self.replica = Replica(me, seeds, self.state, faults, now, random.random, started_at)
         self._disk, self._links = disk, links
         self._pending: list[Pending] = []
         self._queue: list[Output] = []
--- /dev/null
+++ b/tests/tier/test_processes.py
@@ -0,0 +1,183 @@
+"""The tier as real processes: what is acknowledged outlasts kills; a front that leaves ends what it began."""
+
+import asyncio
+import base64
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from tests.tier.loopback import EVENTS, HOST_NAME, Loopback, configuration
+
+ITEMS = 10
+
+
+def played(folder: Path, play: Callable[[Loopback, httpx.AsyncClient], Awaitable[None]]) -> None:
+    """Plays a test among running processes."""
+
+    async def whole() -> None:
+        async with Loopback(folder) as tier, httpx.AsyncClient(timeout=8.0, trust_env=False) as client:
+            await put(tier, client, 0, 3)
+            for front in tier.fronts:
+                await tier.until("a front that is ready", lambda front=front: ready(tier, client, front))
+            await play(tier, client)
+
+    asyncio.run(whole())
+
+
+async def ready(tier: Loopback, client: httpx.AsyncClient, front: str) -> bool:
+    return (await client.get(f"http://{front}:{tier.port + 2}/ready")).status_code == 200
+
+
+async def put(tier: Loopback, client: httpx.AsyncClient, base: int, version: int) -> None:
+    async def sent() -> bool:
+        for store in tier.stores:
+            try:
+                answer = await client.put(
+                    tier.url(store, "/config"),
+                    content=configuration(version),
+                    headers={"If-Match": str(base)},
+                )
+            except httpx.HTTPError:
+                continue
+            if answer.status_code == 200:
+                return True
+            assert answer.status_code >= 500, answer.text
+        return False
+
+    await tier.until(f"an acknowledgement of version {version}", sent)
+
+
+async def ask(tier: Loopback, client: httpx.AsyncClient, front: str, path: str, name: str) -> httpx.Response:
+    headers = {"Host": HOST_NAME, "Request-Id": name, "Deadline-Ms": "6000"}
+    return await client.post(tier.url(front, path), headers=headers, content=b"question")
+
+
+async def hand_in(tier: Loopback, client: httpx.AsyncClient, lot: str) -> None:
+    body = base64.b64encode(b"text").decode()
+    requests = [{"id": f"{lot}-{n}", "path": "/lot/x", "headers": {}, "body": body} for n in range(ITEMS)]
+    headers = {"Host": HOST_NAME, "Request-Id": lot}
+
+    async def taken() -> bool:
+        for front in tier.fronts:
+            answer = await client.post(
+                tier.url(front, "/lot/x"), headers=headers, json={"requests": requests}
+            )
+            if answer.status_code == 202:
+                return True
+        return False
+
+    await tier.until("a 202", taken)
+
+
+async def results(tier: Loopback, client: httpx.AsyncClient, front: str, lot: str) -> list[dict[str, Any]]:
+    """All results of a lot, once they are there."""
+
+    async def read() -> list[dict[str, Any]] | None:
+        answer = await client.get(tier.url(front, f"/lots/{lot}?startAfter=0"), headers={"Host": HOST_NAME})
+        assert answer.status_code != 404, "a lot that was taken is known"
+        if answer.status_code != 200 or len(answer.json()["results"]) < ITEMS:
+            return None
+        return answer.json()["results"]
+
+    return await tier.until(f"the results of {lot}", read)
+
+
+def text_of(name: str) -> str:
+    return "\n".join(f"{name}-{number}" for number in range(1, EVENTS + 1))
+
+
+def test_streams_and_lots_are_served_and_outlast_the_kill_of_each_store_machine(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        answer = await ask(tier, client, tier.fronts[0], "/ask/1", "r1")
+        assert answer.status_code == 200 and answer.headers["server-stamp"] == "s1"
+        assert answer.text.count("data: r1-") == EVENTS
+        unknown = await ask(tier, client, tier.fronts[0], "/nowhere/", "r2")
+        assert unknown.status_code == 404
+        await hand_in(tier, client, "lot0")
+        first = await results(tier, client, tier.fronts[0], "lot0")
+        assert {x["id"]: x["text"] for x in first} == {
+            f"lot0-{n}": text_of(f"lot0-{n}") for n in range(ITEMS)
+        }
+        version = 3
+        for store in tier.stores:
+            tier.kill(store)
+            await put(tier, client, version, version + 2)
+            version += 2
+            assert await results(tier, client, tier.fronts[1], "lot0") == first
+            await hand_in(tier, client, f"lot-{store}")
+            tier.launch(store)
+            assert len(await results(tier, client, tier.fronts[0], f"lot-{store}")) == ITEMS
+        newest = await tier.until("the configuration", lambda: read_config(tier, client))
+        assert newest == configuration(version)
+
+    played(tmp_path, play)
+
+
+async def read_config(tier: Loopback, client: httpx.AsyncClient) -> bytes | None:
+    answer = await client.get(tier.url(tier.stores[0], "/config"))
+    return answer.content if answer.status_code == 200 else None
+
+
+def test_all_store_machines_killed_at_once_keep_what_was_acknowledged(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        await hand_in(tier, client, "lot0")
+        first = await results(tier, client, tier.fronts[0], "lot0")
+        for store in tier.stores:
+            tier.kill(store)
+        for store in tier.stores:
+            tier.launch(store)
+        await put(tier, client, 3, 5)
+        assert await results(tier, client, tier.fronts[0], "lot0") == first
+
+    played(tmp_path, play)
+
+
+def test_a_front_that_gets_sigterm_ends_its_streams_and_then_itself(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        for sidecar in tier.sidecars:
+            sidecar.pause_s = 0.2
+        asked = asyncio.ensure_future(ask(tier, client, tier.fronts[0], "/once/1", "r1"))
+
+        async def runs() -> bool:
+            return any("r1" in sidecar.runs for sidecar in tier.sidecars)
+
+        await tier.until("the run", runs)
+        tier.kill(tier.fronts[0], signal.SIGTERM)
+        answer = await asked
+        assert answer.status_code == 200 and answer.text.count("data: r1-") == EVENTS
+        status = await asyncio.to_thread(tier.processes[tier.fronts[0]].wait, 10)
+        assert status == 0
+
+    played(tmp_path, play)
+
+
+def test_a_stream_that_may_be_resumed_goes_on_at_another_sidecar(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        breaking, other = tier.sidecars
+        whole = breaking._answer
+
+        async def breaks_off(line: str, headers: dict[str, str], writer: asyncio.StreamWriter) -> None:
+            if line.startswith("POST"):
+                breaking.runs.append(headers["request-id"])
+                event = f"id: 1\ndata: {headers['request-id']}-1\n\nid: 2\nda".encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nServer-Stamp: s1\r\n\r\n")
+                writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+                await writer.drain()
+                raise OSError("breaks off")
+            await whole(line, headers, writer)
+
+        breaking._answer = breaks_off  # type: ignore[method-assign]
+        for number in range(12):
+            name = f"r{number}"
+            answer = await ask(tier, client, tier.fronts[0], "/ask/1", name)
+            expected = "".join(f"id: {n}\ndata: {name}-{n}\n\n" for n in range(1, EVENTS + 1))
+            assert answer.text == expected
+            if name in breaking.runs:
+                assert name in other.runs
+                return
+        raise AssertionError("no request went to the sidecar that breaks off")
+
+    played(tmp_path, play)
