Tier: items of lots give way to live requests and go on from their last event

Change: while live requests wait without a place, the newest runs of items are broken off, one for each, and go back into the hold with what they have; they go on at their last event. A sidecar that a request has left counts one less at once.

--- a/crowwing/tier/front/admission.py
+++ b/crowwing/tier/front/admission.py
@@ -110,6 +110,11 @@
         """How many tickets wait."""
         return sum(len(queue.held) for queue in self._classes.values())
 
+    @property
+    def live_held(self) -> int:
+        """How many live requests wait."""
+        return sum(1 for queue in self._classes.values() for ticket in queue.held if not ticket.patient)
+
     @property
     def room(self) -> int:
         """How many more tickets could start now."""
--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -153,10 +153,12 @@
 
         Raises StreamBroken where it can't be gone on with. Closes what it opens.
         """
+        without_id = False
         while True:
             splitter = EventSplitter()
             try:
                 async for event in self._one_run(job, running, splitter):
+                    without_id = without_id or event.id is None
                     if event.id is not None:
                         job.last_event = event.id
                     yield event
@@ -164,7 +166,7 @@
             except (StreamBroken, TimeoutError) as error:
                 running.state.failed(time.monotonic())
                 job.runs_left -= 1
-                if job.runs_left <= 0 or time.monotonic() >= job.deadline:
+                if without_id or job.runs_left <= 0 or time.monotonic() >= job.deadline:
                     raise StreamBroken(str(error)) from error
             finally:
                 await self.close(running)
--- a/crowwing/tier/front/lot_runner.py
+++ b/crowwing/tier/front/lot_runner.py
@@ -3,9 +3,10 @@
 import asyncio
 import logging
 import time
+from dataclasses import dataclass, field
 from typing import Any
 
-from crowwing.tier.configuration import Route, RoutingTable
+from crowwing.tier.configuration import Route
 from crowwing.tier.front.admission import Ticket, rank_of
 from crowwing.tier.front.dispatch import Dispatcher, Job, Running
 from crowwing.tier.front.service_pool import ServicePool
@@ -20,6 +21,7 @@
 MOST_RUNNING = 24
 LEASE_WAIT_MS = 600
 HOLD_S = 2.0  # in the front's hold, after which an item goes back
+RESUMED_HOLD_S = 10.0  # the same for one that has given way and keeps what it has
 RUN_LIMIT_S = 30.0
 REPORT_LIMIT_S = 4.0
 PAUSE_S = 0.15
@@ -96,39 +98,46 @@
         if route is None:
             await asyncio.sleep(PAUSE_S)
             return
-        now = time.monotonic()
         service = route.services[0].service
+        run = ItemRun(leased, make_job(leased, route, service))
+        report = await self._run_until_done(run, route, service)
+        if report is not None:
+            await self._report(report)
+
+    async def _run_until_done(self, run: "ItemRun", route: Route, service: str) -> c.ReportItem | None:
+        """Runs an item, going on from its last event each time it had to give way to live requests."""
         aim_s = (route.completion_slo_ms or route.slo_ms) / 1000
-        waited = min(1.0, leased.age_ms / 1000 / aim_s)
-        ticket = Ticket(route.name, rank_of(route.priority, waited), now, now + HOLD_S, True)
-        if not await self._pool.admit(service, ticket, aim_s):
-            return
-        try:
-            result = await self._run_started(leased, route, service)
-        finally:
-            self._pool.ended(service, ticket)
-        if result is not None:
-            await self._report(result)
-
-    async def _run_started(self, leased: c.LeasedItem, route: Route, service: str) -> c.ReportItem | None:
-        item = leased.item
-        headers: Headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in item.headers]
-        names = {name.lower() for name, _ in headers}
-        headers = [(name, value) for name, value in headers if name.lower() not in (b"host", b"request-id")]
-        headers += [(b"Host", leased.host.encode("latin-1")), (b"Request-Id", item.id.encode("latin-1"))]
-        prompt = next((value for name, value in item.headers if name.lower() == "prompt-prefix"), "")
-        del names
-        job = Job(
-            "POST", item.path.encode("latin-1"), headers, item.body, item.id.encode("latin-1"),
-            route, service, parse_prompt(prompt), time.monotonic() + RUN_LIMIT_S, RUN_ATTEMPTS,
-        )  # fmt: skip
-        started = await self._dispatcher.open(job)
+        while True:
+            now = time.monotonic()
+            waited = min(1.0, run.leased.age_ms / 1000 / aim_s)
+            rank = rank_of(route.priority, waited)
+            hold_s = RESUMED_HOLD_S if run.data else HOLD_S
+            ticket = Ticket(route.name, rank, now, now + hold_s, True)
+            if not await self._pool.admit(service, ticket, aim_s):
+                return None
+            work = asyncio.ensure_future(self._run_started(run))
+            self._pool.add_item(service, work)
+            try:
+                await asyncio.wait({work})
+            finally:
+                self._pool.remove_item(service, work)
+                work.cancel()
+                self._pool.ended(service, ticket)
+            if not work.cancelled():
+                return work.result()
+            run.job.tried.clear()
+            if run.job.last_event is None:
+                run.data.clear()  # it can only begin anew
+
+    async def _run_started(self, run: "ItemRun") -> c.ReportItem | None:
+        leased, item = run.leased, run.leased.item
+        started = await self._dispatcher.open(run.job)
         if not isinstance(started, Running):
             await asyncio.sleep(PAUSE_S)
             return None
         status = started.opened.status
         if status == 200:
-            return await self._collect(leased, job, started)
+            return await self._collect(run, started)
         try:
             async for _ in read_body(started.opened):
                 pass
@@ -142,15 +151,18 @@
             return c.ReportItem(leased.lot, item.id, None)
         return None
 
-    async def _collect(self, leased: c.LeasedItem, job: Job, started: Running) -> c.ReportItem | None:
-        data: list[str] = []
+    async def _collect(self, run: "ItemRun", started: Running) -> c.ReportItem | None:
+        leased, item = run.leased, run.leased.item
+        events = self._dispatcher.events(run.job, started)
         try:
-            async for event in self._dispatcher.events(job, started):
-                data.append(event.data)
+            async for event in events:
+                run.data.append(event.data)
         except StreamBroken as error:
-            log.info("item %s of lot %s broke off: %s", leased.item.id, leased.lot, error)
+            log.info("item %s of lot %s broke off: %s", item.id, leased.lot, error)
             return None
-        return c.ReportItem(leased.lot, leased.item.id, Result(leased.item.id, COMPLETED, "\n".join(data)))
+        finally:
+            await events.aclose()
+        return c.ReportItem(leased.lot, item.id, Result(item.id, COMPLETED, "\n".join(run.data)))
 
     async def _report(self, report: c.ReportItem) -> None:
         for _ in range(8):
@@ -166,6 +178,27 @@
             await asyncio.wait(tasks, timeout=limit_s)
 
 
-def table_routes(table: RoutingTable) -> list[Route]:
-    """All routes of lots."""
-    return [route for route in table.configuration.routes if route.kind == "batch_queue"]
+@dataclass
+class ItemRun:
+    """An item on its way: the job, which knows its last event, and the data of all events so far."""
+
+    leased: c.LeasedItem
+    job: Job
+    data: list[str] = field(default_factory=list)
+
+
+def make_job(leased: c.LeasedItem, route: Route, service: str) -> Job:
+    """An item as a request for its sidecar."""
+    item = leased.item
+    headers: Headers = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in item.headers
+        if name.lower() not in ("host", "request-id")
+    ]
+    request_id = item.id.encode("latin-1")
+    headers += [(b"Host", leased.host.encode("latin-1")), (b"Request-Id", request_id)]
+    prompt = next((value for name, value in item.headers if name.lower() == "prompt-prefix"), "")
+    deadline = time.monotonic() + RUN_LIMIT_S
+    target = item.path.encode("latin-1")
+    parts = parse_prompt(prompt)
+    return Job("POST", target, headers, item.body, request_id, route, service, parts, deadline, RUN_ATTEMPTS)
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -17,6 +17,7 @@
 STEER_S = 0.05
 LOG_S = 1.0
 WAIT_STEP_S = 0.02
+MOST_GIVE_WAY = 3  # items at a time that make room for live requests
 PRESSED_S = 1.0  # after a refusal, in which reports are read
 CONNECTIONS_LEAST = 8
 START_SHARE = 1.0  # of the even part of all slots, which the limit starts at
@@ -43,6 +44,8 @@
         self._asking: set[asyncio.Task[None]] = set()
         self.listed = False
         self._tries = 0
+        self._giving_way: dict[str, set[asyncio.Task[Any]]] = {}
+        self._item_runs: dict[str, list[asyncio.Task[Any]]] = {}
         self._logged: dict[str, tuple[int, float]] = {}  # refused so far, and when that was said
 
     # What is known
@@ -123,6 +126,29 @@
         places = self.sidecars.places(service, now)
         for ticket in admission.start(now, places):
             _answer(ticket, True)
+        self._make_room(service, admission.live_held)
+
+    # Items that give way
+
+    def add_item(self, service: str, run: "asyncio.Task[Any]") -> None:
+        """A run of an item has begun; it may be cancelled, to go on later from its last event."""
+        self._item_runs.setdefault(service, []).append(run)
+
+    def remove_item(self, service: str, run: "asyncio.Task[Any]") -> None:
+        """A run of an item has ended."""
+        self._giving_way.get(service, set()).discard(run)
+        runs = self._item_runs.get(service, [])
+        if run in runs:
+            runs.remove(run)
+
+    def _make_room(self, service: str, wanted: int) -> None:
+        """Cancels runs of items, the newest first, for live requests that find no place."""
+        runs = self._item_runs.get(service)
+        giving_way = self._giving_way.setdefault(service, set())
+        while runs and len(giving_way) < min(wanted, MOST_GIVE_WAY):
+            run = runs.pop()
+            giving_way.add(run)
+            run.cancel()
 
     def _start_all(self) -> None:
         for service, admission in self._admissions.items():
@@ -196,6 +222,7 @@
     def left(self, state: SidecarState) -> None:
         """A request has left a sidecar."""
         state.inflight -= 1
+        state.one_less()
 
     def answered(self, state: SidecarState, opened: Opened) -> None:
         """A sidecar has begun to answer: it lives, and may tell its load."""
--- a/crowwing/tier/front/sidecars.py
+++ b/crowwing/tier/front/sidecars.py
@@ -75,6 +75,13 @@
         """Takes in what it says of itself."""
         self.running, self.waiting, self.told_at, self.sent_since = running, waiting, now, 0
 
+    def one_less(self) -> None:
+        """A request of this front has left it, so that it runs one less than it last told."""
+        if self.sent_since > 0:
+            self.sent_since -= 1
+        else:
+            self.running = max(0.0, self.running - 1)
+
     def usable(self, now: float) -> bool:
         """Whether new requests may go there."""
         return self.entry.ready and not self.leaving and not self.silent and now >= self.avoid_until
--- /dev/null
+++ b/tests/tier/test_service_pool.py
@@ -0,0 +1,65 @@
+"""Between admission and sidecars: items of lots give way to live requests."""
+
+import asyncio
+import time
+
+from crowwing.tier.front.admission import Ticket
+from crowwing.tier.front.service_pool import ServicePool
+from crowwing.tier.platform_list import Sidecar, SidecarList
+
+SERVICE, AIM_S = "advisor", 5.0
+
+
+def ticket() -> Ticket:
+    now = time.monotonic()
+    return Ticket("review", 0.9, now, now + 5, False)
+
+
+def full_pool() -> ServicePool:
+    pool = ServicePool()
+    pool.take_list(SidecarList((Sidecar("a", SERVICE, "127.0.0.1:1", "z1", 4, True),)))
+    state = pool.sidecars.of_service(SERVICE)[0]
+    for _ in range(4):
+        pool.sent(state)
+    return pool
+
+
+async def forever() -> None:
+    await asyncio.Event().wait()
+
+
+def test_the_newest_items_give_way_one_for_each_live_request_that_waits() -> None:
+    async def play() -> None:
+        pool = full_pool()
+        runs = [asyncio.ensure_future(forever()) for _ in range(3)]
+        for run in runs:
+            pool.add_item(SERVICE, run)
+        await asyncio.sleep(0)
+        asked = asyncio.ensure_future(pool.admit(SERVICE, ticket(), AIM_S))
+        await asyncio.sleep(0)
+        pool._start(SERVICE, pool.admission(SERVICE))
+        await asyncio.sleep(0)
+        assert [run.cancelled() for run in runs] == [False, False, True], "one, however often it is looked at"
+        state = pool.sidecars.of_service(SERVICE)[0]
+        pool.remove_item(SERVICE, runs[2])
+        pool.left(state)
+        pool._start(SERVICE, pool.admission(SERVICE))
+        assert await asked
+        assert not runs[0].cancelled() and not runs[1].cancelled()
+        for run in runs:
+            run.cancel()
+
+    asyncio.run(play())
+
+
+def test_a_caller_that_goes_leaves_the_hold() -> None:
+    async def play() -> None:
+        pool = full_pool()
+        asked = asyncio.ensure_future(pool.admit(SERVICE, ticket(), AIM_S))
+        await asyncio.sleep(0)
+        assert pool.admission(SERVICE).held == 1
+        asked.cancel()
+        await asyncio.gather(asked, return_exceptions=True)
+        assert pool.admission(SERVICE).held == 0 and pool.admission(SERVICE).inflight == 0
+
+    asyncio.run(play())
