--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -186,10 +186,8 @@
 
 
 def spread(request: ClientRequest) -> float:
-    """A place from 0 to 1 that stays the same for all tries of one session or subject."""
-    parts = parse_prompt((request.header(b"prompt-prefix") or b"").decode("latin-1"))
+    """A place from 0 to 1 that its id draws, so that all sizes of a kind are cut alike."""
     key = request.header(b"request-id") or b""
-    del parts
     return int.from_bytes(hashlib.blake2b(key, digest_size=4).digest(), "big") / 2**32
 
 
--- a/crowwing/tier/store/decisions.py
+++ b/crowwing/tier/store/decisions.py
@@ -8,10 +8,8 @@
 from crowwing.tier.state.views import TierState
 from crowwing.tier.store import commands as c
 
-MOST_ITEMS = 200
 MOST_PAGE_BYTES = 900_000
 DISK_SHARE = 0.7  # of the disk, beyond which no further lots are taken
-REWRITE_FACTOR = 3  # a file is at most this times as long as what it stands for
 
 
 @dataclass(frozen=True)
--- a/crowwing/tier/store/service.py
+++ b/crowwing/tier/store/service.py
@@ -16,7 +16,7 @@
 from crowwing.tier.store import decisions as d
 from crowwing.tier.store.disk import Disk
 from crowwing.tier.store.leases import Leases
-from crowwing.tier.store.node import ReplicaNode
+from crowwing.tier.store.node import Decide, ReplicaNode
 from crowwing.tier.wire.connection import CallError, Links
 
 log = logging.getLogger("crowwing.store")
@@ -122,7 +122,7 @@
                 return self._status()
         return c.Rejected(400, f"unknown command {type(command).__name__}")
 
-    async def _read_surely(self, decide: Any) -> Any:  # noqa: ANN401
+    async def _read_surely(self, decide: Decide) -> Any:  # noqa: ANN401
         """A read that no later primary can have overtaken."""
         if self._node.replica.role is Role.PRIMARY and not await self._node.confirm_round():
             return c.Unsure("it is not known whether this machine still decides")
