--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -134,6 +134,82 @@
     assert set(world.primary().replica.view.members) == set(HOSTS)
 
 
+def cut_between(world: StoreWorld, some: set[str], others: set[str]) -> None:
+    """Cuts both ways between two groups."""
+    world.cut |= {(a, b) for a in some for b in others} | {(b, a) for a in some for b in others}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_half_cut_from_half_acknowledges_nothing_and_goes_on_when_joined(seed: int) -> None:
+    hosts = ("a", "b", "c", "d")
+    world = StoreWorld(seed, hosts, HOSTS)
+    settled(world)
+    world.run_for(CATCH_UP_S)
+    acknowledged(world, b"first")
+    cut_between(world, {"a", "b"}, {"c", "d"})
+    world.run_for(2.0)
+    before = len(world.acknowledged)
+    for number in range(20):
+        world.propose(b"cut/%d" % number)
+        world.run_for(0.1)
+    assert len(world.acknowledged) == before, "neither half has a majority of four"
+    world.cut.clear()
+    acknowledged(world, b"second", 4.0)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_minority_that_missed_changes_never_outvotes_a_wiped_machine_and_a_dark_one(seed: int) -> None:
+    world = StoreWorld(seed, HOSTS, HOSTS)
+    settled(world)
+    behind = next(host for host in HOSTS if host != world.primary().host)
+    others = set(HOSTS) - {behind}
+    cut_between(world, {behind}, others)
+    acknowledged(world, b"missed")
+    wiped = sorted(others)[seed % 2]
+    world.stop(wiped, power=True, wipe=True)
+    dark = (others - {wiped}).pop()
+    world.stop(dark, power=True)
+    world.cut.clear()
+    world.start(wiped)
+    world.run_for(3.0)
+    assert world.primary() is None, "who remembers is dark; the two others must not decide alone"
+    world.start(dark)
+    settled(world, 4.0)
+    acknowledged(world, b"later")
+    world.run_for(CATCH_UP_S)
+    assert set(world.primary().replica.view.members) == set(HOSTS)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_after_a_machine_was_emptied_another_may_lose_its_disk(seed: int) -> None:
+    world = StoreWorld(seed, (*HOSTS, "d"), HOSTS)
+    settled(world)
+    world.run_for(CATCH_UP_S)
+    acknowledged(world, b"first")
+    leaving = sorted(world.machines)[seed]
+    world.excluded = frozenset({leaving})
+    for _ in range(50):
+        world.run_for(0.1)
+        primary = world.primary()
+        if primary is not None and leaving not in primary.replica.view.witnesses:
+            break
+    view = world.primary().replica.view
+    assert leaving not in {*view.members, *view.witnesses} and len(view.members) == 3
+    world.stop(leaving, power=True, wipe=True)
+    del world.machines[leaving]
+    world.stop(view.members[seed % 3], power=True, wipe=True)
+    acknowledged(world, b"second")
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_messages_that_are_lost_now_and_then_stop_nothing(seed: int) -> None:
+    world = StoreWorld(seed, HOSTS, HOSTS)
+    world.loss = 0.1
+    settled(world, 4.0)
+    for number in range(10):
+        acknowledged(world, b"change %d," % number, 4.0)
+
+
 def random_troubles(seed: int, hosts: tuple[str, ...]) -> StoreWorld:
     """Troubles at random moments, one counted loss at a time, and at times all machines killed at once."""
     world = StoreWorld(seed, hosts, hosts[:3])
