--- a/crowwing/tier/distribution/documents.py
+++ b/crowwing/tier/distribution/documents.py
@@ -5,7 +5,7 @@
 
 from crowwing.tier.wire.codec import message
 
-CONFIGURATION, SIDECARS, STORES = "configuration", "sidecars", "stores"
+CONFIGURATION, SIDECARS = "configuration", "sidecars"
 Order = tuple[int, ...]
 
 
--- a/crowwing/tier/front/admission.py
+++ b/crowwing/tier/front/admission.py
@@ -19,7 +19,6 @@
 CLIMB = 4.0  # times the idle slots that the limit gains a second while work waits
 SHRINK = 0.5  # part of the limit that it loses a second while sidecars are over full
 BUSY = 0.9  # part of the slots from which sidecars count as full
-SURVIVED_LEAST = 1.0  # part of its slots that a sidecar is trusted with before anything is known
 TIMEOUT_AIM = 0.23  # part of the aim, the longest hold of a live request: a refusal in time for another try
 TIMEOUT_LEAST_S = 0.03
 
--- a/crowwing/tier/front/batch_api.py
+++ b/crowwing/tier/front/batch_api.py
@@ -20,7 +20,7 @@
 MOST_ITEMS = 200
 SUBMIT_LIMIT_S, READ_LIMIT_S = 2.5, 1.3
 LOTS, ITEMS = "/lots/", "/items/"
-DEFAULT_WAIT_MS, MOST_WAIT_MS = 0, 1000
+MOST_WAIT_MS = 1000
 COME_BACK_S = 0.2
 
 
