Tier: a store machine whose disk fails, stalls or is slow stands aside, and is taken back

A disk that answers nothing held every commit up, since heartbeats went on.

Change: a replica whose write failed hands over, takes no part and rewrites its file until the disk takes it; nothing that waited for the failed records is sent. A primary whose write is under way for 0.6 s hands over, a member with such a write counts as silent. Answers tell the smoothed time of a write; a disk that is slow beside the others is left out of the view where enough copies stay, and taken back when it is quick. The file is rewritten sooner on a small disk, and only where both fit.

--- a/crowwing/tier/replication/messages.py
+++ b/crowwing/tier/replication/messages.py
@@ -45,13 +45,17 @@
 @message
 @dataclass(frozen=True)
 class Promise:
-    """A witness' yes, with the highest view that it has accepted and how far its own data goes."""
+    """A witness' yes, with the highest view that it has accepted and how far its own data goes.
+
+    `sync_s`: seconds that its disk takes for a write.
+    """
 
     ballot: Ballot
     sender: str
     view: View | None
     synced: Ballot
     last: Position
+    sync_s: float
 
 
 @message
@@ -141,7 +145,11 @@
 @message
 @dataclass(frozen=True)
 class HeartbeatReply:
-    """The answer to one heartbeat. `whole` is False while the sender's own disk lacks what it promised."""
+    """The answer to one heartbeat.
+
+    `whole` is False while the sender's own disk lacks what it promised, or does not answer. `sync_s`: seconds
+    that it takes for a write.
+    """
 
     ballot: Ballot
     sender: str
@@ -149,6 +157,7 @@
     last: Position
     synced: Ballot
     whole: bool
+    sync_s: float
 
 
 @message
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -22,18 +22,22 @@
 HEARTBEAT_S = 0.07
 SUSPECT_S, SUSPECT_TURN_S, SUSPECT_SPREAD_S = 0.4, 0.12, 0.05  # silence after which the first member
 # campaigns, the time that each next one waits longer, and a random part
+SUSPECT_SYNCS = 3.0  # writes of its own disk that it waits longer, so that slow ones don't campaign in turns
 STICKY_S = 0.35  # a witness that heard the primary so lately helps nobody else
 MEMBER_SILENT_S = 0.4  # after which the primary leaves a member out
 LEASE_S = 0.3  # under STICKY_S: a primary confirmed so lately is the only one
-PREPARE_GRACE_S, PREPARE_LIMIT_S = 0.08, 0.6
-SYNC_GRACE_S, SYNC_LIMIT_S, ACCEPT_LIMIT_S = 0.6, 3.0, 0.8
+PREPARE_GRACE_S, PREPARE_LIMIT_S = 0.08, 1.0
+SYNC_GRACE_S, SYNC_LIMIT_S, ACCEPT_LIMIT_S = 0.6, 3.0, 1.2
 RECONFIGURE_PAUSE_S = 0.3
+HANDOVER_PAUSE_S = 0.4  # after a member was asked to take over
 LEARNER_SYNC_S = 0.5
 LEARN_S, JOIN_S = 0.2, 0.3
 JOIN_FRESH_S = 1.0  # how long one request to join counts
 LISTEN_S = 0.15  # after a start, for heartbeats of a primary that is there
 GONE_S, REPLACED_S = 8.0, 1.0  # silence after which a witness is dropped; where another takes its place
 NEAR_ENTRIES = 200  # a learner so close behind is taken in
+SLOW_SYNC_S, SLOW_FACTOR = 0.1, 4.0  # a write that takes so long, and so much longer than at most other
+# members, is left out where enough copies stay; with half of that time it is taken back
 
 
 class Machine(Protocol):
@@ -96,6 +100,14 @@
     return count // 2 + 1
 
 
+def slow_disks(sync_s: dict[str, float]) -> set[str]:
+    """Of some replicas, those whose disk is slow, also beside that of most others."""
+    if not sync_s:
+        return set()
+    usual = sorted(sync_s.values())[(len(sync_s) - 1) // 2]
+    return {name for name, taken in sync_s.items() if taken >= max(SLOW_SYNC_S, SLOW_FACTOR * usual)}
+
+
 class Replica:
     """One replica. Feed it `tick` and `receive`, then carry out `take_output()`."""
 
@@ -121,6 +133,8 @@
         self.role = Role.FOLLOWER
         self.commit_index = 0
         self.excluded: frozenset[str] = frozenset()
+        self.disk_stalled = False  # a write has been under way for long
+        self.sync_s = 0.0  # that this replica's disk takes for a write, smoothed
         self.leader: str | None = None
         self.leader_heard = now if started is None else started
         self._listen_until = now + LISTEN_S
@@ -147,6 +161,7 @@
         self._joiners: dict[str, float] = {}
         self._learner_sync: dict[str, float] = {}
         self._ready: set[str] = set()
+        self._sync_s: dict[str, float] = {}
         self._handover_at = -1e9
 
     # Start
@@ -193,7 +208,8 @@
         members = self.view.members if self.view is not None else ()
         others = [member for member in members if member != self.leader]
         place = others.index(self.me) if self.me in others else len(others)
-        return heard + SUSPECT_S + SUSPECT_TURN_S * place + SUSPECT_SPREAD_S * self._random()
+        patience = SUSPECT_S + SUSPECT_SYNCS * self.sync_s
+        return heard + patience + SUSPECT_TURN_S * place + SUSPECT_SPREAD_S * self._random()
 
     def compacted(self) -> list[Any]:
         """Records that stand for everything so far."""
@@ -253,9 +269,18 @@
             return
         others = [x for x in self.view.members if x != self.me and x not in self.excluded]
         if others:
-            freshest = max(others, key=lambda x: self._acked.get(x, 0) * 1e6 + self._heard.get(x, 0.0))
+            slow = self._slow_members()
+            freshest = max(
+                others, key=lambda x: (x not in slow, self._acked.get(x, 0), self._heard.get(x, 0.0))
+            )
             self._send(freshest, m.Handover(self.promised, self.me))
 
+    def stand_down(self, now: float, why: str) -> None:
+        """Stops leading because its own machine can't go on; another member is asked to take over."""
+        self.lead_off(now)
+        self._step_down(now, why)
+        self.leader = None
+
     # Time
 
     def tick(self, now: float) -> None:
@@ -291,6 +316,7 @@
             and self.me in view.members
             and self.synced >= view.ballot
             and self.me not in self.excluded
+            and not self.disk_stalled
         )
 
     def _heard_leader(self, now: float, leader: str) -> None:
@@ -356,7 +382,7 @@
                 self._step_down(now, f"{x.sender} prepares ballot {x.ballot}")
             self._promise(x.ballot)
             self._campaign_at = self._turn(now)
-        promise = m.Promise(x.ballot, self.me, self.view, self.synced, self.log.last)
+        promise = m.Promise(x.ballot, self.me, self.view, self.synced, self.log.last, self.sync_s)
         self._send(x.sender, promise, durable=True)
 
     def _promise(self, ballot: m.Ballot) -> None:
@@ -451,7 +477,7 @@
             self._step_down(now, "its data is older than the last view")
             return
         campaign.phase, campaign.since = Phase.SYNC, now
-        campaign.targets = {x for x in campaign.promises if x not in self.excluded} | {self.me}
+        campaign.targets = self._choose_targets(campaign)
         campaign.synced = {self.me}
         self.synced = self.promised
         self._output.records.append(m.SyncedRecord(self.synced))
@@ -459,6 +485,13 @@
             self._send_sync(target, campaign.promises[target].last)
         self._sync_moved(now)
 
+    def _choose_targets(self, campaign: Campaign) -> set[str]:
+        """Who is to hold the data in the new view: who promised, without slow disks where enough stay."""
+        targets = {x for x in campaign.promises if x not in self.excluded} | {self.me}
+        sync_s = {x: promise.sync_s for x, promise in campaign.promises.items()}
+        quick = targets - slow_disks({**sync_s, self.me: self.sync_s}) | {self.me}
+        return quick if len(quick) >= self._least_copies() else targets
+
     def _send_sync(self, target: str, last: m.Position) -> None:
         if self.log.contains(last):
             entries, previous, snapshot = self.log.after(last[1]), last, None
@@ -579,7 +612,8 @@
         if self.role is not Role.FOLLOWER and x.sender != self.me:
             self._step_down(now, f"{x.sender} is primary with ballot {x.ballot}")
         self._heard_leader(now, x.sender)
-        reply = m.HeartbeatReply(x.ballot, self.me, x.round, self.log.last, self.synced, self.whole)
+        whole = self.whole and not self.disk_stalled
+        reply = m.HeartbeatReply(x.ballot, self.me, x.round, self.log.last, self.synced, whole, self.sync_s)
         self._send(x.sender, reply, durable=bool(self._output.records))
 
     def _on_heartbeatreply(self, now: float, x: m.HeartbeatReply) -> None:
@@ -588,6 +622,7 @@
         if not x.whole:
             return  # counts as silent: it can neither promise nor keep anything yet
         self._heard[x.sender] = now
+        self._sync_s[x.sender] = x.sync_s
         if x.round in self._round_acks:
             self._round_acks[x.round].add(x.sender)
             if self._round_majority(x.round):
@@ -600,9 +635,12 @@
                 self._acked[x.sender] = -1
                 self._lost_member(now, x.sender)
         elif x.sender not in self.excluded:
-            if x.synced == self.promised and 0 <= behind <= NEAR_ENTRIES:
+            near = x.synced == self.promised and 0 <= behind <= NEAR_ENTRIES
+            if near and x.sync_s < SLOW_SYNC_S / 2:
                 self._ready.add(x.sender)
-            elif now - self._learner_sync.get(x.sender, -1e9) >= LEARNER_SYNC_S:
+                return
+            self._ready.discard(x.sender)  # a slow disk is shown to be quick again by what is sent
+            if now - self._learner_sync.get(x.sender, -1e9) >= LEARNER_SYNC_S:
                 self._learner_sync[x.sender] = now
                 self._send_sync(x.sender, x.last)
 
@@ -635,11 +673,17 @@
             return
         if now - self._active_since < RECONFIGURE_PAUSE_S:
             return
-        if self.me in self.excluded:
-            if now - self._handover_at >= RECONFIGURE_PAUSE_S:
+        if self.disk_stalled:
+            self.stand_down(now, "its disk does not answer")
+            return
+        self._sync_s[self.me] = self.sync_s
+        slow = self._slow_members()
+        enough_without = len(self.view.members) - len(slow) >= self.min_copies
+        if self.me in self.excluded or (self.me in slow and enough_without):
+            if now - self._handover_at >= HANDOVER_PAUSE_S:
                 self._handover_at = now
                 self.lead_off(now)
-            return
+                return
         reason = self._reason_to_reconfigure(now)
         if reason:
             log.info("changes its view: %s", reason)
@@ -650,6 +694,9 @@
         silent = [x for x in self.view.members if x != self.me and now - self._heard[x] >= MEMBER_SILENT_S]
         if silent:
             return f"no answer from {', '.join(silent)}"
+        slow = self._slow_members()
+        if slow and len(self.view.members) - len(slow) >= self.min_copies:
+            return f"the disk of {', '.join(sorted(slow))} is slow"
         leaving = self.excluded & {*self.view.members, *self.view.witnesses}
         if leaving and len(set(self.view.witnesses) - leaving) >= self.min_witnesses:
             return f"{', '.join(sorted(leaving))} is to leave"
@@ -661,6 +708,10 @@
             return f"{', '.join(gone)} is gone"
         return ""
 
+    def _slow_members(self) -> set[str]:
+        assert self.view is not None
+        return slow_disks({member: self._sync_s.get(member, 0.0) for member in self.view.members})
+
     # Member
 
     def _take_entries(self, entries: Iterable[m.Entry]) -> None:
--- a/crowwing/tier/settings.py
+++ b/crowwing/tier/settings.py
@@ -9,6 +9,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 SETTINGS_VARIABLE = "CROWWING_SETTINGS"
+MEGABYTE = 1024 * 1024
 DEFAULT_SETTINGS_PATH = "/etc/crowwing/settings.toml"
 
 
--- a/crowwing/tier/storage/record_file.py
+++ b/crowwing/tier/storage/record_file.py
@@ -1,5 +1,6 @@
 """An append-only file of checksummed records that is rewritten when it gets long."""
 
+import contextlib
 import os
 import struct
 import zlib
@@ -96,6 +97,7 @@
         assert self._file is not None, "the file is not open"
         data = b"".join(encode_record(payload) for payload in payloads)
         temporary = self._path.with_name(self._path.name + TEMPORARY_SUFFIX)
+        replacement: BinaryIO | None = None
         try:
             replacement = open(temporary, "w+b", buffering=0)
             _write_all(replacement, data)
@@ -103,6 +105,9 @@
             os.replace(temporary, self._path)
             self._sync_folder()
         except OSError as error:
+            if replacement is not None:
+                replacement.close()
+            _remove_quietly(temporary)  # what was written of it takes room on a full disk
             raise StorageError(str(self._path), str(error)) from error
         self._file.close()
         self._file = replacement
@@ -122,6 +127,11 @@
             os.close(folder)
 
 
+def _remove_quietly(path: Path) -> None:
+    with contextlib.suppress(OSError):
+        path.unlink(missing_ok=True)
+
+
 def _write_all(file: BinaryIO, data: bytes) -> None:
     view = memoryview(data)
     while view:
--- a/crowwing/tier/store/disk.py
+++ b/crowwing/tier/store/disk.py
@@ -13,12 +13,16 @@
 
 LEAST_REWRITE_BYTES = 8 * 1024 * 1024
 REWRITE_FACTOR = 3
+CROWDED_SHARE, CROWDED_FACTOR = 0.4, 1.5  # of the disk's room, from which a file is rewritten sooner
+USABLE_SHARE = 0.95  # of the disk's room, for the file and its replacement together
 
 
 class Disk:
     """Keeps records; `write` returns once they outlast a loss of power."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, room_bytes: int = 0) -> None:
+        """`room_bytes`: what the disk holds in all; 0 where that is not known."""
+        self._room = room_bytes
         self._file = RecordFile(folder / "state.log")
         self._thread = ThreadPoolExecutor(1, "disk")
         self._compacted_bytes = 0
@@ -34,10 +38,15 @@
         """The file's length in bytes."""
         return self._file.size
 
-    @property
-    def is_long(self) -> bool:
-        """Whether the file should be rewritten."""
-        return self._file.size > max(LEAST_REWRITE_BYTES, REWRITE_FACTOR * self._compacted_bytes)
+    def is_long(self, compacted_bytes: int) -> bool:
+        """Whether the file should be rewritten, which takes about `compacted_bytes` beside it meanwhile."""
+        size = self._file.size
+        if self._room and size + compacted_bytes > USABLE_SHARE * self._room:
+            return False
+        if size > max(LEAST_REWRITE_BYTES, REWRITE_FACTOR * self._compacted_bytes):
+            return True
+        crowded = self._room and size > CROWDED_SHARE * self._room
+        return bool(crowded) and size > CROWDED_FACTOR * compacted_bytes
 
     async def write(self, records: list[Any]) -> None:
         """Appends records and syncs them."""
--- a/crowwing/tier/store/main.py
+++ b/crowwing/tier/store/main.py
@@ -12,12 +12,13 @@
 from crowwing.tier.http_server import make_server, serve_until
 from crowwing.tier.process import Tasks, watch_signals
 from crowwing.tier.replication.replica import Role
-from crowwing.tier.settings import Settings
+from crowwing.tier.settings import MEGABYTE, Settings
+from crowwing.tier.storage.record_file import StorageError
 from crowwing.tier.store import commands as c
 from crowwing.tier.store.control_api import make_app
 from crowwing.tier.store.disk import Disk
 from crowwing.tier.store.list_reader import ListReader
-from crowwing.tier.store.node import ReplicaNode
+from crowwing.tier.store.node import DISK_RETRY_S, ReplicaNode
 from crowwing.tier.store.service import StoreService
 from crowwing.tier.wire.connection import Connection, Links, serve
 
@@ -28,6 +29,17 @@
 CONTROL_KEEP_ALIVE_S = 30
 
 
+async def start_when_disk_opens(node: ReplicaNode, settings: Settings, stop: asyncio.Event) -> None:
+    """Starts the replica, again and again while its disk can't be opened."""
+    while not stop.is_set():
+        try:
+            node.start(settings.bootstrap, settings.seed_hosts)
+            return
+        except StorageError as error:
+            log.error("the disk can't be opened: %s", error)
+            await asyncio.sleep(DISK_RETRY_S)
+
+
 async def run_store(settings: Settings) -> int:
     """Runs until SIGTERM; gives the exit status."""
     stop = asyncio.Event()
@@ -35,7 +47,7 @@
     tasks = Tasks(stop)
     random = Random()
     documents = Documents()
-    disk = Disk(settings.data_dir or Path("data"))
+    disk = Disk(settings.data_dir or Path("data"), settings.limits.disk_mb * MEGABYTE)
 
     async def handle(connection: Connection, body: Any) -> Any:  # noqa: ANN401
         if isinstance(body, RELAYED):
@@ -57,7 +69,7 @@
     relay.root_hint = lambda: node.leader
     node.on_role.append(lambda is_primary: relay.became_root() if is_primary else None)
 
-    node.start(settings.bootstrap, settings.seed_hosts)
+    await start_when_disk_opens(node, settings, stop)
     server = await serve(settings.ip, settings.internal_port, handle)
     for work in (
         node.run_disk(), node.run_clock(), service.run_housekeeping(),
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -11,6 +11,7 @@
 from crowwing.tier.early import started_at
 from crowwing.tier.replication.replica import Output, Replica, Role
 from crowwing.tier.state.views import TierState
+from crowwing.tier.storage.record_file import StorageError
 from crowwing.tier.store import commands as c
 from crowwing.tier.store.decisions import Decision
 from crowwing.tier.store.disk import Disk
@@ -20,6 +21,9 @@
 log = logging.getLogger("crowwing.store")
 
 TICK_S = 0.02
+DISK_RETRY_S = 0.4  # between rewritings of a disk that has failed
+DISK_STALLED_S = 0.6  # a write under way for so long
+SYNC_SMOOTHING = 0.3  # part of the newest write in the smoothed time of one
 READ_LIMIT_S = 1.5
 COMMIT_LIMIT_S = 3.0
 
@@ -50,11 +54,13 @@
         self._work = asyncio.Event()
         self.changed = asyncio.Event()  # replaced at each step that may matter to who waits
         self._was = Role.FOLLOWER
+        self._write_since: float | None = None
+        self.disk_failed = False  # neither ticks nor receives until the disk takes a rewriting
         self.on_role: list[Callable[[bool], None]] = []
         self.on_commit: list[Callable[[int], None]] = []
 
     def start(self, bootstrap: bool, bootstrap_members: tuple[str, ...]) -> None:
-        """Takes in the disk, or starts anew."""
+        """Takes in the disk, or starts anew; raises StorageError where the disk can't be opened."""
         records = self._disk.open()
         if records:
             self.replica.recover(records)
@@ -65,9 +71,13 @@
     async def run_clock(self) -> None:
         """Ticks the replica."""
         while True:
-            self.replica.excluded = self.state.retired_hosts()
-            self.replica.tick(time.monotonic())
-            self.step()
+            if not self.disk_failed:
+                self.replica.excluded = self.state.retired_hosts()
+                now = time.monotonic()
+                since = self._write_since
+                self.replica.disk_stalled = since is not None and now - since >= DISK_STALLED_S
+                self.replica.tick(time.monotonic())
+                self.step()
             await asyncio.sleep(TICK_S)
 
     async def run_disk(self) -> None:
@@ -77,19 +87,52 @@
             self._work.clear()
             queue, self._queue = self._queue, []
             records = [record for output in queue for record in output.records]
-            if records and self._disk.is_long:
-                await self._disk.rewrite(self.replica.compacted())
-            elif records:
-                await self._disk.write(records)
+            try:
+                await self._keep(records)
+            except StorageError as error:
+                await self._wait_for_disk(error)
+                continue
             for output in queue:
                 for receiver, message in output.durable:
                     self._deliver(receiver, message)
             self.step()
 
+    async def _keep(self, records: list[Any]) -> None:
+        if records and self._disk.is_long(self.state.kept_bytes):
+            await self._disk.rewrite(self.replica.compacted())
+        elif records:
+            self._write_since = began = time.monotonic()
+            try:
+                await self._disk.write(records)
+            finally:
+                self._write_since = None
+            taken = min(DISK_STALLED_S, time.monotonic() - began)
+            self.replica.sync_s += SYNC_SMOOTHING * (taken - self.replica.sync_s)
+
+    async def _wait_for_disk(self, error: StorageError) -> None:
+        """Takes no part until the disk holds all that memory does.
+
+        No message that waited for the failed records is sent, so to the others this replica has stood still.
+        """
+        log.error("the disk failed, stands aside: %s", error)
+        self.replica.stand_down(time.monotonic(), "its disk failed")
+        self.step()
+        self.disk_failed = True
+        while self.disk_failed:
+            self._queue.clear()
+            await asyncio.sleep(DISK_RETRY_S)
+            try:
+                await self._disk.rewrite(self.replica.compacted())
+                self.disk_failed = False
+            except StorageError as still:
+                log.warning("the disk still fails: %s", still)
+        log.info("the disk holds everything again, takes part")
+
     def receive(self, message: Any) -> None:  # noqa: ANN401
         """Takes a message of another replica in."""
-        self.replica.receive(time.monotonic(), message)
-        self.step()
+        if not self.disk_failed:
+            self.replica.receive(time.monotonic(), message)
+            self.step()
 
     def _deliver(self, receiver: str, message: Any) -> None:  # noqa: ANN401
         if receiver == self.replica.me:
--- a/crowwing/tier/store/service.py
+++ b/crowwing/tier/store/service.py
@@ -9,7 +9,7 @@
 from crowwing.tier.configuration import Configuration, parse_configuration
 from crowwing.tier.distribution.documents import CONFIGURATION, Document, Documents
 from crowwing.tier.replication.replica import Role
-from crowwing.tier.settings import Settings
+from crowwing.tier.settings import MEGABYTE, Settings
 from crowwing.tier.state import events as e
 from crowwing.tier.state.views import Lot, TierState
 from crowwing.tier.store import commands as c
@@ -25,7 +25,6 @@
 KEEP_MARGIN_S = 30.0  # beyond statusS, for clocks that differ
 HOUSEKEEPING_S = 0.5
 GIVE_UP_MARGIN_S = 5.0  # beyond maxWaitS, for clocks that differ
-MEGABYTE = 1024 * 1024
 RUN_MARGIN_MS = 1500.0  # what an item takes, once it is leased
 
 
--- a/tests/tier/simulated_stores.py
+++ b/tests/tier/simulated_stores.py
@@ -1,5 +1,6 @@
 """Store machines on a simulated network and simulated disks, played by simpy from one seed."""
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -9,6 +10,7 @@
 
 from crowwing.tier.replication import messages as m
 from crowwing.tier.replication.replica import Output, Replica, Role
+from crowwing.tier.store.node import DISK_RETRY_S, DISK_STALLED_S, SYNC_SMOOTHING
 
 TICK_S = 0.02
 DELAY_S = (0.0005, 0.003)
@@ -47,6 +49,11 @@
     queue: list[Output] = field(default_factory=list)
     frozen_until: float = 0.0
     inbox: list[Any] = field(default_factory=list)  # what came while it stood still
+    disk_full_until: float = 0.0  # writes fail until then
+    disk_stalled_until: float = 0.0  # writes return then at the earliest
+    disk_factor: float = 1.0  # how much longer a write takes
+    write_since: float = math.inf  # when the write that is under way began
+    disk_failed: bool = False  # it stands aside until a rewriting is taken
 
 
 @dataclass
@@ -87,7 +94,8 @@
         machine.life += 1
         machine.ledger = Ledger()
         machine.queue, machine.inbox = [], []
-        machine.frozen_until = 0.0
+        machine.disk_failed = False
+        machine.frozen_until, machine.write_since = 0.0, math.inf
         replica = Replica(host, self.seeds, machine.ledger, self.faults, self.env.now, self.random.random)
         machine.replica = replica
         if machine.disk:
@@ -132,15 +140,17 @@
                 continue
             self._thaw(machine)
             assert machine.replica is not None
-            machine.replica.excluded = self.excluded
-            machine.replica.tick(self.env.now)
-            self._step(machine)
+            if not machine.disk_failed:
+                machine.replica.excluded = self.excluded
+                machine.replica.disk_stalled = self.env.now - machine.write_since >= DISK_STALLED_S
+                machine.replica.tick(self.env.now)
+                self._step(machine)
             yield self.env.timeout(TICK_S)
 
     def _thaw(self, machine: Machine) -> None:
         inbox, machine.inbox = machine.inbox, []
         for message in inbox:
-            if machine.replica is not None:
+            if machine.replica is not None and not machine.disk_failed:
                 machine.replica.receive(self.env.now, message)
                 self._step(machine)
 
@@ -151,11 +161,21 @@
                 continue
             queue, machine.queue = machine.queue, []
             records = [record for output in queue for record in output.records]
+            if records and self.env.now < machine.disk_full_until:
+                yield from self._wait_for_disk(machine, life)
+                continue
             if records:
                 machine.unsynced = records
-                yield self.env.timeout(self.random.uniform(*SYNC_S))
+                machine.write_since = began = self.env.now
+                yield self.env.timeout(self.random.uniform(*SYNC_S) * machine.disk_factor)
+                if self.env.now < machine.disk_stalled_until:
+                    yield self.env.timeout(machine.disk_stalled_until - self.env.now)
                 if machine.life != life:
                     return
+                machine.write_since = math.inf
+                assert machine.replica is not None
+                taken = min(DISK_STALLED_S, self.env.now - began)
+                machine.replica.sync_s += SYNC_SMOOTHING * (taken - machine.replica.sync_s)
                 machine.disk += records
                 machine.unsynced = []
             for output in queue:
@@ -163,6 +183,19 @@
                     self._deliver(machine, receiver, message)
             self._step(machine)
 
+    def _wait_for_disk(self, machine: Machine, life: int) -> Any:  # noqa: ANN401
+        """As ReplicaNode does: takes no part until the disk has taken a rewriting."""
+        assert machine.replica is not None
+        machine.replica.stand_down(self.env.now, "its disk failed")
+        self._step(machine)
+        machine.disk_failed = True
+        while machine.life == life and machine.disk_failed:
+            machine.queue = []
+            yield self.env.timeout(DISK_RETRY_S)
+            if machine.life == life and self.env.now >= machine.disk_full_until:
+                machine.disk = machine.replica.compacted()
+                machine.disk_failed = False
+
     def _step(self, machine: Machine) -> None:
         assert machine.replica is not None
         output = machine.replica.take_output()
@@ -188,6 +221,8 @@
         if self.env.now < machine.frozen_until:
             machine.inbox.append(message)
             return
+        if machine.disk_failed:
+            return
         machine.replica.receive(self.env.now, message)
         self._step(machine)
 
--- /dev/null
+++ b/tests/tier/test_disk_troubles.py
@@ -0,0 +1,234 @@
+"""Disks that take no more bytes, answer nothing for a while, or are slow, under one replica or several."""
+
+import asyncio
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from crowwing.tier.replication.replica import Role
+from crowwing.tier.storage.record_file import RecordFile, StorageError
+from crowwing.tier.store import node as store_node
+from crowwing.tier.store.decisions import Decision
+from crowwing.tier.store.disk import Disk
+from crowwing.tier.store.node import ReplicaNode
+from crowwing.tier.wire.connection import Links
+from tests.tier.simulated_stores import StoreWorld
+from tests.tier.test_replication import CATCH_UP_S, HOSTS, acknowledged, settled
+
+MEGABYTE = 1024 * 1024
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_primary_whose_disk_is_full_hands_over_and_comes_back(seed: int) -> None:
+    world = StoreWorld(seed, HOSTS, HOSTS)
+    settled(world)
+    acknowledged(world, b"first")
+    full = world.primary()
+    full.disk_full_until = world.env.now + 5.0
+    acknowledged(world, b"second", 2.0)
+    assert world.primary().host != full.host
+    world.run_for(6.0)
+    acknowledged(world, b"third", 1.0)
+    world.run_for(CATCH_UP_S)
+    assert set(world.primary().replica.view.members) == set(HOSTS)
+
+
+def test_what_a_full_disk_could_not_keep_survives_its_loss_of_power() -> None:
+    world = StoreWorld(9, HOSTS, HOSTS)
+    settled(world)
+    acknowledged(world, b"first")
+    full = world.primary()
+    full.disk_full_until = world.env.now + 3.0
+    acknowledged(world, b"second", 2.0)
+    world.stop(full.host, power=True)
+    world.start(full.host)
+    world.run_for(CATCH_UP_S)
+    acknowledged(world, b"third")
+    assert set(world.primary().replica.view.members) == set(HOSTS)
+
+
+def test_all_disks_full_at_once_acknowledge_nothing_and_go_on_later() -> None:
+    world = StoreWorld(10, HOSTS, HOSTS)
+    settled(world)
+    acknowledged(world, b"first")
+    for machine in world.machines.values():
+        machine.disk_full_until = world.env.now + 2.0
+    before = len(world.acknowledged)
+    for number in range(15):
+        world.propose(b"full/%d" % number)
+        world.run_for(0.1)
+    assert len(world.acknowledged) == before
+    world.run_for(1.5)
+    acknowledged(world, b"second", 4.0)
+
+
+@pytest.mark.parametrize("of_primary", [True, False])
+def test_a_disk_that_answers_nothing_holds_nobody_up_for_long(of_primary: bool) -> None:
+    world = StoreWorld(11, HOSTS, HOSTS)
+    settled(world)
+    acknowledged(world, b"first")
+    machine = next(x for x in world.machines.values() if (x is world.primary()) == of_primary)
+    machine.disk_stalled_until = world.env.now + 6.0
+    acknowledged(world, b"second", 2.5)
+    assert machine.host not in world.primary().replica.view.members
+    world.run_for(6.0 + CATCH_UP_S)
+    assert set(world.primary().replica.view.members) == set(HOSTS)
+
+
+@pytest.mark.parametrize("of_primary", [True, False])
+def test_a_slow_disk_is_left_out_and_taken_back(of_primary: bool) -> None:
+    world = StoreWorld(12, HOSTS, HOSTS)
+    settled(world)
+    acknowledged(world, b"first")
+    machine = next(x for x in world.machines.values() if (x is world.primary()) == of_primary)
+    machine.disk_factor = 60.0
+    for number in range(6):
+        acknowledged(world, b"slow %d," % number, 3.0)
+    primary = world.primary()
+    assert primary.host != machine.host
+    assert machine.host not in primary.replica.view.members
+    machine.disk_factor = 1.0
+    for number in range(40):
+        world.propose(b"quick %d" % number)
+        world.run_for(0.2)
+    assert set(world.primary().replica.view.members) == set(HOSTS)
+
+
+def test_two_slow_disks_of_three_are_not_left_out() -> None:
+    world = StoreWorld(13, HOSTS, HOSTS)
+    settled(world)
+    for host in HOSTS[:2]:
+        world.machines[host].disk_factor = 40.0
+    for number in range(5):
+        acknowledged(world, b"slow %d," % number, 3.0)
+    assert len(world.primary().replica.view.members) >= 2, "a single copy is never acknowledged on"
+
+
+def random_disk_troubles(seed: int) -> StoreWorld:
+    """Disks in trouble, one after another, beside a lost machine at times."""
+    world = StoreWorld(seed, HOSTS, HOSTS)
+    random = world.random
+    settled(world)
+    for number in range(4):
+        machine = world.machines[random.choice(HOSTS)]
+        span = random.uniform(0.2, 3.0)
+        match random.choice(["full", "stall", "slow", "power"]):
+            case "full":
+                machine.disk_full_until = world.env.now + span
+            case "stall":
+                machine.disk_stalled_until = world.env.now + span
+            case "slow":
+                machine.disk_factor = random.choice([5.0, 30.0, 60.0])
+            case "power":
+                world.stop(machine.host, power=True, wipe=random.random() < 0.5)
+        for place in range(int(span / 0.1)):
+            world.propose(b"%d/%d" % (number, place))
+            world.run_for(random.uniform(0.0, 0.2))
+        machine.disk_factor = 1.0
+        if machine.replica is None:
+            world.start(machine.host)
+        for place in range(10):
+            world.propose(b"%d/after/%d" % (number, place))
+            world.run_for(0.2)
+        world.run_for(CATCH_UP_S)
+        assert world.primary() is not None, f"seed {seed}: no primary"
+        members = set(world.primary().replica.view.members)
+        assert members == set(HOSTS), f"seed {seed}: {members}"
+    return world
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_random_disk_troubles_lose_nothing(seed: int) -> None:
+    assert random_disk_troubles(seed).acknowledged
+
+
+class FailingDisk(Disk):
+    """A disk that takes nothing while `full` is set."""
+
+    full = False
+
+    async def write(self, records: list[Any]) -> None:
+        """Fails while full."""
+        if self.full:
+            raise StorageError("state.log", "no space left on device")
+        await super().write(records)
+
+    async def rewrite(self, records: list[Any]) -> None:
+        """Fails while full."""
+        if self.full:
+            raise StorageError("state.log", "no space left on device")
+        await super().rewrite(records)
+
+
+async def wait_until(condition: Any, limit_s: float = 5.0) -> None:  # noqa: ANN401
+    """Lets the loop run until a condition holds."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def test_a_node_whose_disk_fills_stands_aside_and_keeps_its_memory(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store_node, "DISK_RETRY_S", 0.02)
+
+    async def play() -> None:
+        disk = FailingDisk(tmp_path)
+        node = ReplicaNode("127.0.0.1", ("127.0.0.1",), 0, disk, Links(1), Random(1))
+        node.start(True, ("127.0.0.1",))
+        tasks = [asyncio.ensure_future(node.run_disk()), asyncio.ensure_future(node.run_clock())]
+        await wait_until(lambda: node.replica.role is Role.PRIMARY)
+        disk.full = True
+        outcome = asyncio.ensure_future(node.decide(lambda state: Decision((), "told")))
+        node.replica.propose(0.0, b"\xf6")
+        node.step()
+        await wait_until(lambda: node.disk_failed)
+        assert node.replica.role is Role.FOLLOWER
+        assert await outcome != "told"
+        disk.full = False
+        await wait_until(lambda: not node.disk_failed)
+        await wait_until(lambda: node.replica.role is Role.PRIMARY)
+        assert not any(task.done() for task in tasks), "the process goes on"
+        for task in tasks:
+            task.cancel()
+
+    asyncio.run(play())
+
+
+def test_a_failed_rewrite_leaves_the_old_content_and_frees_its_room(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "state.log"
+    file = RecordFile(path)
+    file.open()
+    file.append([b"kept"])
+
+    def no_space(*_: object) -> None:
+        raise OSError(28, "no space left on device")
+
+    with monkeypatch.context() as patched:
+        patched.setattr("os.replace", no_space)
+        with pytest.raises(StorageError):
+            file.rewrite([b"new"])
+    assert not (tmp_path / "state.log.new").exists()
+    file.append([b"later"])
+    file.close()
+    assert RecordFile(path).open() == [b"kept", b"later"]
+
+
+def test_a_file_is_not_rewritten_where_both_do_not_fit_on_the_disk(tmp_path: Path) -> None:
+    disk = Disk(tmp_path, 20 * MEGABYTE)
+    disk.open()
+    disk._file.append([bytes(12 * MEGABYTE)])
+    assert disk.is_long(2 * MEGABYTE)
+    assert not disk.is_long(9 * MEGABYTE), "9 MB more do not fit beside 12 of 20"
+
+
+def test_a_file_is_rewritten_sooner_on_a_small_disk(tmp_path: Path) -> None:
+    disk = Disk(tmp_path, 10 * MEGABYTE)
+    disk.open()
+    disk._file.append([bytes(5 * MEGABYTE)])
+    assert disk.is_long(2 * MEGABYTE)
+    assert not disk.is_long(4 * MEGABYTE), "little would be won"
