Tier: roles start without the command line's library, clients read no certificates

Cause: each client of a sidecar read the machine's certificates anew (57 ms and about a megabyte each, timed here; a front has one for each sidecar), cappa and with it rich and markdown were loaded by every role, and httpx loaded its own command line.

Change: one TLS context without certificates for all clients, since the wires are plain; tier front and tier store are dispatched before cappa is loaded, which stays for help and the operator's commands; httpx' command line is kept out of a role's start.

--- a/crowwing/__main__.py
+++ b/crowwing/__main__.py
@@ -4,10 +4,14 @@
 import sys
 
 if sys.argv[1:2] == ["tier"]:
-    if sys.argv[2:3] in (["front"], ["store"]):
-        from crowwing.tier.early import bind_listeners
+    if sys.argv[2:] in (["front"], ["store"]):  # a role's start does not wait for the command line's library
+        from crowwing.tier.early import bind_listeners, skip_unused_libraries
 
         bind_listeners()
+        skip_unused_libraries()
+        from crowwing.tier.roles import run_role
+
+        sys.exit(run_role(sys.argv[2]))
     from crowwing.tier.cli import main as tier_main
 
     sys.exit(tier_main(sys.argv[2:]))
--- a/crowwing/tier/cli.py
+++ b/crowwing/tier/cli.py
@@ -1,26 +1,12 @@
 """The tier's command line: one binary, the role as a sub-command."""
 
 import asyncio
-import sys
 from dataclasses import dataclass
 
 import cappa
-import uvloop
 
 from crowwing.tier.operator_commands import Check, Get, Put, Retire, Show
-from crowwing.tier.process import set_up_logging
-from crowwing.tier.settings import Settings, SettingsError, read_settings
-
-WRONG_USE = 2
-
-
-def _settings_or_exit() -> Settings:
-    settings = read_settings()
-    if isinstance(settings, SettingsError):
-        print(f"crowwing: {settings}", file=sys.stderr)
-        raise SystemExit(WRONG_USE)
-    set_up_logging(settings.node)
-    return settings
+from crowwing.tier.roles import FRONT, STORE, run_role
 
 
 @cappa.command(name="front", help="run a front: takes requests and lots, and dispatches them to sidecars")
@@ -30,9 +16,7 @@
 
     def __call__(self) -> int:
         """Runs until SIGTERM."""
-        from crowwing.tier.front.main import run_front
-
-        return uvloop.run(run_front(_settings_or_exit()))
+        return run_role(FRONT)
 
 
 @cappa.command(name="store", help="run a store machine: state, operator's API, leases of items")
@@ -42,9 +26,7 @@
 
     def __call__(self) -> int:
         """Runs until SIGTERM."""
-        from crowwing.tier.store.main import run_store
-
-        return uvloop.run(run_store(_settings_or_exit()))
+        return run_role(STORE)
 
 
 @cappa.command(name="crowwing tier", help="the serving tier")
--- a/crowwing/tier/early.py
+++ b/crowwing/tier/early.py
@@ -6,6 +6,7 @@
 
 import os
 import socket
+import sys
 import time
 import tomllib
 from pathlib import Path
@@ -43,6 +44,11 @@
         return
 
 
+def skip_unused_libraries() -> None:
+    """Keeps httpx from loading its own command line, a tenth of a start; it goes on without."""
+    sys.modules.setdefault("httpx._main", None)  # type: ignore[arg-type]
+
+
 def take_socket(address: str) -> socket.socket:
     """The listening socket of an address, bound now if that was not done before; raises OSError."""
     return _sockets.pop(address, None) or bind(address)
--- a/crowwing/tier/front/main.py
+++ b/crowwing/tier/front/main.py
@@ -20,6 +20,7 @@
 from crowwing.tier.front.service_pool import ServicePool
 from crowwing.tier.front.store_client import StoreClient
 from crowwing.tier.http_server import Server, make_server, serve_until
+from crowwing.tier.plain_http import NO_CERTIFICATES
 from crowwing.tier.platform_list import SidecarList, read_list
 from crowwing.tier.process import Tasks, watch_signals
 from crowwing.tier.settings import Settings
@@ -96,7 +97,7 @@
     async def run_own_reader(self) -> None:
         """Reads the platform's list where the root does not send it."""
         assert self.settings.cloud is not None
-        client = httpx.AsyncClient(trust_env=False)
+        client = httpx.AsyncClient(trust_env=False, verify=NO_CERTIFICATES)
         while True:
             if self.relay.seconds_out_of_touch >= OWN_READ_AFTER_S or not self.pool.listed:
                 listed = await read_list(client, self.settings.cloud.address)
--- a/crowwing/tier/front/upstream.py
+++ b/crowwing/tier/front/upstream.py
@@ -9,6 +9,8 @@
 
 import httpx
 
+from crowwing.tier.plain_http import NO_CERTIFICATES
+
 log = logging.getLogger("crowwing.upstream")
 
 CONNECT_TIMEOUT_S = 0.6
@@ -88,7 +90,12 @@
             keepalive_expiry=KEEP_IDLE_S,
         )
         self._transport = httpx.AsyncHTTPTransport(
-            limits=limits, socket_options=SOCKET_OPTIONS, trust_env=False, http2=False, retries=0
+            verify=NO_CERTIFICATES,
+            limits=limits,
+            socket_options=SOCKET_OPTIONS,
+            trust_env=False,
+            http2=False,
+            retries=0,
         )
 
     async def close(self) -> None:
--- /dev/null
+++ b/crowwing/tier/roles.py
@@ -0,0 +1,33 @@
+"""Runs a role's process. Kept apart from the command line, which takes longer to load than a role does."""
+
+import sys
+
+import uvloop
+
+from crowwing.tier.process import set_up_logging
+from crowwing.tier.settings import Settings, SettingsError, read_settings
+
+FRONT, STORE = "front", "store"
+ROLES = (FRONT, STORE)
+WRONG_USE = 2
+
+
+def _settings_or_exit() -> Settings:
+    settings = read_settings()
+    if isinstance(settings, SettingsError):
+        print(f"crowwing: {settings}", file=sys.stderr)
+        raise SystemExit(WRONG_USE)
+    set_up_logging(settings.node)
+    return settings
+
+
+def run_role(role: str) -> int:
+    """Runs a role until SIGTERM; gives the exit status."""
+    settings = _settings_or_exit()
+    if role == FRONT:
+        from crowwing.tier.front.main import run_front
+
+        return uvloop.run(run_front(settings))
+    from crowwing.tier.store.main import run_store
+
+    return uvloop.run(run_store(settings))
--- a/crowwing/tier/store/list_reader.py
+++ b/crowwing/tier/store/list_reader.py
@@ -8,6 +8,7 @@
 import httpx
 
 from crowwing.tier.distribution.documents import SIDECARS, Document, Documents
+from crowwing.tier.plain_http import NO_CERTIFICATES
 from crowwing.tier.platform_list import ListUnreadable, SidecarList, read_list
 from crowwing.tier.store.node import ReplicaNode
 from crowwing.tier.wire.codec import encode
@@ -22,7 +23,7 @@
 
     def __init__(self, address: str, node: ReplicaNode, documents: Documents, random: Random) -> None:
         self._address, self._node, self._documents, self._random = address, node, documents, random
-        self._client = httpx.AsyncClient(trust_env=False)
+        self._client = httpx.AsyncClient(trust_env=False, verify=NO_CERTIFICATES)
         self._published: SidecarList | None = None
         self._round = -1
         self._number = 0
