--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -162,6 +162,7 @@
         self._learner_sync: dict[str, float] = {}
         self._ready: set[str] = set()
         self._sync_s: dict[str, float] = {}
+        self._unsent: list[m.Entry] = []  # entries that the other members have not been sent yet
         self._handover_at = -1e9
 
     # Start
@@ -248,12 +249,22 @@
             return None
         entry = m.Entry(self.promised, self.log.last[1] + 1, payload)
         self._take_entries([entry])
-        for member in self.view.members:
-            if member != self.me:
-                self._send(member, m.Append(self.promised, self.me, (entry,)))
+        self._unsent.append(entry)
         self._send(self.me, m.Appended(self.promised, self.me, entry.index), durable=True)
         return entry.index
 
+    def send_entries(self) -> None:
+        """Sends what was proposed since the last call to the other members, as one message.
+
+        To be called when the own disk begins a write, since a commit waits for that write anyway.
+        """
+        if self.role is Role.PRIMARY and self.view is not None and self._unsent:
+            append = m.Append(self.promised, self.me, tuple(self._unsent))
+            for member in self.view.members:
+                if member != self.me:
+                    self._send(member, append)
+        self._unsent = []
+
     def beat_now(self, now: float) -> int:
         """Starts a round of heartbeats at once, and gives its number."""
         self._beat(now)
@@ -414,6 +425,7 @@
         was_primary, leads = self.role is Role.PRIMARY, self.holds_lease(now)
         joiners = {x for x, at in self._joiners.items() if now - at < JOIN_FRESH_S} if was_primary else set()
         self._promise((round_number, self.me))
+        self._unsent = []  # the new view's members get them with its data
         self.role = Role.CANDIDATE
         campaign = Campaign(Phase.PREPARE, now, handover or leads)
         self._campaign = campaign
@@ -590,8 +602,9 @@
         for old in [number for number, at in self._rounds.items() if now - at > 2.0]:
             del self._rounds[old], self._round_acks[old]
         joiners = {x for x, at in self._joiners.items() if now - at < 2 * JOIN_FRESH_S}
+        heartbeat = m.Heartbeat(self.promised, self.me, self._round, self.view)
         for other in sorted({*self.view.witnesses, *joiners} - {self.me}):
-            self._send(other, m.Heartbeat(self.promised, self.me, self._round, self.view))
+            self._send(other, heartbeat)
         if self._round_majority(self._round):
             self.confirmed_at = now
 
--- /dev/null
+++ b/crowwing/tier/store/item_leasing.py
@@ -0,0 +1,131 @@
+"""Hands the items of lots out to the fronts that ask for some, in the order in which they asked."""
+
+import asyncio
+import math
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from crowwing.tier.configuration import Configuration
+from crowwing.tier.replication.replica import Role
+from crowwing.tier.state.events import Item
+from crowwing.tier.state.views import Lot
+from crowwing.tier.store import commands as c
+from crowwing.tier.store.clock import now_ms
+from crowwing.tier.store.leases import ItemKey, Leases
+from crowwing.tier.store.node import ReplicaNode
+
+HAND_OUT_S = 0.1  # between looks for leases that have ended
+RUN_MARGIN_MS = 1500.0  # what an item takes, once it is leased
+
+LotItem = tuple[Lot, Item]
+
+
+@dataclass
+class WaitingFront:
+    """A front that waits for items."""
+
+    front: str
+    most: int
+    found: "asyncio.Future[list[LotItem]]" = field(repr=False)
+
+
+class ItemLeasing:
+    """The leases of a store machine while it is the primary."""
+
+    def __init__(self, node: ReplicaNode, configuration: Callable[[], Configuration | None]) -> None:
+        self._node, self._configuration = node, configuration
+        self._leases = Leases(time.monotonic())
+        self._waiting: deque[WaitingFront] = deque()
+        self._uncommitted: deque[tuple[int, str]] = deque()  # index and lot
+
+    def became_primary(self) -> None:
+        """Starts anew: all lots of the state are committed."""
+        self._leases = Leases(time.monotonic())
+        self._uncommitted.clear()
+        for lot in self._node.state.lots.values():
+            self._leases.add_lot(lot)
+
+    def lot_proposed(self, index: int, lot_id: str) -> None:
+        """A lot stands at an index of the log; its items may run once that is committed."""
+        self._uncommitted.append((index, lot_id))
+
+    def committed(self, index: int) -> None:
+        """The log is committed up to an index."""
+        if not self._uncommitted or self._uncommitted[0][0] > index:
+            return
+        while self._uncommitted and self._uncommitted[0][0] <= index:
+            lot = self._node.state.lots.get(self._uncommitted.popleft()[1])
+            if lot is not None:
+                self._leases.add_lot(lot)
+        self._hand_out()
+
+    def release(self, key: ItemKey) -> None:
+        """A front has reported on an item."""
+        self._leases.release(self._node.state, key)
+
+    async def lease(self, command: c.LeaseItems) -> c.ItemsLeased | c.NotPrimary:
+        """Renews what a front runs, and waits for as many items as it wants, or for some of them."""
+        if not self._node.replica.holds_lease(time.monotonic()):
+            if self._node.replica.role is not Role.FOLLOWER:
+                return c.ItemsLeased((), ())
+            return c.NotPrimary(self._node.leader)
+        stop = self._leases.renew(self._node.state, command.front, command.running, time.monotonic())
+        found = (
+            [] if not command.most else await self._wait_for_items(command, 0 if stop else command.wait_ms)
+        )
+        return c.ItemsLeased(tuple(_leased(lot, item) for lot, item in found), stop)
+
+    async def _wait_for_items(self, command: c.LeaseItems, wait_ms: int) -> list[LotItem]:
+        waiting = WaitingFront(command.front, command.most, asyncio.get_running_loop().create_future())
+        self._waiting.append(waiting)
+        self._hand_out()
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                return await waiting.found
+        except TimeoutError:
+            found = waiting.found
+            return found.result() if found.done() and not found.cancelled() else []
+        finally:
+            if waiting in self._waiting:
+                self._waiting.remove(waiting)
+
+    async def run(self) -> None:
+        """Hands out again what fronts have given up."""
+        while True:
+            await asyncio.sleep(HAND_OUT_S)
+            if self._waiting:
+                self._hand_out()
+
+    def _hand_out(self) -> None:
+        now = time.monotonic()
+        if not self._waiting or not self._node.replica.holds_lease(now):
+            return
+        self._leases.free_expired(self._node.state, now)
+        due_ms, clock = self._due_ms(), now_ms()
+
+        def hopeless(lot: Lot) -> bool:
+            return clock - lot.at_ms > due_ms.get(lot.host, math.inf) - RUN_MARGIN_MS
+
+        while self._waiting and (free := self._leases.free_count):
+            waiting = self._waiting[0]
+            share = math.ceil(free / len(self._waiting))
+            found = self._leases.lease(
+                self._node.state, waiting.front, min(waiting.most, share), now, hopeless
+            )
+            if not found:
+                return
+            self._waiting.popleft()
+            if not waiting.found.done():
+                waiting.found.set_result(found)
+
+    def _due_ms(self) -> dict[str, float]:
+        """By host, the time after which the results of its lots earn less."""
+        configuration = self._configuration()
+        routes = configuration.routes if configuration is not None else []
+        return {x.host: x.completion_slo_ms for x in routes if x.completion_slo_ms is not None}
+
+
+def _leased(lot: Lot, item: Item) -> c.LeasedItem:
+    return c.LeasedItem(lot.id, lot.host, item, max(0, now_ms() - lot.at_ms))
--- a/crowwing/tier/store/leases.py
+++ b/crowwing/tier/store/leases.py
@@ -2,7 +2,9 @@
 repeated.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+import heapq
+from collections import deque
+from collections.abc import Callable, Iterable
 
 from crowwing.tier.state.events import Item
 from crowwing.tier.state.views import Lot, TierState
@@ -10,26 +12,35 @@
 LEASE_S = 1.8
 GRACE_S = 0.8  # after a change of primary, in which fronts tell what they run
 
-ItemKey = tuple[str, str]
+ItemKey = tuple[str, str]  # lot, item
 
 
 class Leases:
-    """Leases of items to fronts."""
+    """Leases of items to fronts. What a call costs does not grow with the items that are leased."""
 
     def __init__(self, now: float) -> None:
         self._until: dict[ItemKey, float] = {}
         self._holder: dict[ItemKey, str] = {}
+        self._ends: list[tuple[float, ItemKey]] = []  # a heap; a lease that was renewed stands in it again
+        self._free: dict[str, deque[str]] = {}  # items by lot, oldest lot first
         self._not_before = now + GRACE_S
 
+    def add_lot(self, lot: Lot) -> None:
+        """The items of a lot may be leased from now on."""
+        self._free[lot.id] = deque(lot.open_items)
+
+    @property
+    def free_count(self) -> int:
+        """About how many items wait for a front."""
+        return sum(len(items) for items in self._free.values())
+
     def renew(
         self, state: TierState, front: str, running: Iterable[ItemKey], now: float
     ) -> tuple[ItemKey, ...]:
         """Renews what a front runs; gives what it need not run any more."""
         stop: list[ItemKey] = []
         for key in running:
-            lot = state.lots.get(key[0])
-            wanted = lot is not None and key[1] in lot.open_items
-            if not wanted or self._held_by_other(key, front, now):
+            if not _is_open(state, key) or self._held_by_other(key, front, now):
                 stop.append(key)
             else:
                 self._grant(key, front, now)
@@ -39,42 +50,52 @@
         self, state: TierState, front: str, most: int, now: float, hopeless: Callable[[Lot], bool]
     ) -> list[tuple[Lot, Item]]:
         """Leases waiting items, oldest lot first, but lots that can't be in time any more last."""
+        self.free_expired(state, now)
         if now < self._not_before:
             return []
-        self._forget_ended(state)
         leased: list[tuple[Lot, Item]] = []
-        lots = [lot for lot in state.lots.values() if lot.open_items]
-        for lot, item in items_of(sorted(lots, key=hopeless)):
+        for lot in self._lots_with_free_items(state, hopeless):
+            self._lease_of(lot, front, most, now, leased)
             if len(leased) >= most:
                 break
-            key = (lot.id, item.id)
-            if self._until.get(key, 0.0) <= now:
-                self._grant(key, front, now)
-                leased.append((lot, item))
         return leased
 
-    def release(self, key: ItemKey) -> None:
-        """The item may be leased again at once."""
+    def _lots_with_free_items(self, state: TierState, hopeless: Callable[[Lot], bool]) -> list[Lot]:
+        for lot_id in [x for x, items in self._free.items() if not items or x not in state.lots]:
+            del self._free[lot_id]
+        return sorted((state.lots[lot_id] for lot_id in self._free), key=hopeless)
+
+    def _lease_of(self, lot: Lot, front: str, most: int, now: float, leased: list[tuple[Lot, Item]]) -> None:
+        free = self._free[lot.id]
+        while free and len(leased) < most:
+            item = lot.open_items.get(free.popleft())
+            if item is None or self._until.get((lot.id, item.id), 0.0) > now:
+                continue
+            self._grant((lot.id, item.id), front, now)
+            leased.append((lot, item))
+
+    def free_expired(self, state: TierState, now: float) -> None:
+        """Items whose lease has ended may be leased again."""
+        while self._ends and self._ends[0][0] <= now:
+            _, key = heapq.heappop(self._ends)
+            if self._until.get(key, now + 1) <= now:
+                self.release(state, key)
+
+    def release(self, state: TierState, key: ItemKey) -> None:
+        """The item may be leased again at once, before others, unless it has its result."""
         self._until.pop(key, None)
         self._holder.pop(key, None)
+        if _is_open(state, key):
+            self._free.setdefault(key[0], deque()).appendleft(key[1])
 
     def _grant(self, key: ItemKey, front: str, now: float) -> None:
         self._until[key], self._holder[key] = now + LEASE_S, front
+        heapq.heappush(self._ends, (now + LEASE_S, key))
 
     def _held_by_other(self, key: ItemKey, front: str, now: float) -> bool:
         return self._until.get(key, 0.0) > now and self._holder.get(key) != front
 
-    def _forget_ended(self, state: TierState) -> None:
-        if len(self._until) <= 4 * sum(len(lot.open_items) for lot in state.lots.values()) + 64:
-            return
-        for key in list(self._until):
-            lot = state.lots.get(key[0])
-            if lot is None or key[1] not in lot.open_items:
-                self.release(key)
-
 
-def items_of(lots: Iterable[Lot]) -> Iterator[tuple[Lot, Item]]:
-    """All items without a result, lot after lot."""
-    for lot in lots:
-        for item in lot.open_items.values():
-            yield lot, item
+def _is_open(state: TierState, key: ItemKey) -> bool:
+    lot = state.lots.get(key[0])
+    return lot is not None and key[1] in lot.open_items
--- a/crowwing/tier/store/main.py
+++ b/crowwing/tier/store/main.py
@@ -72,7 +72,7 @@
     await start_when_disk_opens(node, settings, stop)
     server = await serve(settings.ip, settings.internal_port, handle)
     for work in (
-        node.run_disk(), node.run_clock(), service.run_housekeeping(),
+        node.run_disk(), node.run_clock(), service.run_housekeeping(), service.leasing.run(),
         relay.run_root(), relay.run_child(), relay.run_shuffles(),
     ):  # fmt: skip
         tasks.start(work)
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import groupby
 from random import Random
 from typing import Any
 
@@ -85,6 +86,8 @@
         while True:
             await self._work.wait()
             self._work.clear()
+            self.replica.send_entries()
+            self.step()
             queue, self._queue = self._queue, []
             records = [record for output in queue for record in output.records]
             try:
@@ -93,8 +96,7 @@
                 await self._wait_for_disk(error)
                 continue
             for output in queue:
-                for receiver, message in output.durable:
-                    self._deliver(receiver, message)
+                self._deliver_all(output.durable)
             self.step()
 
     async def _keep(self, records: list[Any]) -> None:
@@ -134,17 +136,20 @@
             self.replica.receive(time.monotonic(), message)
             self.step()
 
-    def _deliver(self, receiver: str, message: Any) -> None:  # noqa: ANN401
-        if receiver == self.replica.me:
-            self.replica.receive(time.monotonic(), message)
-        else:
-            self._links.notify(receiver, message)
+    def _deliver_all(self, messages: list[tuple[str, Any]]) -> None:
+        """Delivers messages in order; one that goes to several receivers is encoded once."""
+        for message, group in groupby(messages, key=lambda sent: sent[1]):
+            receivers = [receiver for receiver, _ in group]
+            if self.replica.me in receivers:
+                self.replica.receive(time.monotonic(), message)
+                receivers.remove(self.replica.me)
+            if receivers:
+                self._links.notify_all(receivers, message)
 
     def step(self) -> None:
         """Carries out what the replica asks for."""
         output = self.replica.take_output()
-        for receiver, message in output.immediate:
-            self._deliver(receiver, message)
+        self._deliver_all(output.immediate)
         if output.records or output.durable:
             self._queue.append(output)
             self._work.set()
--- a/crowwing/tier/store/service.py
+++ b/crowwing/tier/store/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 import time
 from typing import Any
 
@@ -11,11 +10,13 @@
 from crowwing.tier.replication.replica import Role
 from crowwing.tier.settings import MEGABYTE, Settings
 from crowwing.tier.state import events as e
-from crowwing.tier.state.views import Lot, TierState
+from crowwing.tier.state.views import TierState
 from crowwing.tier.store import commands as c
 from crowwing.tier.store import decisions as d
+from crowwing.tier.store.clock import now_ms
 from crowwing.tier.store.disk import Disk
-from crowwing.tier.store.leases import Leases
+from crowwing.tier.store.item_leasing import ItemLeasing
+from crowwing.tier.store.lot_readers import LotReaders
 from crowwing.tier.store.node import Decide, ReplicaNode
 from crowwing.tier.wire.connection import CallError, Links
 
@@ -25,12 +26,6 @@
 KEEP_MARGIN_S = 30.0  # beyond statusS, for clocks that differ
 HOUSEKEEPING_S = 0.5
 GIVE_UP_MARGIN_S = 5.0  # beyond maxWaitS, for clocks that differ
-RUN_MARGIN_MS = 1500.0  # what an item takes, once it is leased
-
-
-def now_ms() -> int:
-    """The time of day in milliseconds."""
-    return time.time_ns() // 1_000_000
 
 
 class StoreService:
@@ -41,7 +36,8 @@
     ) -> None:
         self._settings, self._node, self._disk, self._links = settings, node, disk, links
         self._documents = documents
-        self._leases = Leases(time.monotonic())
+        self.leasing = ItemLeasing(node, lambda: self.configuration)
+        self._readers = LotReaders()
         self._parsed: tuple[int, Configuration | None] = (0, None)
         self._unpublished: list[tuple[int, Document]] = []  # with the index that must be committed first
         node.on_role.append(self._role_changed)
@@ -49,8 +45,9 @@
 
     def _role_changed(self, is_primary: bool) -> None:
         self._unpublished.clear()
+        self._readers.role_changed()
         if is_primary:  # at this moment the whole log is committed
-            self._leases = Leases(time.monotonic())
+            self.leasing.became_primary()
             state = self._node.state
             if state.configuration is not None:
                 self._documents.offer(Document(CONFIGURATION, (state.version,), state.configuration))
@@ -58,6 +55,8 @@
     def _committed(self, index: int) -> None:
         while self._unpublished and self._unpublished[0][0] <= index:
             self._documents.offer(self._unpublished.pop(0)[1])
+        self.leasing.committed(index)
+        self._readers.committed(index)
 
     def _put_configuration(self, state: TierState, command: c.PutConfiguration) -> d.Decision:
         decision = d.put_configuration(state, command)
@@ -66,6 +65,26 @@
             self._unpublished.append((self._node.replica.log.last[1] + 1, document))
         return decision
 
+    def _submit_lot(self, state: TierState, command: c.SubmitLot) -> d.Decision:
+        decision = d.submit_lot(state, command, now_ms(), self._disk_left())
+        if decision.events:
+            self.leasing.lot_proposed(self._node.replica.log.last[1] + 1, command.lot)
+        return decision
+
+    def _report_item(self, state: TierState, command: c.ReportItem) -> d.Decision:
+        decision = d.report_item(state, command, self.configuration)
+        if command.result is None:
+            self.leasing.release((command.lot, command.item))
+        return self._tell_readers(decision)
+
+    def _tell_readers(self, decision: d.Decision) -> d.Decision:
+        """Readers of the lots that the decision changes look again once it is committed."""
+        first = self._node.replica.log.last[1] + 1
+        for index, event in enumerate(decision.events, first):
+            if isinstance(event, (e.ItemsEnded, e.LotEnded)):
+                self._readers.changed(index, event.lot)
+        return decision
+
     @property
     def configuration(self) -> Configuration | None:
         """The newest configuration, parsed."""
@@ -96,13 +115,13 @@
             case c.GetConfiguration():
                 return await self._read_surely(d.get_configuration)
             case c.SubmitLot():
-                return await decide(lambda state: d.submit_lot(state, command, now_ms(), self._disk_left()))
+                return await decide(lambda state: self._submit_lot(state, command))
             case c.ReadLot():
                 return await self._read_lot(command)
             case c.ReadBody():
                 return await decide(lambda state: d.read_body(state, command))
             case c.EndLot():
-                return await decide(lambda state: d.end_lot(state, command))
+                return await decide(lambda state: self._tell_readers(d.end_lot(state, command)))
             case c.Retire():
                 view = node.replica.view
                 count = len(view.witnesses) if view else 0
@@ -111,10 +130,9 @@
             case c.ReadRetire():
                 return await self._read_surely(lambda state: self._retire_state(state, command.node))
             case c.LeaseItems():
-                return await self._lease(command)
+                return await self.leasing.lease(command)
             case c.ReportItem():
-                self._leases.release((command.lot, command.item))
-                return await decide(lambda state: d.report_item(state, command, self.configuration))
+                return await decide(lambda state: self._report_item(state, command))
             case c.Announce():
                 return await decide(lambda state: self._announce(state, command))
             case c.ShowStatus():
@@ -149,57 +167,12 @@
     async def _read_lot(self, command: c.ReadLot) -> Any:  # noqa: ANN401
         deadline = time.monotonic() + command.wait_ms / 1000
         while True:
-            changed = self._node.changed
             lot = self._node.state.lots.get(command.lot)
             waits = lot is not None and len(lot.results) <= command.start and not lot.done
             left = deadline - time.monotonic()
             if not waits or left <= 0 or self._node.replica.role is not Role.PRIMARY:
                 return await self._node.decide(lambda state: d.read_lot(state, command))
-            try:
-                async with asyncio.timeout(left):
-                    await changed.wait()
-            except TimeoutError:
-                pass
-
-    async def _lease(self, command: c.LeaseItems) -> Any:  # noqa: ANN401
-        deadline = time.monotonic() + command.wait_ms / 1000
-        while True:
-            if not self._node.replica.holds_lease(time.monotonic()):
-                if self._node.replica.role is not Role.FOLLOWER:
-                    return c.ItemsLeased((), ())
-                return c.NotPrimary(self._node.leader)
-            now, state, changed = time.monotonic(), self._node.state, self._node.changed
-            stop = self._leases.renew(state, command.front, command.running, now)
-            found = self._find_items(state, command, now)
-            left = deadline - now
-            if found or stop or left <= 0:
-                return c.ItemsLeased(tuple(self._leased(lot, item) for lot, item in found), stop)
-            try:
-                async with asyncio.timeout(min(left, 0.2)):
-                    await changed.wait()
-            except TimeoutError:
-                pass
-
-    def _find_items(self, state: TierState, command: c.LeaseItems, now: float) -> list[tuple[Lot, e.Item]]:
-        if not command.most:
-            return []
-        due_ms = self._due_ms()
-        clock = now_ms()
-
-        def hopeless(lot: Lot) -> bool:
-            return clock - lot.at_ms > due_ms.get(lot.host, math.inf) - RUN_MARGIN_MS
-
-        return self._leases.lease(state, command.front, command.most, now, hopeless)
-
-    def _due_ms(self) -> dict[str, float]:
-        """By host, the time after which the results of its lots earn less."""
-        configuration = self.configuration
-        routes = configuration.routes if configuration is not None else []
-        return {x.host: x.completion_slo_ms for x in routes if x.completion_slo_ms is not None}
-
-    @staticmethod
-    def _leased(lot: Lot, item: e.Item) -> c.LeasedItem:
-        return c.LeasedItem(lot.id, lot.host, item, max(0, now_ms() - lot.at_ms))
+            await self._readers.wait(command.lot, left)
 
     async def run_housekeeping(self) -> None:
         """Announces this machine, and ends what is over."""
@@ -226,7 +199,7 @@
                 if route is None or (wait is not None and age_s > wait + GIVE_UP_MARGIN_S):
                     dead = tuple(e.Result(item, e.DEAD_LETTER, "") for item in lot.open_items)
                     events.append(e.ItemsEnded(lot.id, dead))
-        return d.Decision(tuple(events), c.Done())
+        return self._tell_readers(d.Decision(tuple(events), c.Done()))
 
     def _status(self) -> c.Status:
         replica, state = self._node.replica, self._node.state
--- a/crowwing/tier/wire/connection.py
+++ b/crowwing/tier/wire/connection.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,6 +31,12 @@
     sent: bool
 
 
+def encode_frame(kind: int, number: int, body: object) -> bytes:
+    """One frame as it goes over the wire."""
+    data = encode((kind, number, body))
+    return LENGTH.pack(len(data)) + data
+
+
 def set_socket_options(writer: asyncio.StreamWriter) -> None:
     """Makes dead peers show: no delay, and a bound on unacknowledged bytes."""
     raw = writer.get_extra_info("socket")
@@ -104,19 +110,26 @@
             self._write(RESPONSE, number, result)
 
     def _write(self, kind: int, number: int, body: Any) -> None:  # noqa: ANN401
+        if not self.closed:
+            self._write_frame(encode_frame(kind, number, body))
+
+    def _write_frame(self, frame: bytes) -> None:
         if self.closed:
             return
-        data = encode((kind, number, body))
         try:
-            self._writer.write(LENGTH.pack(len(data)) + data)
+            self._writer.write(frame)
         except (RuntimeError, OSError) as error:  # the loop has closed it, and the reader is told later
             log.debug("connection with %s has gone: %s", self.remote, error)
             self.close()
 
     def notify(self, body: object) -> None:
         """Sends a message that has no answer; it is dropped where the far side reads far too slowly."""
+        self.notify_frame(encode_frame(NOTICE, 0, body))
+
+    def notify_frame(self, frame: bytes) -> None:
+        """Sends a notice that is encoded already, as `notify` does."""
         if not self.closed and self._writer.transport.get_write_buffer_size() < MAX_BUFFERED_BYTES:
-            self._write(NOTICE, 0, body)
+            self._write_frame(frame)
 
     async def call(self, body: object, timeout_s: float) -> Any:  # noqa: ANN401
         """Sends a request and waits for its answer; raises CallError."""
@@ -202,15 +215,21 @@
 
     def notify(self, host: str, body: object) -> None:
         """Sends a message without an answer, as far as the host can be reached."""
-        connection = self._open.get(host)
-        if connection is not None and not connection.closed:
-            connection.notify(body)
-        else:
-            self._keep(asyncio.ensure_future(self._notify_later(host, body)))
-
-    async def _notify_later(self, host: str, body: object) -> None:
+        self.notify_all((host,), body)
+
+    def notify_all(self, hosts: Iterable[str], body: object) -> None:
+        """Sends the same message, encoded once, to several hosts."""
+        frame = encode_frame(NOTICE, 0, body)
+        for host in hosts:
+            connection = self._open.get(host)
+            if connection is not None and not connection.closed:
+                connection.notify_frame(frame)
+            else:
+                self._keep(asyncio.ensure_future(self._notify_later(host, frame)))
+
+    async def _notify_later(self, host: str, frame: bytes) -> None:
         try:
-            (await self.get(host)).notify(body)
+            (await self.get(host)).notify_frame(frame)
         except CallError as error:
             log.debug("not sent: %s", error)
 
--- a/tests/tier/simulated_stores.py
+++ b/tests/tier/simulated_stores.py
@@ -198,6 +198,7 @@
 
     def _step(self, machine: Machine) -> None:
         assert machine.replica is not None
+        machine.replica.send_entries()
         output = machine.replica.take_output()
         for receiver, message in output.immediate:
             self._deliver(machine, receiver, message)
--- a/tests/tier/test_decisions.py
+++ b/tests/tier/test_decisions.py
@@ -7,7 +7,7 @@
 
 from crowwing.tier.configuration import InvalidConfiguration, RoutingTable, parse_configuration
 from crowwing.tier.state import events as e
-from crowwing.tier.state.views import TierState
+from crowwing.tier.state.views import Lot, TierState
 from crowwing.tier.store import commands as c
 from crowwing.tier.store import decisions as d
 from crowwing.tier.store.leases import GRACE_S, LEASE_S, Leases
@@ -159,6 +159,8 @@
     items = (e.Item("j0", "/p/x", (), b"", 1),)
     state.fold(e.LotTaken("later", "h.example", "/p/x", items, 2000))
     leases = Leases(0.0)
+    for lot in state.lots.values():
+        leases.add_lot(lot)
     hopeful = lambda lot: False  # noqa: E731
     assert leases.lease(state, "f1", 5, GRACE_S / 2, hopeful) == [], "fronts tell first what they run"
     late_first = leases.lease(state, "f1", 1, 1.0, lambda lot: lot.id == "lot")
@@ -171,3 +173,36 @@
     assert leases.renew(state, "f1", [("lot", "i1")], 1.1 + LEASE_S) == (("lot", "i1"),)
     state.fold(e.LotEnded("lot"))
     assert leases.renew(state, "f1", [("lot", "i0")], 1.1 + LEASE_S) == (("lot", "i0"),)
+
+
+def test_a_reported_failure_frees_an_item_and_an_ended_lot_frees_none() -> None:
+    state = submitted(2)
+    leases = Leases(0.0)
+    leases.add_lot(state.lots["lot"])
+    hopeful = lambda lot: False  # noqa: E731
+    assert len(leases.lease(state, "f1", 5, 1.0, hopeful)) == 2
+    leases.release(state, ("lot", "i1"))
+    assert [item.id for _, item in leases.lease(state, "f2", 5, 1.1, hopeful)] == ["i1"]
+    state.fold(e.LotEnded("lot"))
+    assert leases.lease(state, "f3", 5, 1.2 + LEASE_S, hopeful) == []
+    assert leases.free_count == 0
+
+
+def test_what_a_call_costs_does_not_grow_with_leased_items() -> None:
+    state = TierState()
+    for number in range(50):
+        items = tuple(e.Item(f"i{number}-{place}", "/p/x", (), b"", 1) for place in range(200))
+        state.fold(e.LotTaken(f"lot{number}", "h.example", "/p", items, 1000))
+    leases = Leases(0.0)
+    for lot in state.lots.values():
+        leases.add_lot(lot)
+    looked_at: list[str] = []
+
+    def hopeless(lot: Lot) -> bool:
+        looked_at.append(lot.id)
+        return False
+
+    assert len(leases.lease(state, "f1", 10_000, 1.0, hopeless)) == 10_000
+    looked_at.clear()
+    assert leases.lease(state, "f2", 5, 1.1, hopeless) == []
+    assert looked_at == [], "lots without free items are not looked at"
