Tier: the root counts the fronts; a replica's step does nothing where nothing changed

Cause: a front took the fronts in its partial view, 16 peers at most, for all of them, so that with 53 it guessed a third of the load and asked for three times its share of connections. Each tick of a replica woke all who waited for a change.

Change: the primary counts the fronts that call it for items, and its beats tell the number; a front without room calls once a second. A step tells waiters only of a new role, commit or confirmation.

--- a/crowwing/tier/distribution/relay.py
+++ b/crowwing/tier/distribution/relay.py
@@ -59,11 +59,15 @@
 @message
 @dataclass(frozen=True)
 class Beat:
-    """The root is there: its ballot's round and a number that counts up, with what is the newest."""
+    """The root is there: its ballot's round and a number that counts up, with what is the newest.
+
+    `fronts`: how many fronts the root hears from, 0 where it does not know.
+    """
 
     beat: Order
     root: str | None
     orders: dict[str, Order]
+    fronts: int
 
 
 @message
@@ -104,6 +108,8 @@
         self.view = PartialView(me, random)
         self.root_order: Callable[[], int | None] = lambda: None  # the ballot's round, at the root itself
         self.root_hint: Callable[[], str | None] = lambda: None
+        self.count_fronts: Callable[[], int] = lambda: 0  # at the root itself
+        self.fronts = 0  # as the root counts them
         self._children: dict[str, Connection] = {}
         self._parent: Connection | None = None
         self._beat: Order = (-1, 0)
@@ -165,6 +171,7 @@
         if connection is not self._parent:
             return
         if self._advance(tuple(beat.beat), beat.root):
+            self.fronts = beat.fronts
             self._send_beats()
 
     def _advance(self, beat: Order, root: str | None) -> bool:
@@ -181,7 +188,7 @@
     def _send_beats(self) -> None:
         orders = self.documents.orders()
         for child in self._children.values():
-            child.notify(Beat(self._beat, self.root, orders))
+            child.notify(Beat(self._beat, self.root, orders, self.fronts))
 
     def became_root(self) -> None:
         """This backend is the root from now on: its beat goes out at once."""
@@ -200,6 +207,7 @@
             if order is not None:
                 number = self._beat[1] + 1 if self._beat[0] == order else 1
                 self._advance((order, number), self.me.host)
+                self.fronts = self.count_fronts()
                 self._send_beats()
 
     # Child
--- a/crowwing/tier/front/admission.py
+++ b/crowwing/tier/front/admission.py
@@ -21,6 +21,7 @@
 BUSY = 0.9  # part of the slots from which sidecars count as full
 TIMEOUT_AIM = 0.23  # part of the aim, the longest hold of a live request: a refusal in time for another try
 TIMEOUT_LEAST_S = 0.03
+PRESSED_S = 1.0  # after a refusal, in which an admission counts as pressed
 
 
 @dataclass
@@ -93,7 +94,7 @@
         self.load = Load(0.0, 0.0, 1.0)
         self.ceiling = max(LIMIT_FLOOR, share)
         self._classes: dict[str, ClassQueue] = {}
-        self._stepped = now
+        self.stepped = now
         self._outwait = 0.0
 
     def class_queue(self, name: str, aim_s: float) -> ClassQueue:
@@ -124,6 +125,10 @@
         """Whether the sidecars' slots are full."""
         return self.load.running + self.load.waiting >= BUSY * self.load.slots
 
+    def pressed(self, now: float) -> bool:
+        """Whether work waits or was refused lately, or the cut is up."""
+        return self.held > 0 or self.cut > 0 or now - self.refused_at < PRESSED_S
+
     def arrive(self, now: float, ticket: Ticket, aim_s: float) -> bool:
         """Takes a ticket into the hold; False where it is refused at once."""
         queue = self.class_queue(ticket.class_name, aim_s)
@@ -185,8 +190,8 @@
 
     def steer(self, now: float, load: Load, survived: float) -> None:
         """One step of the loops. `survived`: the most requests of this front that the sidecars bear."""
-        dt = min(0.2, now - self._stepped)
-        self._stepped, self.load = now, load
+        dt = min(0.2, now - self.stepped)
+        self.stepped, self.load = now, load
         self.ceiling = max(LIMIT_FLOOR, survived)
         waits = any(queue.held for queue in self._classes.values())
         idle = max(0.0, BUSY * load.slots - load.running - load.waiting)
--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -8,7 +8,7 @@
 
 from crowwing.tier.configuration import Route
 from crowwing.tier.front.events import EventSplitter, StreamEvent
-from crowwing.tier.front.service_pool import ServicePool
+from crowwing.tier.front.service_pool import ERROR_STATUS, ServicePool
 from crowwing.tier.front.sidecars import Part, SidecarState
 from crowwing.tier.front.upstream import (
     HOP_BY_HOP,
@@ -44,6 +44,7 @@
     deadline: float  # on the steady clock
     runs_left: int
     last_event: int | None = None
+    retries_errors: bool = False  # an answer of 5xx is taken as a failed run where another is allowed
     tried: set[str] = field(default_factory=set)
 
 
@@ -91,7 +92,13 @@
             job.tried.add(state.entry.id)
             outcome = await self._send(job, state)
             if isinstance(outcome, Opened):
-                return Running(outcome, state)
+                running = Running(outcome, state)
+                if not self._is_tried_again(job, outcome):
+                    return running
+                await self.close(running)
+                reason, may_have_run = f"status {outcome.status}", True
+                job.runs_left -= 1
+                continue
             reason = outcome.reason
             if isinstance(outcome, NotRun):
                 if outcome.status is None:
@@ -108,11 +115,17 @@
             return Failed(504 if time.monotonic() >= job.deadline else 502, reason)
         return NotServed(reason)
 
+    @staticmethod
+    def _is_tried_again(job: Job, opened: Opened) -> bool:
+        return opened.status >= ERROR_STATUS and job.retries_errors and job.runs_left > 1
+
     async def _send(self, job: Job, state: SidecarState) -> Outcome:
         client = self._pool.client(state)
         left = job.deadline - time.monotonic()
         another = job.route.repeatable and job.runs_left > 1
         limit = min(left, SILENT_S) if another else left
+        unread = state.unread_tokens(job.parts)
+        began = time.monotonic()
         number = self._pool.sent(state)
         try:
             async with asyncio.timeout(limit):
@@ -126,7 +139,7 @@
         finally:
             self._pool.head_came(state, number)
         if isinstance(outcome, Opened):
-            self._pool.answered(state, outcome)
+            self._pool.answered(state, outcome, time.monotonic() - began, unread)
             state.remember(job.parts)
         else:
             self._pool.left(state)
--- a/crowwing/tier/front/lot_runner.py
+++ b/crowwing/tier/front/lot_runner.py
@@ -25,6 +25,7 @@
 RUN_LIMIT_S = 30.0
 REPORT_LIMIT_S = 4.0
 PAUSE_S = 0.15
+TELL_S = 1.0  # a front without room calls the primary so often, which counts its callers
 GONE_STATUS = 422
 RUN_ATTEMPTS = 4  # sidecars that one run may go on at
 
@@ -41,12 +42,14 @@
         self.draining = False
 
     async def run(self) -> None:
-        """Leases items for as long as there is room for them."""
+        """Leases items for as long as there is room for them, and is heard by the primary in any case."""
+        told_at = -TELL_S
         while True:
             room = 0 if self.draining else self._room()
-            if not room and not self._running:
+            if not room and not self._running and time.monotonic() - told_at < TELL_S:
                 await asyncio.sleep(PAUSE_S)
                 continue
+            told_at = time.monotonic()
             wait_ms = LEASE_WAIT_MS if room else LEASE_WAIT_MS // 2
             command = c.LeaseItems(self._name, room, tuple(self._running), wait_ms)
             outcome = await self._store.call(command, 2.0, answer_s=1.2)
--- a/crowwing/tier/front/main.py
+++ b/crowwing/tier/front/main.py
@@ -34,6 +34,7 @@
 END_MARGIN_S = 0.7  # before the platform kills the process
 OWN_READ_AFTER_S, OWN_READ_EVERY_S = 1.2, 0.9  # without the root, a front reads the list by itself
 IDLE_DEFAULT_S = 75.0
+COUNT_EVERY_S = 1.0
 
 
 class FrontProcess:
@@ -80,9 +81,20 @@
                 log.error("configuration unreadable at %s: %s", parsed.place, parsed.reason)
         elif document.kind == SIDECARS:
             listed = decode(document.body)
-            self.pool.sidecars.fronts = 1 + len(self.relay.view.peers("front"))
+            self._count_fronts()
             self.pool.take_list(listed)
 
+    def _count_fronts(self) -> None:
+        """As the root counts them, or at least those that shuffles have shown."""
+        shown = 1 + len(self.relay.view.peers("front"))
+        self.pool.sidecars.fronts = max(shown, self.relay.fronts)
+
+    async def run_count(self) -> None:
+        """Keeps the number of fronts up to date."""
+        while True:
+            await asyncio.sleep(COUNT_EVERY_S)
+            self._count_fronts()
+
     def _apply_limits(self, configuration: Configuration) -> None:
         for server in self.servers:
             server.config.timeout_keep_alive = max(1, int(configuration.limits.idle_timeout_ms / 1000))
@@ -116,6 +128,7 @@
         internal = await serve(settings.ip, settings.internal_port, self.handle)
         for work in (
             self.relay.run_child(), self.relay.run_shuffles(), self.pool.run_loops(), self.runner.run(),
+            self.run_count(),
         ):  # fmt: skip
             tasks.start(work)
         if settings.cloud is not None:
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -8,17 +8,17 @@
 
 from crowwing.tier.configuration import RoutingTable
 from crowwing.tier.front.admission import Admission, Ticket
-from crowwing.tier.front.sidecars import SidecarState, SidecarTable
+from crowwing.tier.front.sidecars import READ_TOKENS_PER_MS, SidecarState, SidecarTable
 from crowwing.tier.front.upstream import Opened, SidecarClient
 from crowwing.tier.platform_list import SidecarList
 
 log = logging.getLogger("crowwing.pool")
 
-STEER_S = 0.05
+STEER_S, IDLE_STEER_S = 0.05, 0.2  # between steps of the loops; while nothing is held, refused or cut
 LOG_S = 1.0
+ERROR_STATUS = 500  # from which an answer counts as a failure of its sidecar
 WAIT_STEP_S = 0.02
 MOST_GIVE_WAY = 3  # items at a time that make room for live requests
-PRESSED_S = 1.0  # after a refusal, in which reports are read
 CONNECTIONS_LEAST = 8
 START_SHARE = 1.0  # of the even part of all slots, which the limit starts at
 CONNECTION_SHARE = 0.9  # of the connections that a sidecar accepts, shared by all fronts
@@ -123,6 +123,8 @@
         now = time.monotonic()
         for ticket in admission.expire(now):
             _answer(ticket, False)
+        if not admission.held:
+            return
         places = self.sidecars.places(service, now)
         for ticket in admission.start(now, places):
             _answer(ticket, True)
@@ -161,11 +163,13 @@
             now = time.monotonic()
             self._ask_silent(now)
             for service, admission in self._admissions.items():
+                if now - admission.stepped < IDLE_STEER_S and not admission.pressed(now):
+                    continue
                 load = self.sidecars.load(service, now)
                 admission.steer(now, load, self.sidecars.survived(service, now))
                 if admission.held:
                     self._start(service, admission)
-                if admission.held or now - admission.refused_at < PRESSED_S:
+                if admission.pressed(now):
                     self._ask_reports(service, now)
                 self._log_changes(service, admission, now)
 
@@ -224,10 +228,14 @@
         state.inflight -= 1
         state.one_less()
 
-    def answered(self, state: SidecarState, opened: Opened) -> None:
+    def answered(self, state: SidecarState, opened: Opened, taken_s: float, unread_tokens: int) -> None:
         """A sidecar has begun to answer: it lives, and may tell its load."""
-        state.heard_at = time.monotonic()
+        now = state.heard_at = time.monotonic()
         state.succeeded()
+        if opened.status >= ERROR_STATUS:
+            state.record.failed(now)
+        else:
+            state.record.answered(now, 1000 * taken_s, unread_tokens / READ_TOKENS_PER_MS)
         told = opened.header(b"server-load")
         if told is not None:
             self._tell_load(state, told)
--- a/crowwing/tier/front/sidecars.py
+++ b/crowwing/tier/front/sidecars.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from crowwing.tier.front.admission import Load, Places
+from crowwing.tier.front.track_record import TrackRecord
 from crowwing.tier.platform_list import Sidecar
 
 CACHED_PARTS = 4000  # remembered prompt parts a sidecar
@@ -62,6 +63,7 @@
     silent: bool = False  # nothing comes from it although something should
     leaving: bool = False  # its answers say so, before the list does
     cached: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    record: TrackRecord = field(default_factory=TrackRecord)
 
     def estimate(self, now: float, fronts: int) -> float:
         """Requests that it probably has now: as told, or later as if all fronts sent alike."""
@@ -96,6 +98,7 @@
     def failed(self, now: float) -> None:
         """It could not be reached, or fell silent: stay away for a while that grows."""
         self.failures += 1
+        self.record.failed(now)
         pause = min(BACKOFF_MOST_S, BACKOFF_LEAST_S * 2 ** (self.failures - 1))
         self.avoid_until = now + pause
 
@@ -176,8 +179,9 @@
         for state in self.of_service(service):
             if state.usable(now):
                 estimate = state.estimate(now, self.fronts)
-                live += max(0, math.ceil(LIVE_FILL * state.entry.slots - estimate))
-                patient += max(0, math.ceil(PATIENT_FILL * state.entry.slots - estimate))
+                slots = state.entry.slots * (1 - state.record.share_failing(now))
+                live += max(0, math.ceil(LIVE_FILL * slots - estimate))
+                patient += max(0, math.ceil(PATIENT_FILL * slots - estimate))
         return Places(live, patient)
 
     def silent(self, now: float) -> list[SidecarState]:
@@ -218,6 +222,7 @@
     def _cost_ms(self, state: SidecarState, parts: tuple[Part, ...], home: str | None, now: float) -> float:
         part_taken = (state.estimate(now, self.fronts) + 1) / max(1, state.entry.slots)
         cost = LOAD_COST_MS * part_taken + OVERFULL_COST_MS * max(0.0, part_taken - 1)
+        cost += state.record.cost_ms(now)
         unread = state.unread_tokens(parts)
         if home == state.entry.id and unread:
             unread = int(unread * (1 - HOME_SHARE))
--- a/crowwing/tier/store/item_leasing.py
+++ b/crowwing/tier/store/item_leasing.py
@@ -16,6 +16,7 @@
 from crowwing.tier.store.leases import ItemKey, Leases
 from crowwing.tier.store.node import ReplicaNode
 
+FRONT_HEARD_S = 3.0  # after its last call a front is not counted any more
 HAND_OUT_S = 0.1  # between looks for leases that have ended
 RUN_MARGIN_MS = 1500.0  # what an item takes, once it is leased
 
@@ -39,14 +40,26 @@
         self._leases = Leases(time.monotonic())
         self._waiting: deque[WaitingFront] = deque()
         self._uncommitted: deque[tuple[int, str]] = deque()  # index and lot
+        self._heard: dict[str, float] = {}  # fronts, and when they called
+        self._since = time.monotonic()
 
     def became_primary(self) -> None:
         """Starts anew: all lots of the state are committed."""
         self._leases = Leases(time.monotonic())
         self._uncommitted.clear()
+        self._heard.clear()
+        self._since = time.monotonic()
         for lot in self._node.state.lots.values():
             self._leases.add_lot(lot)
 
+    def count_fronts(self) -> int:
+        """How many fronts call this primary; 0 until all have had the time to."""
+        now = time.monotonic()
+        if now - self._since < FRONT_HEARD_S:
+            return 0
+        self._heard = {front: at for front, at in self._heard.items() if now - at < FRONT_HEARD_S}
+        return len(self._heard)
+
     def lot_proposed(self, index: int, lot_id: str) -> None:
         """A lot stands at an index of the log; its items may run once that is committed."""
         self._uncommitted.append((index, lot_id))
@@ -71,6 +84,7 @@
             if self._node.replica.role is not Role.FOLLOWER:
                 return c.ItemsLeased((), ())
             return c.NotPrimary(self._node.leader)
+        self._heard[command.front] = time.monotonic()
         stop = self._leases.renew(self._node.state, command.front, command.running, time.monotonic())
         found = (
             [] if not command.most else await self._wait_for_items(command, 0 if stop else command.wait_ms)
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -56,6 +56,7 @@
         self._work = asyncio.Event()
         self.changed = asyncio.Event()  # replaced at each step that may matter to who waits
         self._was = Role.FOLLOWER
+        self._seen: tuple[Role, int, float] | None = None  # role, commit index, last confirmation
         self._write_since: float | None = None
         self.disk_failed = False  # neither ticks nor receives until the disk takes a rewriting
         self.on_role: list[Callable[[bool], None]] = []
@@ -154,19 +155,27 @@
         if output.records or output.durable:
             self._queue.append(output)
             self._work.set()
+        role, committed = self.replica.role, self.replica.commit_index
+        confirmed = self.replica.confirmed_at
+        if (role, committed, confirmed) == self._seen:
+            return
+        self._seen = (role, committed, confirmed)
         self._settle()
-        is_primary = self.replica.role is Role.PRIMARY
-        if is_primary != (self._was is Role.PRIMARY) and self.replica.role is not Role.CANDIDATE:
-            for listener in self.on_role:
-                listener(is_primary)
-        if self.replica.role is not Role.CANDIDATE:
-            self._was = self.replica.role
-        if is_primary:
+        self._tell_role(role)
+        if role is Role.PRIMARY:
             for on_commit in self.on_commit:
-                on_commit(self.replica.commit_index)
+                on_commit(committed)
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
+    def _tell_role(self, role: Role) -> None:
+        if role is Role.CANDIDATE:
+            return
+        if (role is Role.PRIMARY) != (self._was is Role.PRIMARY):
+            for listener in self.on_role:
+                listener(role is Role.PRIMARY)
+        self._was = role
+
     def _settle(self) -> None:
         role, committed = self.replica.role, self.replica.commit_index
         if role is Role.CANDIDATE and self._was is Role.PRIMARY:
@@ -216,6 +225,7 @@
         future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._pending.append(Pending(index, self.replica.promised, future))
         self.step()
+        self._settle()
         try:
             async with asyncio.timeout(COMMIT_LIMIT_S):
                 committed = await future
--- /dev/null
+++ b/tests/tier/test_dispatch.py
@@ -0,0 +1,112 @@
+"""Tries of one request at several sidecars, with answers played from a list."""
+
+import asyncio
+import time
+from typing import Any
+
+import httpx
+import pytest
+
+from crowwing.tier.configuration import Route
+from crowwing.tier.front.dispatch import Dispatcher, Failed, Job, NotServed, Running
+from crowwing.tier.front.service_pool import ServicePool
+from crowwing.tier.front.sidecars import SidecarState
+from crowwing.tier.front.upstream import MayHaveRun, NotRun, Opened
+from crowwing.tier.platform_list import Sidecar, SidecarList
+
+
+class PlayedClient:
+    """Answers in the order of a list that all sidecars share."""
+
+    def __init__(self, outcomes: list[Any]) -> None:
+        self._outcomes = outcomes
+
+    async def send(self, *_: object) -> Any:  # noqa: ANN401
+        """The next outcome."""
+        return self._outcomes.pop(0)
+
+
+class PlayedPool(ServicePool):
+    """A pool whose sidecars answer from a list."""
+
+    def __init__(self, outcomes: list[Any]) -> None:
+        super().__init__()
+        self._played = PlayedClient(outcomes)
+        entries = [
+            Sidecar(name, "advisor", f"127.0.0.1:{place}", "z", 8, True) for place, name in enumerate("abcd")
+        ]
+        self.take_list(SidecarList(tuple(entries)))
+
+    def client(self, state: SidecarState) -> Any:  # noqa: ANN401
+        """The same client for all."""
+        return self._played
+
+
+def answered(status: int) -> Opened:
+    return Opened(status, [], httpx.Response(status, stream=httpx.ByteStream(b"")), True)
+
+
+def job(resumable: bool, attempts: int) -> Job:
+    route = Route.model_validate(
+        {
+            "name": "r",
+            "host": "h",
+            "pathPrefix": "/p/",
+            "kind": "stream",
+            "timeoutMs": 1000,
+            "sloMs": 200,
+            "service": "advisor",
+            "maxAttempts": attempts,
+            "resumable": resumable,
+        }  # fmt: skip
+    )
+    deadline = time.monotonic() + 5
+    return Job(
+        "POST",
+        b"/p/x",
+        [],
+        b"",
+        b"id",
+        route,
+        "advisor",
+        (),
+        deadline,
+        attempts,
+        retries_errors=route.repeatable,
+    )
+
+
+def opened(outcomes: list[Any], resumable: bool, attempts: int = 2) -> tuple[Any, list[Any]]:
+    result = asyncio.run(Dispatcher(PlayedPool(outcomes)).open(job(resumable, attempts)))
+    return result, outcomes
+
+
+def test_an_error_of_a_repeatable_request_is_tried_once_more_elsewhere() -> None:
+    result, left = opened([answered(500), answered(200)], True)
+    assert isinstance(result, Running) and result.opened.status == 200 and left == []
+
+
+def test_the_last_allowed_run_gives_its_error_to_the_client() -> None:
+    result, left = opened([answered(500), answered(500), answered(200)], True)
+    assert isinstance(result, Running) and result.opened.status == 500 and len(left) == 1
+
+
+def test_an_error_of_a_request_that_must_not_run_twice_is_final() -> None:
+    result, left = opened([answered(500), answered(200)], False)
+    assert isinstance(result, Running) and result.opened.status == 500 and len(left) == 1
+
+
+@pytest.mark.parametrize(("resumable", "kind"), [(True, Running), (False, Failed)])
+def test_what_may_have_run_is_repeated_only_where_it_may_be(resumable: bool, kind: type) -> None:
+    result, _ = opened([MayHaveRun("reset"), answered(200)], resumable)
+    assert isinstance(result, kind)
+
+
+def test_what_has_not_run_is_tried_elsewhere_however_its_route_is() -> None:
+    result, left = opened([NotRun(503, "full"), NotRun(None, "refused"), answered(200)], False, 1)
+    assert isinstance(result, Running) and left == []
+
+
+def test_where_nobody_runs_it_the_client_is_promised_that_it_has_not_run() -> None:
+    result, _ = opened([NotRun(503, "full")] * 4, False, 1)
+    assert isinstance(result, NotServed)
