--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -124,8 +124,6 @@
         left = job.deadline - time.monotonic()
         another = job.route.repeatable and job.runs_left > 1
         limit = min(left, SILENT_S) if another else left
-        unread = state.unread_tokens(job.parts)
-        began = time.monotonic()
         number = self._pool.sent(state)
         try:
             async with asyncio.timeout(limit):
@@ -139,7 +137,7 @@
         finally:
             self._pool.head_came(state, number)
         if isinstance(outcome, Opened):
-            self._pool.answered(state, outcome, time.monotonic() - began, unread)
+            self._pool.answered(state, outcome)
             state.remember(job.parts)
         else:
             self._pool.left(state)
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -8,7 +8,7 @@
 
 from crowwing.tier.configuration import RoutingTable
 from crowwing.tier.front.admission import Admission, Ticket
-from crowwing.tier.front.sidecars import READ_TOKENS_PER_MS, SidecarState, SidecarTable
+from crowwing.tier.front.sidecars import SidecarState, SidecarTable
 from crowwing.tier.front.upstream import Opened, SidecarClient
 from crowwing.tier.platform_list import SidecarList
 
@@ -228,14 +228,14 @@
         state.inflight -= 1
         state.one_less()
 
-    def answered(self, state: SidecarState, opened: Opened, taken_s: float, unread_tokens: int) -> None:
+    def answered(self, state: SidecarState, opened: Opened) -> None:
         """A sidecar has begun to answer: it lives, and may tell its load."""
         now = state.heard_at = time.monotonic()
         state.succeeded()
         if opened.status >= ERROR_STATUS:
             state.record.failed(now)
         else:
-            state.record.answered(now, 1000 * taken_s, unread_tokens / READ_TOKENS_PER_MS)
+            state.record.answered(now)
         told = opened.header(b"server-load")
         if told is not None:
             self._tell_load(state, told)
--- a/crowwing/tier/front/track_record.py
+++ b/crowwing/tier/front/track_record.py
@@ -9,21 +9,21 @@
 FADE_S = 3.0  # in which half of a memory fades
 WEIGHT = 0.15  # of the newest outcome
 FAILURE_COST_MS = 1500.0  # of a sidecar that fails all of its requests
-SLOWNESS_WEIGHT, SLOWNESS_MOST_MS = 0.5, 600.0
 
 
 @dataclass
 class TrackRecord:
-    """The share of requests that failed, and how much longer than their reading they took to begin."""
+    """The share of requests that failed.
+
+    How long answers took is left out on purpose: it tells more of what all fronts sent there than of the
+    sidecar, and fronts that go by it crowd one sidecar after another (docs/measurements/tier.md).
+    """
 
     failure_share: float = 0.0
-    excess_ms: float = 0.0
     _at: float = 0.0
 
     def _fade(self, now: float) -> None:
-        kept = 0.5 ** (max(0.0, now - self._at) / FADE_S)
-        self.failure_share *= kept
-        self.excess_ms *= kept
+        self.failure_share = self.share_failing(now)
         self._at = now
 
     def failed(self, now: float) -> None:
@@ -31,11 +31,10 @@
         self._fade(now)
         self.failure_share += WEIGHT * (1 - self.failure_share)
 
-    def answered(self, now: float, taken_ms: float, reading_ms: float) -> None:
-        """A request began to be answered after `taken_ms`, of which its prompt takes `reading_ms`."""
+    def answered(self, now: float) -> None:
+        """A request began to be answered."""
         self._fade(now)
         self.failure_share -= WEIGHT * self.failure_share
-        self.excess_ms += WEIGHT * (max(0.0, taken_ms - reading_ms) - self.excess_ms)
 
     def share_failing(self, now: float) -> float:
         """The share of requests that fail, as far as is remembered."""
@@ -43,6 +42,4 @@
 
     def cost_ms(self, now: float) -> float:
         """What sending a request there costs beyond its load."""
-        kept = 0.5 ** (max(0.0, now - self._at) / FADE_S)
-        slowness = min(SLOWNESS_MOST_MS, SLOWNESS_WEIGHT * self.excess_ms)
-        return kept * (FAILURE_COST_MS * self.failure_share + slowness)
+        return FAILURE_COST_MS * self.share_failing(now)
