Tier: of many sidecars a sample is weighed; failures count from a fifth of the requests on

Change: of more than 16 sidecars 12 at random, the home of the prompt's shared part and its last readers are weighed, and places are counted on for 20 ms; a share of failures under a fifth counts for nothing.

--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -138,7 +138,7 @@
             self._pool.head_came(state, number)
         if isinstance(outcome, Opened):
             self._pool.answered(state, outcome)
-            state.remember(job.parts)
+            self._pool.sidecars.remember(state, job.parts)
         else:
             self._pool.left(state)
         return outcome
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -126,8 +126,11 @@
         if not admission.held:
             return
         places = self.sidecars.places(service, now)
-        for ticket in admission.start(now, places):
+        started = admission.start(now, places)
+        for ticket in started:
             _answer(ticket, True)
+        patient = sum(ticket.patient for ticket in started)
+        self.sidecars.taken(service, len(started) - patient, patient)
         self._make_room(service, admission.live_held)
 
     # Items that give way
--- a/crowwing/tier/front/sidecars.py
+++ b/crowwing/tier/front/sidecars.py
@@ -2,9 +2,10 @@
 
 import hashlib
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from random import Random
 
 from crowwing.tier.front.admission import Load, Places
 from crowwing.tier.front.track_record import TrackRecord
@@ -21,6 +22,10 @@
 OVERFULL_COST_MS = 400.0  # more for each further slots' worth
 READ_TOKENS_PER_MS = 128.0
 SHARED_PART_LEAST = 1000  # tokens from which fronts agree on a home for a shared part
+FULL_SCAN_MOST = 16  # sidecars of a service that are all weighed for each request; of more, a sample is
+SAMPLED, SAMPLED_HOLDERS = 12, 3  # at random, and of those that hold the large shared part
+HOMES_KEPT = 4000  # shared parts whose home is remembered
+PLACES_FRESH_S = 0.02  # for how long places are counted on instead of counted, where all are not weighed
 HOME_SHARE = 0.6  # of a part's reading that its home is credited with before it is known to be there
 
 
@@ -42,7 +47,7 @@
     return tuple(parts)
 
 
-@dataclass
+@dataclass(eq=False)
 class SidecarState:
     """What this front knows of one sidecar."""
 
@@ -136,10 +141,15 @@
 class SidecarTable:
     """All sidecars by id."""
 
-    def __init__(self) -> None:
+    def __init__(self, random: Random | None = None) -> None:
         self.zone = ""  # this front's own
         self.fronts = 1  # how many fronts there are, as far as is known
+        self._random = random or Random()
         self._states: dict[str, SidecarState] = {}
+        self._by_service: dict[str, list[SidecarState]] = {}
+        self._places: dict[str, tuple[float, Places]] = {}  # when they were counted, and how many
+        self._homes: OrderedDict[str, SidecarState] = OrderedDict()  # by shared part
+        self._holders: OrderedDict[str, deque[SidecarState]] = OrderedDict()  # that read it lately
 
     def update(self, entries: Iterable[Sidecar]) -> list[str]:
         """Takes a list in; gives the ids that are gone."""
@@ -153,11 +163,15 @@
                 self._states[sidecar_id] = SidecarState(entry)
             else:
                 state.entry = entry
+        self._by_service = {}
+        for state in self._states.values():
+            self._by_service.setdefault(state.entry.service, []).append(state)
+        self._homes.clear()
         return gone
 
     def of_service(self, service: str) -> list[SidecarState]:
         """The sidecars of a service that are listed."""
-        return [state for state in self._states.values() if state.entry.service == service]
+        return self._by_service.get(service, [])
 
     def load(self, service: str, now: float) -> Load:
         """What is known of a service as a whole."""
@@ -175,6 +189,20 @@
 
     def places(self, service: str, now: float) -> Places:
         """How many more requests the sidecars of a service can take without waiting there."""
+        counted_at, counted = self._places.get(service, (-1e9, Places(0, 0)))
+        if now - counted_at < PLACES_FRESH_S and len(self.of_service(service)) > FULL_SCAN_MOST:
+            return counted
+        counted = self._count_places(service, now)
+        self._places[service] = (now, counted)
+        return counted
+
+    def taken(self, service: str, live: int, patient: int) -> None:
+        """So many requests and items have just started, which fresh places don't count yet."""
+        counted_at, counted = self._places.get(service, (-1e9, Places(0, 0)))
+        left = Places(counted.live - live - patient, counted.patient - live - patient)
+        self._places[service] = (counted_at, left)
+
+    def _count_places(self, service: str, now: float) -> Places:
         live = patient = 0
         for state in self.of_service(service):
             if state.usable(now):
@@ -204,9 +232,12 @@
         self, service: str, parts: tuple[Part, ...], now: float, tried: frozenset[str] = frozenset()
     ) -> SidecarState | None:
         """The sidecar that will probably have read the prompt first."""
-        candidates = [
-            state for state in self.of_service(service) if state.usable(now) and state.entry.id not in tried
-        ]
+        shared = next((part.id for part in parts[:-1] if part.tokens >= SHARED_PART_LEAST), None)
+        states = self.of_service(service)
+        weighed = states if len(states) <= FULL_SCAN_MOST else self._sample(states, shared)
+        candidates = [state for state in weighed if state.usable(now) and state.entry.id not in tried]
+        if not candidates and weighed is not states:
+            candidates = [state for state in states if state.usable(now) and state.entry.id not in tried]
         if not candidates:
             candidates = [  # better one in doubt than none
                 state
@@ -215,10 +246,41 @@
             ]
         if not candidates:
             return None
-        shared = [part for part in parts[:-1] if part.tokens >= SHARED_PART_LEAST]
-        home = home_of(shared[0].id, candidates) if shared else None
+        home = None
+        if shared is not None:
+            home = home_of(shared, candidates) if weighed is states else self._home(shared, states).entry.id
         return min(candidates, key=lambda state: self._cost_ms(state, parts, home, now))
 
+    def _sample(self, states: list[SidecarState], shared: str | None) -> list[SidecarState]:
+        """Some at random, and the home and some holders of a shared part."""
+        chosen = self._random.sample(states, SAMPLED)
+        if shared is not None:
+            chosen.append(self._home(shared, states))
+            held = self._holders.get(shared, ())
+            chosen += [state for state in held if self._states.get(state.entry.id) is state]
+        return list({state.entry.id: state for state in chosen}.values())
+
+    def _home(self, part: str, states: list[SidecarState]) -> SidecarState:
+        home = self._homes.get(part)
+        if home is None:
+            ready = [state for state in states if state.entry.ready] or states
+            home = self._homes[part] = self._states[home_of(part, ready)]
+            while len(self._homes) > HOMES_KEPT:
+                self._homes.popitem(last=False)
+        return home
+
+    def remember(self, state: SidecarState, parts: tuple[Part, ...]) -> None:
+        """A sidecar has read these parts."""
+        state.remember(parts)
+        for part in parts[:-1]:
+            if part.tokens >= SHARED_PART_LEAST:
+                held = self._holders.setdefault(part.id, deque(maxlen=SAMPLED_HOLDERS))
+                if state not in held:
+                    held.append(state)
+                self._holders.move_to_end(part.id)
+        while len(self._holders) > HOMES_KEPT:
+            self._holders.popitem(last=False)
+
     def _cost_ms(self, state: SidecarState, parts: tuple[Part, ...], home: str | None, now: float) -> float:
         part_taken = (state.estimate(now, self.fronts) + 1) / max(1, state.entry.slots)
         cost = LOAD_COST_MS * part_taken + OVERFULL_COST_MS * max(0.0, part_taken - 1)
--- a/crowwing/tier/front/track_record.py
+++ b/crowwing/tier/front/track_record.py
@@ -8,6 +8,7 @@
 
 FADE_S = 3.0  # in which half of a memory fades
 WEIGHT = 0.15  # of the newest outcome
+TOLERATED = 0.2  # share that counts for nothing: one failure now and then befalls all sidecars
 FAILURE_COST_MS = 1500.0  # of a sidecar that fails all of its requests
 
 
@@ -23,7 +24,7 @@
     _at: float = 0.0
 
     def _fade(self, now: float) -> None:
-        self.failure_share = self.share_failing(now)
+        self.failure_share = self._remembered(now)
         self._at = now
 
     def failed(self, now: float) -> None:
@@ -36,10 +37,13 @@
         self._fade(now)
         self.failure_share -= WEIGHT * self.failure_share
 
-    def share_failing(self, now: float) -> float:
-        """The share of requests that fail, as far as is remembered."""
+    def _remembered(self, now: float) -> float:
         return self.failure_share * 0.5 ** (max(0.0, now - self._at) / FADE_S)
 
+    def share_failing(self, now: float) -> float:
+        """The share of requests that fail, as far as is remembered and beyond what is tolerated."""
+        return max(0.0, self._remembered(now) - TOLERATED)
+
     def cost_ms(self, now: float) -> float:
         """What sending a request there costs beyond its load."""
         return FAILURE_COST_MS * self.share_failing(now)
--- a/tests/tier/test_sidecars.py
+++ b/tests/tier/test_sidecars.py
@@ -1,8 +1,19 @@
 """What a front believes of sidecars, and which one it chooses."""
 
+from random import Random
+from typing import Any
+
 import pytest
 
-from crowwing.tier.front.sidecars import Part, SidecarTable, home_of, parse_prompt
+from crowwing.tier.front.sidecars import (
+    SAMPLED,
+    SAMPLED_HOLDERS,
+    Part,
+    SidecarState,
+    SidecarTable,
+    home_of,
+    parse_prompt,
+)
 from crowwing.tier.platform_list import Sidecar
 
 
@@ -110,9 +121,69 @@
     assert first.record.share_failing(30.0) < 0.01, "it is tried again"
 
 
+def test_one_failure_is_no_reason_to_avoid_a_sidecar() -> None:
+    sidecars = table("a", "b")
+    first, second = sidecars.of_service("advisor")
+    first.record.failed(0.0)
+    second.tell_load(0.0, 8, 0, 48)
+    assert sidecars.choose("advisor", (), 0.1) is first
+
+
 def test_where_all_fail_all_are_used() -> None:
     sidecars = table("a", "b")
     for state in sidecars.of_service("advisor"):
         for place in range(20):
             state.record.failed(0.1 * place)
     assert sidecars.choose("advisor", (), 2.0) is not None
+
+
+def many(count: int) -> SidecarTable:
+    made = SidecarTable(Random(1))
+    made.zone = "z1"
+    made.update([Sidecar(f"s{n}", "advisor", f"10.0.0.1:{n}", "z1", 48, True) for n in range(count)])
+    return made
+
+
+def test_of_many_sidecars_few_are_weighed_for_each_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    for count in (60, 5200):
+        sidecars = many(count)
+        weighed: list[str] = []
+        cost = sidecars._cost_ms
+
+        def counted(state: SidecarState, *rest: Any, cost: Any = cost, weighed: Any = weighed) -> float:  # noqa: ANN401
+            weighed.append(state.entry.id)
+            return cost(state, *rest)
+
+        monkeypatch.setattr(sidecars, "_cost_ms", counted)
+        sidecars.choose("advisor", (Part("shared", 13_300), Part("own", 10)), 0.0)
+        assert len(weighed) <= SAMPLED + SAMPLED_HOLDERS + 1, f"of {count}"
+
+
+def test_of_many_sidecars_the_home_of_a_shared_part_or_a_holder_is_chosen() -> None:
+    sidecars = many(60)
+    prompt = (Part("shared", 13_300), Part("own", 10))
+    home = home_of("shared", sidecars.of_service("advisor"))
+    assert {sidecars.choose("advisor", prompt, 0.0).entry.id for _ in range(20)} == {home}
+    holder = next(x for x in sidecars.of_service("advisor") if x.entry.id != home)
+    sidecars.remember(holder, prompt)
+    assert sidecars.choose("advisor", prompt, 0.0) is holder, "it need not read it"
+    sidecars.update([x.entry for x in sidecars.of_service("advisor") if x is not holder])
+    assert sidecars.choose("advisor", prompt, 0.0).entry.id == home, "a holder that is gone is not chosen"
+
+
+def test_of_many_sidecars_those_that_can_be_used_are_found_among_many_that_cannot() -> None:
+    sidecars = many(100)
+    usable = sidecars.of_service("advisor")[7]
+    for state in sidecars.of_service("advisor"):
+        if state is not usable:
+            state.failed(0.0)
+    assert sidecars.choose("advisor", (), 0.1) is usable
+
+
+def test_places_are_counted_on_for_a_moment_where_there_are_many_sidecars() -> None:
+    sidecars = many(60)
+    before = sidecars.places("advisor", 1.0)
+    sidecars.taken("advisor", 10, 5)
+    after = sidecars.places("advisor", 1.01)
+    assert (after.live, after.patient) == (before.live - 15, before.patient - 15)
+    assert sidecars.places("advisor", 1.05) == before, "counted anew"
