docs/CAPACITY.md is the tier's, with its scale run, slopes and tests; tests of lots on processes

The page of the backend of run is docs/CAPACITY-BACKEND.md now; benchmarks.capacity fills and checks both.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,6 +1,9 @@
-"""Works out the figures of docs/CAPACITY.md from docs/measurements/scale.json, and checks the page by them.
+"""Works out the figures of the capacity pages from what was measured, and checks the pages by them.
 
-    .venv/bin/python -m benchmarks.capacity            # what in the page differs; exit 1 where something does
+docs/CAPACITY.md is the serving tier's, from docs/measurements/tier_scale.json; docs/CAPACITY-BACKEND.md that
+of the backend of `run`, from docs/measurements/scale.json.
+
+    .venv/bin/python -m benchmarks.capacity            # what differs in the pages; exit 1 where anything does
     .venv/bin/python -m benchmarks.capacity --write    # fills the figures in
 
 The page holds the sums themselves, so that they can be read where the figure stands. Names in them are the
@@ -21,9 +24,12 @@
 from pathlib import Path
 
 DOCS = Path(__file__).parent.parent / "docs"
-PAGE, FILE = DOCS / "CAPACITY.md", DOCS / "measurements" / "scale.json"
+PAGE, FILE = DOCS / "CAPACITY-BACKEND.md", DOCS / "measurements" / "scale.json"
+TIER_PAGE, TIER_FILE = DOCS / "CAPACITY.md", DOCS / "measurements" / "tier_scale.json"
+PAGES = ((PAGE, FILE), (TIER_PAGE, TIER_FILE))
 UNKNOWN = "not measured yet"
-FIRST, WHOLE, LAST = 20, 5200, 100_000  # backends: where a fleet begins to grow, the size asked for, the end
+FIRST, LAST = 20, 100_000  # backends: where a fleet begins to grow, and the end
+WHOLE_HEADER = "of budget at "  # and the size that is asked for
 OPERATORS = {
     ast.Add: operator.add, ast.Sub: operator.sub, ast.Mult: operator.mul, ast.Div: operator.truediv,
     ast.Pow: operator.pow,
@@ -208,6 +214,12 @@
     return f"{FIRST} or before" if size == FIRST else f"{size:,}"
 
 
+def whole_size(header: list[str]) -> int:
+    """The size asked for, as the table's header names it."""
+    cell = next(cell for cell in header if cell.startswith(WHOLE_HEADER))
+    return int(cell.removeprefix(WHOLE_HEADER).replace(",", ""))
+
+
 def order(cell: str) -> float:
     if cell == UNKNOWN:
         return math.inf
@@ -238,7 +250,7 @@
             told = cells(line)
             sum_, budget = bare(told[1]), bare(told[2])
             told[3] = breaks_at(sum_, budget, names)
-            told[4] = factor(sum_, budget, names, n=WHOLE)
+            told[4] = factor(sum_, budget, names, n=whole_size(header))
             breaking.append(told)
         else:
             out.append(line)
@@ -259,12 +271,15 @@
     told = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     told.add_argument("--write", action="store_true", help="fills the figures in")
     write = told.parse_args().write
-    page, measured = PAGE.read_text(), json.loads(FILE.read_text())
-    if write:
-        PAGE.write_text(filled(page, measured))
-        return 0
-    wrong = differences(page, measured)
-    print("\n".join(wrong) or "the page is what the file gives")
+    wrong: list[str] = []
+    for path, file in PAGES:
+        page, measured = path.read_text(), json.loads(file.read_text())
+        if write:
+            path.write_text(filled(page, measured))
+        else:
+            wrong += [f"{path.name}:{line}" for line in differences(page, measured)]
+    if not write:
+        print("\n".join(wrong) or "the pages are what the files give")
     return 1 if wrong else 0
 
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -36,10 +36,10 @@
 }  # fmt: skip
 INTRO = """# What one backend costs: slopes
 
-Written by `python -m benchmarks.slopes` from `scale.json`, key `backend`; docs/CAPACITY.md is worked out from
-it. One real backend as `run` starts it (`python -O -m crowwing`), on loopback, among stand-ins for the farm
-agent, the back end and the control plane; {processors} processors, Python {python}, commit {commit}; one
-backend at a time, one load at a time. Each figure again: `python -m benchmarks.slopes --only MEASURE`.
+Written by `python -m benchmarks.slopes` from `scale.json`, key `backend`; docs/CAPACITY-BACKEND.md is worked
+out from it. One real backend as `run` starts it (`python -O -m crowwing`), on loopback, among stand-ins for
+the farm agent, the back end and the control plane; {processors} processors, Python {python}, commit {commit};
+one backend at a time, one load at a time. Each figure again: `python -m benchmarks.slopes --only MEASURE`.
 
 - Processor time is the process's own (`schedstat`), the system's part of its calls included; memory is
   `VmRSS`. What the system keeps for a socket is in neither.
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,4 +1,4 @@
-"""docs/CAPACITY.md and docs/measurements/slopes.md are what docs/measurements/scale.json gives."""
+"""docs/CAPACITY-BACKEND.md and docs/measurements/slopes.md are what docs/measurements/scale.json gives."""
 
 import copy
 import json
--- /dev/null
+++ b/tests/tier/test_lots_on_processes.py
@@ -0,0 +1,94 @@
+"""Lots among real processes: handed in by two fronts, ended while items run, and a running front killed."""
+
+import asyncio
+from collections import Counter
+from pathlib import Path
+
+import httpx
+
+from tests.tier.loopback import HOST_NAME, Loopback
+from tests.tier.test_processes import ITEMS, hand_in, played, results, text_of
+
+SLOW_PAUSE_S = 0.25  # between events, so that a run takes a second and a half
+
+
+def runs_of(tier: Loopback, lot: str) -> Counter[str]:
+    """How often each item of a lot has begun at a sidecar."""
+    started = [name for sidecar in tier.sidecars for name in sidecar.runs]
+    return Counter(name for name in started if name.startswith(f"{lot}-"))
+
+
+async def until_running(tier: Loopback, lot: str) -> None:
+    async def some_run() -> bool:
+        return bool(runs_of(tier, lot))
+
+    await tier.until(f"a run of {lot}", some_run)
+
+
+def test_a_lot_whose_answer_was_lost_is_taken_once_however_it_comes_again(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        for sidecar in tier.sidecars:
+            sidecar.pause_s = SLOW_PAUSE_S
+        await hand_in(tier, client, "lot0")
+        await until_running(tier, "lot0")
+        tier.fronts.reverse()  # the answer was lost: the client tries the other front first
+        await hand_in(tier, client, "lot0")
+        first = await results(tier, client, tier.fronts[0], "lot0")
+        tier.fronts.reverse()
+        await hand_in(tier, client, "lot0")
+        assert await results(tier, client, tier.fronts[0], "lot0") == first
+        assert sorted(x["id"] for x in first) == sorted(f"lot0-{n}" for n in range(ITEMS))
+        assert set(runs_of(tier, "lot0").values()) == {1}, "no item ran again"
+
+    played(tmp_path, play)
+
+
+def test_an_ended_lot_starts_no_more_items_and_its_results_stay(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        for sidecar in tier.sidecars:
+            sidecar.pause_s = SLOW_PAUSE_S
+        await hand_in(tier, client, "lot0")
+        await until_running(tier, "lot0")
+
+        async def ended() -> bool:
+            url = tier.url(tier.fronts[1], "/lots/lot0")
+            return (await client.delete(url, headers={"Host": HOST_NAME})).status_code == 200
+
+        await tier.until("the end", ended)
+        await tier.until("the end again", ended)
+        before = await listed(tier, client, 0)
+        for sidecar in tier.sidecars:
+            sidecar.runs.clear()
+        await hand_in(tier, client, "lot1")
+        await results(tier, client, tier.fronts[0], "lot1")  # time in which items of lot0 would have begun
+        assert runs_of(tier, "lot0") == Counter()
+        for place in range(len(tier.fronts)):
+            assert (await listed(tier, client, place))[: len(before)] == before
+
+    played(tmp_path, play)
+
+
+async def listed(tier: Loopback, client: httpx.AsyncClient, place: int) -> list[dict[str, str]]:
+    url = tier.url(tier.fronts[place], "/lots/lot0?startAfter=0")
+
+    async def read() -> list[list[dict[str, str]]] | None:
+        answer = await client.get(url, headers={"Host": HOST_NAME})
+        assert answer.status_code != 404, "an ended lot is still known"
+        return [answer.json()["results"]] if answer.status_code == 200 else None
+
+    return (await tier.until("the listed results", read))[0]
+
+
+def test_items_of_a_front_that_is_killed_are_run_by_another(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        for sidecar in tier.sidecars:
+            sidecar.pause_s = SLOW_PAUSE_S
+        await hand_in(tier, client, "lot0")
+        await until_running(tier, "lot0")
+        tier.kill(tier.fronts[0])
+        found = await asyncio.wait_for(results(tier, client, tier.fronts[1], "lot0"), 25)
+        assert {x["id"]: x["text"] for x in found} == {
+            f"lot0-{n}": text_of(f"lot0-{n}") for n in range(ITEMS)
+        }
+
+    played(tmp_path, play)
