--- a/crowwing/tier/replication/candidate.py
+++ b/crowwing/tier/replication/candidate.py
@@ -7,10 +7,12 @@
 from crowwing.tier.replication.timing import (
     ACCEPT_LIMIT_S,
     GONE_S,
+    HEARTBEAT_S,
     JOIN_FRESH_S,
     PREPARE_GRACE_S,
     PREPARE_LIMIT_S,
     REPLACED_S,
+    SNAPSHOT_BYTES_PER_S,
     SYNC_GRACE_S,
     SYNC_LIMIT_S,
 )
@@ -88,8 +90,12 @@
         elif campaign.phase is Phase.SYNC:
             if waited >= SYNC_GRACE_S and len(campaign.synced) >= self._least_copies():
                 self._start_accept(now)
-            elif waited >= SYNC_LIMIT_S:
+            elif waited >= campaign.sync_limit_s:
                 self._step_down(now, "too few members hold the data")
+            elif now - campaign.told_at >= HEARTBEAT_S:
+                campaign.told_at = now
+                for other in sorted(campaign.promises.keys() - {self.me}):
+                    self._send(other, m.Syncing(self.promised, self.me))
         elif waited >= ACCEPT_LIMIT_S:
             self._step_down(now, "no majority of the witnesses accepts")
 
@@ -113,15 +119,21 @@
         self.synced = self.promised
         self._output.records.append(m.SyncedRecord(self.synced))
         for target in sorted(campaign.targets - {self.me}):
-            self._send_sync(target, campaign.promises[target].last)
+            size = self._send_sync(target, campaign.promises[target].last)
+            campaign.sync_limit_s = max(campaign.sync_limit_s, SYNC_LIMIT_S + size / SNAPSHOT_BYTES_PER_S)
         self._sync_moved(now)
 
     def _choose_targets(self, campaign: Campaign) -> set[str]:
-        """Who is to hold the data in the new view: who promised, without slow disks where enough stay."""
+        """Who is to hold the data in the new view: who promised, where enough stay without slow disks and
+        without those that need a snapshot, which would hold the view up; the primary brings them up to date.
+        """
         targets = {x for x in campaign.promises if x not in self.excluded} | {self.me}
         sync_s = {x: promise.sync_s for x, promise in campaign.promises.items()}
         quick = targets - slow_disks({**sync_s, self.me: self.sync_s}) | {self.me}
-        return quick if len(quick) >= self._least_copies() else targets
+        if len(quick) >= self._least_copies():
+            targets = quick
+        near = {x for x in targets if x == self.me or self.log.contains(campaign.promises[x].last)}
+        return near if len(near) >= self._least_copies() else targets
 
     def _on_synced(self, now: float, x: m.Synced) -> None:
         if x.ballot != self.promised:
@@ -133,7 +145,7 @@
                 self._campaign.synced.add(x.sender)
                 self._sync_moved(now)
         elif self.role is Role.PRIMARY:
-            self._learner_sync.pop(x.sender, None)
+            self._learner_wait.pop(x.sender, None)
 
     def _sync_moved(self, now: float) -> None:
         campaign = self._campaign
--- a/crowwing/tier/replication/messages.py
+++ b/crowwing/tier/replication/messages.py
@@ -93,6 +93,15 @@
     matched: bool
 
 
+@message
+@dataclass(frozen=True)
+class Syncing:
+    """A candidate is still bringing the others to its data: they need not campaign meanwhile."""
+
+    ballot: Ballot
+    sender: str
+
+
 @message
 @dataclass(frozen=True)
 class Accept:
--- a/crowwing/tier/replication/primary.py
+++ b/crowwing/tier/replication/primary.py
@@ -15,6 +15,7 @@
     NEAR_ENTRIES,
     RECONFIGURE_PAUSE_S,
     SLOW_SYNC_S,
+    SNAPSHOT_BYTES_PER_S,
     STICKY_S,
 )
 
@@ -117,13 +118,13 @@
                 self._ready.add(x.sender)
                 return
             self._ready.discard(x.sender)  # a slow disk is shown to be quick again by what is sent
-            if now - self._learner_sync.get(x.sender, -1e9) >= LEARNER_SYNC_S:
-                self._learner_sync[x.sender] = now
-                self._send_sync(x.sender, x.last)
+            if now >= self._learner_wait.get(x.sender, now):
+                size = self._send_sync(x.sender, x.last)
+                self._learner_wait[x.sender] = now + LEARNER_SYNC_S + size / SNAPSHOT_BYTES_PER_S
 
     def _resend(self, now: float, x: m.HeartbeatReply) -> None:
-        if now - self._learner_sync.get(x.sender, -1e9) >= 2 * HEARTBEAT_S and self.log.contains(x.last):
-            self._learner_sync[x.sender] = now
+        if now >= self._learner_wait.get(x.sender, now) and self.log.contains(x.last):
+            self._learner_wait[x.sender] = now + 2 * HEARTBEAT_S
             self._send(x.sender, m.Append(self.promised, self.me, self.log.after(x.last[1])))
 
     def _lost_member(self, now: float, member: str) -> None:
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -105,6 +105,10 @@
         promise = m.Promise(x.ballot, self.me, self.view, self.synced, self.log.last, self.sync_s)
         self._send(x.sender, promise, durable=True)
 
+    def _on_syncing(self, now: float, x: m.Syncing) -> None:
+        if x.ballot == self.promised and self.role is Role.FOLLOWER:
+            self._campaign_at = self._turn(now)
+
     def _on_accept(self, now: float, x: m.Accept) -> None:
         if not self.whole:
             return
--- a/crowwing/tier/replication/replica_state.py
+++ b/crowwing/tier/replication/replica_state.py
@@ -18,6 +18,7 @@
     SUSPECT_SPREAD_S,
     SUSPECT_SYNCS,
     SUSPECT_TURN_S,
+    SYNC_LIMIT_S,
 )
 
 log = logging.getLogger("crowwing.replication")
@@ -73,6 +74,8 @@
     majority_at: float | None = None
     base: m.View | None = None
     targets: set[str] = field(default_factory=set)
+    sync_limit_s: float = SYNC_LIMIT_S
+    told_at: float = -1e9  # when the others were told that it is still syncing
     synced: set[str] = field(default_factory=set)
     view: m.View | None = None
     accepted: set[str] = field(default_factory=set)
@@ -142,7 +145,7 @@
         self._beat_at = -1e9
         self._active_since = now
         self._joiners: dict[str, float] = {}
-        self._learner_sync: dict[str, float] = {}
+        self._learner_wait: dict[str, float] = {}  # until when a learner is not sent more
         self._ready: set[str] = set()
         self._sync_s: dict[str, float] = {}
         self._unsent: list[m.Entry] = []  # entries that the other members have not been sent yet
@@ -252,9 +255,12 @@
             self.log.append(entry)
             self._output.records.append(entry)
 
-    def _send_sync(self, target: str, last: m.Position) -> None:
+    def _send_sync(self, target: str, last: m.Position) -> int:
+        """Sends what a replica at `last` lacks; gives the bytes of the snapshot, 0 where entries will do."""
         if self.log.contains(last):
-            entries, previous, snapshot = self.log.after(last[1]), last, None
-        else:
-            entries, previous, snapshot = (), self.log.last, self._machine.dump()
-        self._send(target, m.Sync(self.promised, self.me, previous, entries, snapshot))
+            entries = self.log.after(last[1])
+            self._send(target, m.Sync(self.promised, self.me, last, entries, None))
+            return 0
+        snapshot = self._machine.dump()
+        self._send(target, m.Sync(self.promised, self.me, self.log.last, (), snapshot))
+        return len(snapshot)
--- a/tests/tier/simulated_stores.py
+++ b/tests/tier/simulated_stores.py
@@ -79,6 +79,9 @@
         self.machines: dict[str, Machine] = {}
         self.cut: set[tuple[str, str]] = set()  # (from, to)
         self.loss = 0.0
+        self.snapshot_s = 0.0  # that a snapshot takes on its way; what is sent behind it waits
+        self.link_busy_until: dict[tuple[str, str], float] = {}
+        self.snapshots_sent = 0
         self.acknowledged: list[bytes] = []
         self.places: dict[bytes, int] = {}  # of what was acknowledged, in the log
         self.waiting: list[Wanted] = []
@@ -216,7 +219,13 @@
             self.env.process(self._travel(sender.host, receiver, message))
 
     def _travel(self, sender: str, receiver: str, message: Any) -> Any:  # noqa: ANN401
-        yield self.env.timeout(self.random.uniform(*DELAY_S))
+        arrives = self.env.now + self.random.uniform(*DELAY_S)
+        arrives = max(arrives, self.link_busy_until.get((sender, receiver), 0.0))
+        if isinstance(message, m.Sync) and message.snapshot is not None:
+            self.snapshots_sent += 1
+            arrives += self.snapshot_s
+            self.link_busy_until[sender, receiver] = arrives
+        yield self.env.timeout(arrives - self.env.now)
         machine = self.machines.get(receiver)
         if machine is None or machine.replica is None or (sender, receiver) in self.cut:
             return
--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -275,3 +275,54 @@
 def test_random_troubles_lose_nothing(seed: int) -> None:
     hosts = HOSTS if seed % 2 else ("a", "b", "c", "d")
     assert random_troubles(seed, hosts).acknowledged
+
+
+FIVE = ("a", "b", "c", "d", "e")
+
+
+def far_behind(world: StoreWorld, hosts: tuple[str, ...]) -> None:
+    """Two wiped machines come back to a state whose snapshot takes 2 s on its way."""
+    settled(world)
+    world.run_for(CATCH_UP_S)
+    acknowledged(world, b"first")
+    others = [host for host in hosts if host != world.primary().host]
+    world.snapshot_s = 2.0
+    for host in others[:2]:
+        world.stop(host, power=True, wipe=True)
+    acknowledged(world, b"second", 2.0)
+    for machine in world.alive():
+        while machine.replica.log.base[1] < machine.replica.log.last[1]:  # entries don't reach back so far
+            machine.replica.log.reset(machine.replica.log.last)
+    for host in others[:2]:
+        world.start(host)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_large_snapshots_to_two_machines_hold_no_acknowledgement_up(seed: int) -> None:
+    world = StoreWorld(seed, FIVE, HOSTS, faults=2)
+    far_behind(world, FIVE)
+    for number in range(20):
+        acknowledged(world, b"during %d," % number, 0.4)
+    world.run_for(CATCH_UP_S)
+    assert set(world.primary().replica.view.members) == set(FIVE)
+    assert world.snapshots_sent <= 6, "a snapshot that is on its way is not sent again"
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_new_primary_does_not_wait_for_machines_that_need_a_snapshot(seed: int) -> None:
+    six = (*FIVE, "f")
+    world = StoreWorld(seed, six, HOSTS, faults=2)
+    far_behind(world, six)
+    world.run_for(0.7)
+    world.stop(world.primary().host)
+    acknowledged(world, b"third", 2.0)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_where_too_few_copies_are_left_one_candidate_waits_for_a_snapshot_undisturbed(seed: int) -> None:
+    world = StoreWorld(seed, FIVE, HOSTS, faults=2)
+    far_behind(world, FIVE)
+    world.run_for(0.1)
+    world.stop(world.primary().host)
+    acknowledged(world, b"third", 4.5)
+    assert world.snapshots_sent <= 8
