A machine without its disk is bound to the view that it may have accepted, too

Cause: such a machine learned which ballot was promised, but not which view was accepted, before it voted again. Where the machine that had stayed whole was silent (as in the third of a second after its own start), one that had missed changes could collect its vote, be shown no newer view, and lead without what had been acknowledged.

Change: it takes the highest view that it is told of with the promise, and keeps both on disk.

--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -62,7 +62,10 @@
             self._send(x.sender, m.Learned(self.me, self.promised, self.view), durable=True)
 
     def _on_learned(self, now: float, x: m.Learned) -> None:
-        """Each majority that this replica was in has another of its members among those that answered."""
+        """Each majority that this replica was in has another of its members among those that answered.
+
+        It may have promised their highest ballot, and accepted their highest view, so it is bound to both.
+        """
         if self.whole:
             return
         self._learned[x.sender] = x
@@ -76,7 +79,8 @@
         if len(answered) >= count - majority(count) + 1:
             self.promised = max(answer.promised for answer in self._learned.values())
             self.whole = True
-            self._output.records.append(m.PromiseRecord(self.promised))
+            self.view = view
+            self._output.records += [m.PromiseRecord(self.promised), m.ViewRecord(view)]
             log.info("has learned that ballot %s was promised", self.promised)
 
     def _on_join(self, now: float, x: m.Join) -> None:
--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -3,7 +3,9 @@
 import pytest
 
 from crowwing.tier.replication import log, range_transfer
-from tests.tier.simulated_stores import StoreWorld
+from crowwing.tier.replication import messages as m
+from crowwing.tier.replication.replica import Replica
+from tests.tier.simulated_stores import Ledger, StoreWorld
 
 HOSTS = ("a", "b", "c")
 CATCH_UP_S = 4.8
@@ -181,6 +183,21 @@
     assert set(world.primary().replica.view.members) == set(HOSTS)
 
 
+def test_a_machine_without_memory_is_bound_to_the_view_that_it_may_have_accepted() -> None:
+    older = m.View((3, "a"), HOSTS, HOSTS)
+    newer = m.View((5, "a"), ("a", "c"), HOSTS)
+    replica = Replica("c", HOSTS, Ledger(), 1, 0.0, lambda: 0.5)
+    replica.receive(1.0, m.Learned("b", (9, "b"), older))
+    replica.receive(1.0, m.Learned("a", (5, "a"), newer))
+    replica.receive(2.0, m.Prepare((10, "b"), "b", False))
+    output = replica.take_output()
+    promises = [message for _, message in output.durable if isinstance(message, m.Promise)]
+    assert [promise.view for promise in promises] == [newer], (
+        "else b, which missed it, leads without its data"
+    )
+    assert m.ViewRecord(newer) in output.records, "it outlasts a loss of power"
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_after_a_machine_was_emptied_another_may_lose_its_disk(seed: int) -> None:
     world = StoreWorld(seed, (*HOSTS, "d"), HOSTS)
