Store machines ask the witnesses before they open a ballot

Change: a vote that binds nobody and is kept nowhere comes before the ballot (replication/prevote.py), asked again each 0.1 s.

--- a/crowwing/tier/replication/messages.py
+++ b/crowwing/tier/replication/messages.py
@@ -32,6 +32,25 @@
     payload: bytes
 
 
+@message
+@dataclass(frozen=True)
+class AskPreVote:
+    """A member bound to `ballot` asks whether a witness would promise it a higher one."""
+
+    ballot: Ballot
+    sender: str
+
+
+@message
+@dataclass(frozen=True)
+class PreVote:
+    """Whether it would; binds nobody."""
+
+    ballot: Ballot
+    sender: str
+    willing: bool
+
+
 @message
 @dataclass(frozen=True)
 class Prepare:
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from crowwing.tier.replication import messages as m
+from crowwing.tier.replication.prevote import PreVote
 from crowwing.tier.replication.primary import Primary
 from crowwing.tier.replication.replica_state import Role, majority
 from crowwing.tier.replication.timing import JOIN_S, LEARN_S, STICKY_S
@@ -19,7 +20,7 @@
 log = logging.getLogger("crowwing.replication")
 
 
-class Replica(Primary):
+class Replica(Primary, PreVote):
     """One replica. Feed it `tick` and `receive`, then carry out `take_output()`.
 
     What stands here is its part as member and witness; those as candidate and primary are its bases.
@@ -41,7 +42,7 @@
 
     def _tick_follower(self, now: float) -> None:
         if self._may_lead():
-            self._start_campaign(now, handover=False)
+            self._ask_prevotes(now)
         else:
             self._ask_to_join(now)
 
--- a/crowwing/tier/replication/replica_state.py
+++ b/crowwing/tier/replication/replica_state.py
@@ -158,6 +158,8 @@
         self._remembers = False  # whether this is a later life
         self._campaign_at = now + SUSPECT_S
         self._asked_at = -1e9
+        self._prevote_at = -1e9
+        self._willing: set[str] = set()  # who would help this replica to a ballot
         self._seen_round = 0
         self._learned: dict[str, m.Learned] = {}
         self._repair: RangeRepair | None = None
--- a/crowwing/tier/replication/timing.py
+++ b/crowwing/tier/replication/timing.py
@@ -4,6 +4,7 @@
 SUSPECT_S, SUSPECT_TURN_S, SUSPECT_SPREAD_S = 0.4, 0.12, 0.05  # silence after which the first member
 # campaigns, the time that each next one waits longer, and a random part
 SUSPECT_SYNCS = 3.0  # writes of its own disk that it waits longer, so that slow ones don't campaign in turns
+PREVOTE_RETRY_S = 0.1  # between two rounds of asking whether the witnesses would help
 STICKY_S = 0.35  # a witness that heard the primary so lately helps nobody else
 MEMBER_SILENT_S = 0.4  # after which the primary leaves a member out
 LEASE_S = 0.3  # under STICKY_S: a primary confirmed so lately is the only one
--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -219,6 +219,24 @@
     acknowledged(world, b"second")
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_machine_that_was_cut_off_alone_raises_no_ballot(seed: int) -> None:
+    world = StoreWorld(seed, HOSTS, HOSTS)
+    settled(world)
+    acknowledged(world, b"first")
+    alone = next(host for host in HOSTS if host != world.primary().host)
+    cut_between(world, {alone}, set(HOSTS) - {alone})
+    world.run_for(5.0)
+    primary = world.primary()
+    assert world.machines[alone].replica.promised <= primary.replica.promised
+    before = primary.replica.promised
+    world.cut.clear()
+    world.run_for(CATCH_UP_S)
+    assert world.primary().host == primary.host, "its role is not questioned"
+    assert world.primary().replica.promised[0] <= before[0] + 1, "one new ballot, to take the machine back"
+    assert set(world.primary().replica.view.members) == set(HOSTS)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_messages_that_are_lost_now_and_then_stop_nothing(seed: int) -> None:
     world = StoreWorld(seed, HOSTS, HOSTS)
