A front whose address is taken ends with 1; a broken answer is a line in the log

Cause: the servers' tasks of a front were not watched, so it went on unready without a listener; and an answer that its sidecar broke off was raised through litestar, with a traceback for each.

Change: the servers run among the watched tasks; an answer that can't be ended is logged in a line, and the server closes its connection as before.

Measured: both new tests are red without the change.

--- a/crowwing/tier/front/main.py
+++ b/crowwing/tier/front/main.py
@@ -148,8 +148,8 @@
                 app = Litestar([handler], openapi_config=None, logging_config=None)
                 server = make_server(app, address, settings.bounds.grace_s, IDLE_DEFAULT_S)
                 self.servers.append(server)
-                serving.append(asyncio.ensure_future(serve_until(server, end)))
-        log.info("front listens at %s", settings.listen.front)
+                serving.append(tasks.start(serve_until(server, end)))
+                log.info("front listens at %s", address)
 
         await stop.wait()
         log.info("leaves: %d requests are open", self.proxy.open)
--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -35,10 +35,6 @@
 EMPTY_MAX_BODY = 64 * 1024 * 1024
 
 
-class AnswerBroken(Exception):
-    """The answer can't be ended; the connection is closed, so that it does not look complete."""
-
-
 class Proxy:
     """The front's ASGI application."""
 
@@ -176,7 +172,8 @@
                     await self._dispatcher.close(running)
         except (StreamBroken, TimeoutError) as error:
             running.state.failed(time.monotonic())
-            raise AnswerBroken(str(error)) from None
+            log.info("an answer of %s broke off: %s", running.state.entry.id, error)
+            return  # the server closes the connection, so that the answer does not look complete
         await send({"type": "http.response.body", "body": b""})
 
 
--- a/crowwing/tier/process.py
+++ b/crowwing/tier/process.py
@@ -34,11 +34,12 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self.failed = False
 
-    def start(self, work: Coroutine[Any, Any, Any]) -> None:
-        """Starts a task."""
+    def start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Starts a task, and gives it."""
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._ended)
+        return task
 
     def _ended(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
--- a/tests/tier/loopback.py
+++ b/tests/tier/loopback.py
@@ -29,6 +29,7 @@
         self.runs: list[str] = []  # request ids in the order in which they began
         self.pause_s = 0.01
         self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listens."""
@@ -41,7 +42,13 @@
         if self._server is not None:
             self._server.close()
 
+    def break_off(self) -> None:
+        """Resets all connections."""
+        for writer in list(self._open):
+            writer.transport.abort()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -53,6 +60,7 @@
         except (asyncio.IncompleteReadError, OSError):
             pass
         finally:
+            self._open.discard(writer)
             writer.close()
 
     async def _answer(self, line: str, headers: dict[str, str], writer: asyncio.StreamWriter) -> None:
--- a/tests/tier/test_processes.py
+++ b/tests/tier/test_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -181,3 +182,40 @@
         raise AssertionError("no request went to the sidecar that breaks off")
 
     played(tmp_path, play)
+
+
+def test_a_front_whose_address_is_taken_says_so_and_ends_with_1(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        front = tier.fronts[0]
+        tier.kill(front)
+        with socket.create_server((front, tier.port + 1)):
+            tier.launch(front)
+            assert await asyncio.to_thread(tier.processes[front].wait, 15) == 1
+        assert "in use" in (tier.folder / f"{front}.log").read_text()
+
+    played(tmp_path, play)
+
+
+async def running_anywhere(tier: Loopback) -> bool:
+    return any(sidecar.runs for sidecar in tier.sidecars)
+
+
+def test_an_answer_that_its_sidecar_breaks_off_leaves_a_line_and_no_traceback(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        front = tier.fronts[0]
+        for sidecar in tier.sidecars:
+            sidecar.pause_s = 0.3
+        open_answer = asyncio.ensure_future(ask(tier, client, front, "/once/x", "broken"))
+        await tier.until("a request at a sidecar", lambda: running_anywhere(tier))
+        for sidecar in tier.sidecars:
+            sidecar.break_off()
+        try:
+            answer = await open_answer
+        except httpx.RemoteProtocolError:
+            pass
+        else:
+            raise AssertionError(f"a whole answer: {answer.status_code} {answer.text}")
+        log = (tier.folder / f"{front}.log").read_text()
+        assert "broke off" in log and "Traceback" not in log
+
+    played(tmp_path, play)
