The limit's loop, P90 and queue timeout are parts that both programs call

Cause: only the step of the cut was shared. The backend's PID read its books, so the tier had a loop and a window of latencies of its own.

Change: logic/limit_loop.py and logic/latency_window.py, called by the backend and by the tier's admission. The tier's fall is a PID in its limit now, on how far the requests that wait at sidecars pass a tenth of the slots.

--- a/crowwing/logic/books.py
+++ b/crowwing/logic/books.py
@@ -4,10 +4,12 @@
 from random import Random
 
 from crowwing.contract import Halt, Id, Premises, Repeat, Result, Step
+from crowwing.logic.latency_window import ENOUGH, LatencyWindow
+from crowwing.logic.limit_loop import LimitGains, LimitLoop
 from crowwing.logic.ticket import ASKING, CALLING, HELD, OVER, PAUSED, RUNNING, Ticket
 
 WAKE_EVERY, WAKE_QUIET = 40_000, 200_000  # the watch over outer limits and gauges; with no ticket open
-SAMPLES, ENOUGH = 64, 8  # ended runs a traffic type that its P90 is taken from, and before it counts
+LIMIT_GAINS = LimitGains(climb=12, proportional=0.5, integral=0.6, derivative=0.05)  # in cores
 SURVIVE = 0.75  # part of the deadly crowd, memory or calls used
 STALL = 6  # usual times between two moves of runs, without one, from which work is taken for hung
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
@@ -32,11 +34,12 @@
         self.lingering: deque[int] = deque()  # calls given up; emptied as they leave
         self.counts = [0] * 8  # open tickets by state
         self.born = self.last_step = self.next_watch = self.next_wake = self.moved = self.faded = now
-        self.memory = self.cut = self.cut_base = self.last_error = self.error_before = self.waited = 0.0
+        self.memory = self.cut = self.cut_base = self.waited = 0.0
         self.errors = self.on_cores = self.busy = self.unread = self.read_rate = self.spent = self.shed = 0.0
         self.limit, self.stretch, self.call_late, self.pace = float(facts.cores), 1.0, 0.0, 0.0
         self.calls = deque([facts.calls_over // (8 * CALL_PATIENCE)] * ENOUGH, 2 * ENOUGH)  # times of calls
-        self.runs: list[deque[int]] = [deque(maxlen=SAMPLES) for _ in facts.types]
+        self.limit_loop = LimitLoop(LIMIT_GAINS)
+        self.runs: list[LatencyWindow[int]] = [LatencyWindow() for _ in facts.types]  # ended runs
         self.ranked: list[int] = []  # all of these, in order
         self.timeout = [t.expected_time for t in facts.types]
         self.span = self.timeout[:]  # the time that tickets come with
--- a/crowwing/tier/front/admission.py
+++ b/crowwing/tier/front/admission.py
@@ -2,22 +2,22 @@
 
 The mechanism is that of the project's design: arrivals whose rank lies under a cut are refused at once, held
 requests start highest rank first within an inflight limit, a held request is refused past its class' queue
-timeout, and loops move the cut and the limit (crowwing/logic/feedback.py has the steps that both programs
-share).
+timeout, and loops move the cut and the limit. The cut's step, the limit's loop and the queue timeout are the
+backend's own, from crowwing/logic/.
 """
 
-from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 
 from crowwing.logic.feedback import step_cut
+from crowwing.logic.latency_window import LatencyWindow, p90, queue_timeout
+from crowwing.logic.limit_loop import LimitGains, LimitLoop
 
 BANDS = 6  # tiers t0 to t5, t0 the most important
-SAMPLES, ENOUGH = 64, 8  # latencies of a class that its P90 is taken from, and before it counts
 CUT_MOST = 1 - 1 / (4 * BANDS)  # a quarter of the highest band is never cut
 LIMIT_FLOOR = 4.0
-CLIMB = 4.0  # times the idle slots that the limit gains a second while work waits
-SHRINK = 0.5  # part of the limit that it loses a second while sidecars are over full
+LIMIT_GAINS = LimitGains(climb=4.0, proportional=0.05, integral=0.5, derivative=0.0)  # in limits
+WAITING_AIM = 0.1  # of the slots, the requests that may wait at sidecars before the limit falls
 BUSY = 0.9  # part of the slots from which sidecars count as full
 TIMEOUT_AIM = 0.23  # part of the aim, the longest hold of a live request: a refusal in time for another try
 TIMEOUT_LEAST_S = 0.03
@@ -44,7 +44,7 @@
 
     aim_s: float
     held: list[Ticket] = field(default_factory=list)
-    latencies: deque[float] = field(default_factory=lambda: deque(maxlen=SAMPLES))
+    latencies: LatencyWindow[float] = field(default_factory=LatencyWindow)
     timeout_s: float = 0.0
 
     def __post_init__(self) -> None:
@@ -52,12 +52,11 @@
 
     def learn(self, latency_s: float) -> None:
         """Takes in the time to the first event of one run."""
-        self.latencies.append(latency_s)
-        if len(self.latencies) >= ENOUGH:
-            ranked = sorted(self.latencies)
-            p90 = ranked[len(ranked) * 9 // 10]
-            spare = self.aim_s - p90
-            self.timeout_s = max(TIMEOUT_LEAST_S, min(p90, spare, TIMEOUT_AIM * self.aim_s))
+        self.latencies.add(latency_s)
+        if self.latencies.enough:
+            most = TIMEOUT_AIM * self.aim_s
+            usual = p90(self.latencies.ranked)
+            self.timeout_s = queue_timeout(usual, self.aim_s, TIMEOUT_LEAST_S, most)
 
 
 @dataclass(frozen=True)
@@ -88,6 +87,7 @@
 
     def __init__(self, now: float, share: float) -> None:
         self.limit = max(LIMIT_FLOOR, share)
+        self._limit_loop = LimitLoop(LIMIT_GAINS)
         self.cut = self._cut_base = 0.0
         self.inflight = 0
         self.refused, self.refused_at = 0, -1e9
@@ -195,10 +195,8 @@
         self.ceiling = max(LIMIT_FLOOR, survived)
         waits = any(queue.held for queue in self._classes.values())
         idle = max(0.0, BUSY * load.slots - load.running - load.waiting)
-        if waits and idle > 0:
-            self.limit += CLIMB * max(1.0, idle) * dt
-        elif load.waiting > 0.1 * load.slots:
-            self.limit -= SHRINK * self.limit * dt
+        error = max(-1.0, 1.0 - load.waiting / (WAITING_AIM * max(1.0, load.slots)))
+        self.limit = self._limit_loop.step(self.limit, dt, idle, waits, error, self.limit)
         stuck = self.limit >= self.ceiling or idle <= 0
         self.limit = min(max(self.limit, LIMIT_FLOOR), self.ceiling)
         outwait, self._outwait = self._outwait, 0.0
--- a/tests/test_module_at_size.py
+++ b/tests/test_module_at_size.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from crowwing.logic.books import ENOUGH, SAMPLES
 from crowwing.logic.intake import SHARE_SPAN
+from crowwing.logic.latency_window import ENOUGH, SAMPLES
 from crowwing.logic.manager import LoadManager
 from tests.rig import MS, World, facts
 
