A failed attempt at an item that is reported again counts once

Cause: a front sends a report again until it has a clear answer.

Change: a failed attempt has a name, kept with the item; a report of one that is known changes nothing, and does not free the item for another front a second time.

--- a/crowwing/tier/front/lot_runner.py
+++ b/crowwing/tier/front/lot_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import secrets
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -28,8 +29,10 @@
 TELL_S = 1.0  # a front without room calls the primary so often, which counts its callers
 GONE_STATUS = 422
 RUN_ATTEMPTS = 4  # sidecars that one run may go on at
+ATTEMPT_BYTES = 6  # drawn by chance, that name an attempt
 
 ItemKey = tuple[str, str]
+Report = c.ReportItem | c.ReportFailure
 
 
 class LotRunner:
@@ -107,7 +110,7 @@
         if report is not None:
             await self._report(report)
 
-    async def _run_until_done(self, run: "ItemRun", route: Route, service: str) -> c.ReportItem | None:
+    async def _run_until_done(self, run: "ItemRun", route: Route, service: str) -> Report | None:
         """Runs an item, going on from its last event each time it had to give way to live requests."""
         aim_s = (route.completion_slo_ms or route.slo_ms) / 1000
         while True:
@@ -132,7 +135,7 @@
             if run.job.last_event is None:
                 run.data.clear()  # it can only begin anew
 
-    async def _run_started(self, run: "ItemRun") -> c.ReportItem | None:
+    async def _run_started(self, run: "ItemRun") -> Report | None:
         leased, item = run.leased, run.leased.item
         started = await self._dispatcher.open(run.job)
         if not isinstance(started, Running):
@@ -151,10 +154,10 @@
         if status == GONE_STATUS:
             return c.ReportItem(leased.lot, item.id, Result(item.id, DEAD_LETTER, ""))
         if status == 500:
-            return c.ReportItem(leased.lot, item.id, None)
+            return c.ReportFailure(leased.lot, item.id, secrets.token_hex(ATTEMPT_BYTES))
         return None
 
-    async def _collect(self, run: "ItemRun", started: Running) -> c.ReportItem | None:
+    async def _collect(self, run: "ItemRun", started: Running) -> Report | None:
         leased, item = run.leased, run.leased.item
         events = self._dispatcher.events(run.job, started)
         try:
@@ -167,7 +170,7 @@
             await events.aclose()
         return c.ReportItem(leased.lot, item.id, Result(item.id, COMPLETED, "\n".join(run.data)))
 
-    async def _report(self, report: c.ReportItem) -> None:
+    async def _report(self, report: Report) -> None:
         for _ in range(8):
             outcome: Any = await self._store.call(report, REPORT_LIMIT_S)
             if isinstance(outcome, c.Done):
--- a/crowwing/tier/state/events.py
+++ b/crowwing/tier/state/events.py
@@ -63,10 +63,11 @@
 @message
 @dataclass(frozen=True)
 class AttemptFailed:
-    """A sidecar answered 500 to an item."""
+    """A sidecar answered 500 to an attempt at an item."""
 
     lot: str
     item: str
+    attempt: str
 
 
 @message
--- a/crowwing/tier/state/lots.py
+++ b/crowwing/tier/state/lots.py
@@ -30,7 +30,7 @@
     total: int
     open_items: dict[str, e.Item] = field(default_factory=dict)
     results: list[e.Result] = field(default_factory=list)
-    failures: dict[str, int] = field(default_factory=dict)
+    failures: dict[str, list[str]] = field(default_factory=dict)  # attempts that ended with a 500, by item
     ended: bool = False
     digest: bytes = b""  # of all events that it went through, in their order
 
@@ -65,5 +65,6 @@
         """The lot that `to_plain` gave the fields of."""
         lot_id, host, path, at_ms, total, items, results, failures, ended, digest = plain
         open_items = {item.id: item for item in items}
-        results, failures = list(results), dict(failures)
+        results = list(results)
+        failures = {item: list(attempts) for item, attempts in failures.items()}
         return cls(lot_id, host, path, at_ms, total, open_items, results, failures, ended, digest)
--- a/crowwing/tier/state/views.py
+++ b/crowwing/tier/state/views.py
@@ -38,9 +38,8 @@
                 self._add_lot(Lot(lot, host, path, at_ms, len(items), {item.id: item for item in items}))
             case e.ItemsEnded(lot, results):
                 self._end_items(self.lots[lot], results)
-            case e.AttemptFailed(lot, item):
-                failures = self.lots[lot].failures
-                failures[item] = failures.get(item, 0) + 1
+            case e.AttemptFailed(lot, item, attempt):
+                self.lots[lot].failures.setdefault(item, []).append(attempt)
             case e.LotEnded(lot):
                 self._end_lot(self.lots[lot])
             case e.LotDropped(lot):
--- a/crowwing/tier/store/commands.py
+++ b/crowwing/tier/store/commands.py
@@ -90,11 +90,21 @@
 @message
 @dataclass(frozen=True)
 class ReportItem:
-    """An item has its result; or an attempt ended with a 500, where `result` is None."""
+    """An item has its result."""
 
     lot: str
     item: str
-    result: Result | None
+    result: Result
+
+
+@message
+@dataclass(frozen=True)
+class ReportFailure:
+    """An attempt at an item ended with a 500. `attempt` names it, so that a report sent again counts once."""
+
+    lot: str
+    item: str
+    attempt: str
 
 
 @message
--- a/crowwing/tier/store/decisions.py
+++ b/crowwing/tier/store/decisions.py
@@ -93,18 +93,28 @@
     return Decision((e.RetireAsked(command.node),), c.Done())
 
 
-def report_item(state: TierState, command: c.ReportItem, configuration: Configuration | None) -> Decision:
-    """Gives an item its one result, or counts a failed attempt."""
+def report_item(state: TierState, command: c.ReportItem) -> Decision:
+    """Gives an item its one result."""
     lot = state.lots.get(command.lot)
     if lot is None or command.item not in lot.open_items:
         return Decision((), c.Done())
-    if command.result is not None:
-        return Decision((e.ItemsEnded(command.lot, (command.result,)),), c.Done())
-    most = max_attempts(configuration, lot.host, lot.path)
-    if lot.failures.get(command.item, 0) + 1 >= most:
+    return Decision((e.ItemsEnded(command.lot, (command.result,)),), c.Done())
+
+
+def report_failure(
+    state: TierState, command: c.ReportFailure, configuration: Configuration | None
+) -> Decision:
+    """Counts a failed attempt once; the last that its route allows ends the item."""
+    lot = state.lots.get(command.lot)
+    if lot is None or command.item not in lot.open_items:
+        return Decision((), c.Done())
+    failures = lot.failures.get(command.item, [])
+    if command.attempt in failures:
+        return Decision((), c.Done())
+    if len(failures) + 1 >= max_attempts(configuration, lot.host, lot.path):
         dead = e.Result(command.item, e.DEAD_LETTER, "")
         return Decision((e.ItemsEnded(command.lot, (dead,)),), c.Done())
-    return Decision((e.AttemptFailed(command.lot, command.item),), c.Done())
+    return Decision((e.AttemptFailed(command.lot, command.item, command.attempt),), c.Done())
 
 
 def max_attempts(configuration: Configuration | None, host: str, path: str) -> int:
--- a/crowwing/tier/store/service.py
+++ b/crowwing/tier/store/service.py
@@ -71,9 +71,9 @@
             self.leasing.lot_proposed(self._node.replica.log.last[1] + 1, command.lot)
         return decision
 
-    def _report_item(self, state: TierState, command: c.ReportItem) -> d.Decision:
-        decision = d.report_item(state, command, self.configuration)
-        if command.result is None:
+    def _report_failure(self, state: TierState, command: c.ReportFailure) -> d.Decision:
+        decision = d.report_failure(state, command, self.configuration)
+        if decision.events:
             self.leasing.release((command.lot, command.item))
         return self._tell_readers(decision)
 
@@ -132,7 +132,9 @@
             case c.LeaseItems():
                 return await self.leasing.lease(command)
             case c.ReportItem():
-                return await decide(lambda state: self._report_item(state, command))
+                return await decide(lambda state: self._tell_readers(d.report_item(state, command)))
+            case c.ReportFailure():
+                return await decide(lambda state: self._report_failure(state, command))
             case c.Announce():
                 return await decide(lambda state: self._announce(state, command))
             case c.ShowStatus():
--- a/tests/tier/test_decisions.py
+++ b/tests/tier/test_decisions.py
@@ -98,9 +98,13 @@
     return state
 
 
-def report(state: TierState, item: str, result: e.Result | None) -> Any:  # noqa: ANN401
+def report(state: TierState, item: str, result: e.Result) -> Any:  # noqa: ANN401
+    return played(state, d.report_item(state, c.ReportItem("lot", item, result)))
+
+
+def report_failure(state: TierState, item: str, attempt: str) -> Any:  # noqa: ANN401
     parsed = parse_configuration(state.configuration)
-    return played(state, d.report_item(state, c.ReportItem("lot", item, result), parsed))
+    return played(state, d.report_failure(state, c.ReportFailure("lot", item, attempt), parsed))
 
 
 def test_a_lot_is_taken_once_and_keeps_its_positions() -> None:
@@ -117,13 +121,20 @@
 
 def test_failed_attempts_end_an_item_at_the_routes_bound() -> None:
     state = submitted()
-    for _ in range(2):
-        report(state, "i0", None)
+    for attempt in ("a", "b"):
+        report_failure(state, "i0", attempt)
     assert not state.lots["lot"].results
-    report(state, "i0", None)
+    report_failure(state, "i0", "c")
     assert state.lots["lot"].results == [e.Result("i0", e.DEAD_LETTER, "")]
 
 
+def test_a_failed_attempt_that_is_reported_again_counts_once() -> None:
+    state = submitted()
+    for _ in range(5):  # each time without a clear answer
+        assert report_failure(state, "i0", "a") == c.Done()
+    assert state.lots["lot"].failures == {"i0": ["a"]} and not state.lots["lot"].results
+
+
 def test_an_ended_lot_keeps_what_is_listed_and_takes_nothing_more() -> None:
     state = submitted()
     report(state, "i0", e.Result("i0", e.COMPLETED, "one"))
@@ -137,12 +148,12 @@
 def test_a_dumped_state_loads_as_it_was() -> None:
     state = submitted()
     report(state, "i0", e.Result("i0", e.COMPLETED, "one"))
-    report(state, "i2", None)
+    report_failure(state, "i2", "a")
     played(state, d.Decision((e.StoreSeen("store-1", "10.0.0.1"), e.RetireAsked("store-1")), None))
     other = TierState()
     other.load(state.dump())
     assert other.dump() == state.dump() and other.retired_hosts() == {"10.0.0.1"}
-    assert other.lots["lot"].failures == {"i2": 1}
+    assert other.lots["lot"].failures == {"i2": ["a"]}
 
 
 def test_a_machine_is_emptied_only_while_enough_others_stay() -> None:
