A long file is rewritten beside the writes, and the state is encoded off the event loop

Change: the state is frozen (its lists copied) at the moment of a write, and encoded range by range by a thread that writes the replacement, synced a megabyte at a time. What is written meanwhile goes to the file and, at the switch, behind the replacement. A rewriting that fails loses nothing and is tried again after 2 s. Whole dumps are gone: a compacted file is a run of records of one range each.

--- a/benchmarks/tier_scale/slopes.py
+++ b/benchmarks/tier_scale/slopes.py
@@ -114,7 +114,8 @@
             state.apply(result, 1)
 
     figures = {"take_ms": timed(take), "lease_ms": timed(lease), "end_ms": timed(end)}
-    figures["dump_ms"] = timed(state.dump)
+    figures["freeze_ms"] = timed(state.freeze)
+    figures["dump_ms"] = timed(lambda: list(state.freeze()))
     figures["log_bytes"] = sum(len(entry) for entry in (*entries_, *results))
     figures["memory_bytes"] = memory_of(lambda: _replayed(entries_, results))
     return figures
--- a/crowwing/tier/replication/messages.py
+++ b/crowwing/tier/replication/messages.py
@@ -296,19 +296,13 @@
     ballot: Ballot
 
 
-@message
-@dataclass(frozen=True)
-class SnapshotRecord:
-    """The whole state at a position; what stood before does not count."""
-
-    last: Position
-    state: bytes
-
-
 @message
 @dataclass(frozen=True)
 class RangesRecord:
-    """Ranges that replace those of what stood before; together they are the state at a position."""
+    """Ranges that replace those of what stood before.
+
+    With what stood before, or further such records of the same position, they are the state there.
+    """
 
     last: Position
     contents: tuple[tuple[int, bytes], ...]
--- a/crowwing/tier/replication/replica_state.py
+++ b/crowwing/tier/replication/replica_state.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from itertools import chain
 from typing import Any, Protocol
 
 from crowwing.tier.replication import messages as m
@@ -32,11 +33,8 @@
     def apply(self, payload: bytes, index: int) -> None:
         """Takes in the entry with this index."""
 
-    def dump(self) -> bytes:
-        """The whole state."""
-
-    def load(self, state: bytes) -> None:
-        """Replaces the whole state."""
+    def freeze(self) -> Iterable[tuple[int, bytes]]:
+        """All ranges that are not empty with their content as it is now, made when iterated by any thread."""
 
     def range_of(self, payload: bytes) -> int:
         """The one range that an entry changes."""
@@ -209,9 +207,6 @@
                     self.view, self.promised = view, max(self.promised, view.ballot)
                 case m.SyncedRecord(ballot):
                     self.synced = ballot
-                case m.SnapshotRecord(last, state):
-                    self._machine.load(state)
-                    self.log.reset(last)
                 case m.Entry():
                     if record.index == self.log.last[1] + 1:
                         self._machine.apply(record.payload, record.index)
@@ -229,14 +224,16 @@
         patience = SUSPECT_S + SUSPECT_SYNCS * self.sync_s
         return heard + patience + SUSPECT_TURN_S * place + SUSPECT_SPREAD_S * self._random()
 
-    def compacted(self) -> list[Any]:
-        """Records that stand for everything so far."""
-        records: list[Any] = [m.SnapshotRecord(self.log.last, self._machine.dump())]
+    def compacted(self) -> Iterable[Any]:
+        """Records that stand for everything so far; those of the state are made when iterated."""
+        records: list[Any] = [m.RangesRecord(self.log.last, ()), m.SyncedRecord(self.synced)]
         if self.whole:
             records.append(m.PromiseRecord(self.promised))
         if self.view is not None:
             records.append(m.ViewRecord(self.view))
-        return [*records, m.SyncedRecord(self.synced)]
+        ranges = self._machine.freeze()
+        last = self.log.last
+        return chain(records, (m.RangesRecord(last, (content,)) for content in ranges))
 
     def take_output(self) -> Output:
         """What is to be carried out since the last call."""
--- a/crowwing/tier/state/lots.py
+++ b/crowwing/tier/state/lots.py
@@ -46,7 +46,7 @@
         return items + sum(result_bytes(result) for result in self.results)
 
     def to_plain(self) -> tuple[Any, ...]:
-        """Its fields, to be encoded."""
+        """Its fields as they are now, to be encoded."""
         return (
             self.id,
             self.host,
@@ -54,8 +54,8 @@
             self.at_ms,
             self.total,
             list(self.open_items.values()),
-            self.results,
-            self.failures,
+            list(self.results),
+            {item: list(attempts) for item, attempts in self.failures.items()},
             self.ended,
             self.digest,
         )
--- a/crowwing/tier/state/views.py
+++ b/crowwing/tier/state/views.py
@@ -1,6 +1,6 @@
 """The views that are folded from the events."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 from crowwing.tier.replication.ranges import COMMON_RANGE, RANGES, digest_of, range_of_key
@@ -75,18 +75,6 @@
         """The addresses of the machines that are to be emptied."""
         return frozenset(self.stores[node] for node in self.retired if node in self.stores)
 
-    def dump(self) -> bytes:
-        """The whole state."""
-        return encode((self._common(), [lot.to_plain() for lot in self.lots.values()]))
-
-    def load(self, state: bytes) -> None:
-        """Replaces the whole state by a dumped one."""
-        common, lots = decode(state)
-        self._take_common(common)
-        self.lots, self.kept_bytes = {}, 0
-        for plain in lots:
-            self._add_lot(Lot.from_plain(plain))
-
     def _common(self) -> tuple[Any, ...]:
         """What belongs to no lot, equal where it is the same."""
         stores = sorted(self.stores.items())
@@ -112,6 +100,14 @@
         lots[COMMON_RANGE] = [encode(self._common())]
         return tuple(digest_of(sorted(parts)) for parts in lots)
 
+    def freeze(self) -> Iterator[tuple[int, bytes]]:
+        """All ranges that are not empty with their content as it is now, encoded when iterated."""
+        lots: dict[int, list[tuple[Any, ...]]] = {}
+        for lot in self.lots.values():
+            lots.setdefault(range_of_key(lot.id), []).append(lot.to_plain())
+        contents: dict[int, Any] = {COMMON_RANGE: self._common(), **lots}
+        return ((number, encode(content)) for number, content in contents.items())
+
     def dump_range(self, number: int) -> bytes:
         """The content of one range."""
         if number == COMMON_RANGE:
--- a/crowwing/tier/storage/record_file.py
+++ b/crowwing/tier/storage/record_file.py
@@ -13,6 +13,7 @@
 LENGTH = struct.Struct("<I")
 MAX_RECORD_BYTES = 64 * 1024 * 1024
 TEMPORARY_SUFFIX = ".new"
+SYNC_BYTES = 1024 * 1024  # of a replacement, between two syncs
 
 
 @dataclass(frozen=True)
@@ -50,10 +51,48 @@
     return records, position
 
 
+class Replacement:
+    """A content that is written beside a file, to take its place; where writing fails, it is discarded."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.size = 0
+        self._unsynced = 0
+        try:
+            self.file: BinaryIO = open(path, "w+b", buffering=0)
+        except OSError as error:
+            raise StorageError(str(path), str(error)) from error
+
+    def append(self, payloads: Iterable[bytes]) -> None:
+        """Writes records and syncs them, a part at a time, so that no sync holds up those of the file."""
+        try:
+            for payload in payloads:
+                data = encode_record(payload)
+                _write_all(self.file, data)
+                self.size += len(data)
+                self._unsynced += len(data)
+                if self._unsynced >= SYNC_BYTES:
+                    self._sync()
+            self._sync()
+        except OSError as error:
+            self.discard()  # what was written of it takes room on a full disk
+            raise StorageError(str(self.path), str(error)) from error
+
+    def _sync(self) -> None:
+        os.fsync(self.file.fileno())
+        self._unsynced = 0
+
+    def discard(self) -> None:
+        """Frees its room."""
+        self.file.close()
+        with contextlib.suppress(OSError):
+            self.path.unlink(missing_ok=True)
+
+
 class RecordFile:
     """Appends records and reads them back. A torn end, as a loss of power leaves it, is cut off on opening.
 
-    Not thread-safe: one thread appends, syncs and rewrites.
+    Not thread-safe but for `prepare`: one thread appends and switches.
     """
 
     def __init__(self, path: Path) -> None:
@@ -91,27 +130,32 @@
             raise StorageError(str(self._path), str(error)) from error
         self.size += len(data)
 
-    def rewrite(self, payloads: Iterable[bytes]) -> None:
-        """Replaces the whole content in one step: before and after a loss of power either all old records or
-        all new ones are there."""
+    def prepare(self, payloads: Iterable[bytes]) -> Replacement:
+        """Writes another content beside the file, which may be appended to meanwhile by another thread."""
+        replacement = Replacement(self._path.with_name(self._path.name + TEMPORARY_SUFFIX))
+        replacement.append(payloads)
+        return replacement
+
+    def switch(self, replacement: Replacement) -> None:
+        """Puts a prepared content in the place of the file in one step.
+
+        Before and after a loss of power either all old records or all new ones are there. Where it fails,
+        which of them is not known.
+        """
         assert self._file is not None, "the file is not open"
-        data = b"".join(encode_record(payload) for payload in payloads)
-        temporary = self._path.with_name(self._path.name + TEMPORARY_SUFFIX)
-        replacement: BinaryIO | None = None
         try:
-            replacement = open(temporary, "w+b", buffering=0)
-            _write_all(replacement, data)
-            os.fsync(replacement.fileno())
-            os.replace(temporary, self._path)
+            os.replace(replacement.path, self._path)
+            self._file.close()
+            self._file, self.size = replacement.file, replacement.size
             self._sync_folder()
         except OSError as error:
-            if replacement is not None:
-                replacement.close()
-            _remove_quietly(temporary)  # what was written of it takes room on a full disk
+            if self._file is not replacement.file:
+                replacement.discard()
             raise StorageError(str(self._path), str(error)) from error
-        self._file.close()
-        self._file = replacement
-        self.size = len(data)
+
+    def rewrite(self, payloads: Iterable[bytes]) -> None:
+        """Replaces the whole content at once."""
+        self.switch(self.prepare(payloads))
 
     def close(self) -> None:
         """Closes the file; what was appended stays."""
@@ -127,11 +171,6 @@
             os.close(folder)
 
 
-def _remove_quietly(path: Path) -> None:
-    with contextlib.suppress(OSError):
-        path.unlink(missing_ok=True)
-
-
 def _write_all(file: BinaryIO, data: bytes) -> None:
     view = memoryview(data)
     while view:
--- a/crowwing/tier/store/disk.py
+++ b/crowwing/tier/store/disk.py
@@ -1,12 +1,15 @@
-"""The replica's records on disk: one writer thread, one sync for all that has gathered."""
+"""The replica's records on disk: one writer thread, one sync for all that has gathered, and a rewriter."""
 
 import asyncio
+import contextlib
 import logging
-from concurrent.futures import ThreadPoolExecutor
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
-from crowwing.tier.storage.record_file import RecordFile
+from crowwing.tier.storage.record_file import RecordFile, Replacement, StorageError
 from crowwing.tier.wire.codec import decode, encode
 
 log = logging.getLogger("crowwing.disk")
@@ -14,18 +17,27 @@
 LEAST_REWRITE_BYTES = 8 * 1024 * 1024
 REWRITE_FACTOR = 3
 CROWDED_SHARE, CROWDED_FACTOR = 0.4, 1.5  # of the disk's room, from which a file is rewritten sooner
+REWRITE_PAUSE_S = 2.0  # after a rewriting that failed
 USABLE_SHARE = 0.95  # of the disk's room, for the file and its replacement together
 
 
 class Disk:
-    """Keeps records; `write` returns once they outlast a loss of power."""
+    """Keeps records; `write` returns once they outlast a loss of power.
+
+    A long file is rewritten beside the writes: what is written meanwhile goes to the file and, when the
+    replacement is ready, behind its content too.
+    """
 
     def __init__(self, folder: Path, room_bytes: int = 0) -> None:
         """`room_bytes`: what the disk holds in all; 0 where that is not known."""
         self._room = room_bytes
         self._file = RecordFile(folder / "state.log")
-        self._thread = ThreadPoolExecutor(1, "disk")
+        self._writer = ThreadPoolExecutor(1, "disk")
+        self._rewriter = ThreadPoolExecutor(1, "rewriter")
         self._compacted_bytes = 0
+        self._preparing: Future[Replacement] | None = None
+        self._tail: list[bytes] = []  # written since the rewriting began
+        self._rewrite_after = 0.0
 
     def open(self) -> list[Any]:
         """All records that the disk holds."""
@@ -41,6 +53,8 @@
     def is_long(self, compacted_bytes: int) -> bool:
         """Whether the file should be rewritten, which takes about `compacted_bytes` beside it meanwhile."""
         size = self._file.size
+        if self._preparing is not None or time.monotonic() < self._rewrite_after:
+            return False
         if self._room and size + compacted_bytes > USABLE_SHARE * self._room:
             return False
         if size > max(LEAST_REWRITE_BYTES, REWRITE_FACTOR * self._compacted_bytes):
@@ -49,13 +63,58 @@
         return bool(crowded) and size > CROWDED_FACTOR * compacted_bytes
 
     async def write(self, records: list[Any]) -> None:
-        """Appends records and syncs them."""
+        """Appends records and syncs them; raises StorageError."""
         payloads = [encode(record) for record in records]
-        await asyncio.get_running_loop().run_in_executor(self._thread, self._file.append, payloads)
+        preparing = self._preparing
+        if preparing is not None and preparing.done():
+            self._preparing, tail, self._tail = None, self._tail, []
+            await self._run(self._finish, preparing, tail, payloads)
+            return
+        if preparing is not None:
+            self._tail += payloads
+        await self._run(self._file.append, payloads)
 
-    async def rewrite(self, records: list[Any]) -> None:
-        """Replaces everything by these records."""
-        payloads = [encode(record) for record in records]
-        self._compacted_bytes = sum(len(payload) for payload in payloads)
-        log.info("rewrites %d bytes as %d", self._file.size, self._compacted_bytes)
-        await asyncio.get_running_loop().run_in_executor(self._thread, self._file.rewrite, payloads)
+    def begin_rewriting(self, records: Iterable[Any]) -> None:
+        """Starts to write what stands for everything written so far, for later writes to end."""
+        self._preparing = self._rewriter.submit(self._prepare, records)
+        self._tail = []
+
+    async def rewrite(self, records: Iterable[Any]) -> None:
+        """Replaces everything by these records; raises StorageError."""
+        preparing, self._preparing = self._preparing, None
+        if preparing is not None:
+            await self._run(_discard, preparing)
+        await self._run(self._replace, records)
+
+    async def _run(self, work: Callable[..., None], *arguments: Any) -> None:  # noqa: ANN401
+        await asyncio.get_running_loop().run_in_executor(self._writer, work, *arguments)
+
+    # In the threads
+
+    def _prepare(self, records: Iterable[Any]) -> Replacement:
+        return self._file.prepare(encode(record) for record in records)
+
+    def _finish(self, preparing: "Future[Replacement]", tail: list[bytes], payloads: list[bytes]) -> None:
+        """Switches to the replacement, or goes on with the file where that can't be."""
+        try:
+            replacement = preparing.result()
+            compacted_bytes = replacement.size
+            replacement.append([*tail, *payloads])
+        except StorageError as error:
+            log.warning("the file was not rewritten: %s", error)
+            self._rewrite_after = time.monotonic() + REWRITE_PAUSE_S
+            self._file.append(payloads)
+            return
+        self._file.switch(replacement)
+        self._compacted_bytes = compacted_bytes
+        log.info("rewritten as %d bytes", self._file.size)
+
+    def _replace(self, records: Iterable[Any]) -> None:
+        self._file.rewrite(encode(record) for record in records)
+        self._compacted_bytes = self._file.size
+
+
+def _discard(preparing: "Future[Replacement]") -> None:
+    """Waits for a rewriting that is not wanted any more."""
+    with contextlib.suppress(StorageError):
+        preparing.result().discard()
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -102,16 +102,20 @@
             self.step()
 
     async def _keep(self, records: list[Any]) -> None:
-        if records and self._disk.is_long(self.state.kept_bytes):
-            await self._disk.rewrite(self.replica.compacted())
-        elif records:
-            self._write_since = began = time.monotonic()
-            try:
-                await self._disk.write(records)
-            finally:
-                self._write_since = None
-            taken = min(DISK_STALLED_S, time.monotonic() - began)
-            self.replica.sync_s += SYNC_SMOOTHING * (taken - self.replica.sync_s)
+        if not records:
+            return
+        is_long = self._disk.is_long(self.state.kept_bytes)
+        compacted = self.replica.compacted() if is_long else None  # at this moment it holds just `records`
+        self._write_since = began = time.monotonic()
+        try:
+            await self._disk.write(records)
+        finally:
+            self._write_since = None
+        taken = min(DISK_STALLED_S, time.monotonic() - began)
+        self.replica.sync_s += SYNC_SMOOTHING * (taken - self.replica.sync_s)
+        if compacted is not None:
+            log.info("rewrites %d bytes", self._disk.size)
+            self._disk.begin_rewriting(compacted)
 
     async def _wait_for_disk(self, error: StorageError) -> None:
         """Takes no part until the disk holds all that memory does.
--- a/tests/tier/simulated_stores.py
+++ b/tests/tier/simulated_stores.py
@@ -1,7 +1,7 @@
 """Store machines on a simulated network and simulated disks, played by simpy from one seed."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -18,6 +18,8 @@
 TICK_S = 0.02
 DELAY_S = (0.0005, 0.003)
 SYNC_S = (0.0005, 0.012)
+REWRITE_S = (0.0, 0.3)
+LONG_FILE = 40  # records from which a file is rewritten
 
 
 class Ledger:
@@ -31,13 +33,13 @@
         assert index not in self.payloads, "an entry is applied once"
         self.payloads[index] = payload
 
-    def dump(self) -> bytes:
-        """All payloads."""
-        return encode(self.payloads)
-
-    def load(self, state: bytes) -> None:
-        """Replaces all payloads."""
-        self.payloads = dict(decode(state))
+    def freeze(self) -> Iterator[tuple[int, bytes]]:
+        """All payloads as they are now, by range."""
+        payloads = dict(self.payloads)
+        ranges: dict[int, dict[int, bytes]] = {}
+        for index, payload in payloads.items():
+            ranges.setdefault(self.range_of(payload), {})[index] = payload
+        return ((number, encode(held)) for number, held in ranges.items())
 
     @staticmethod
     def range_of(payload: bytes) -> int:
@@ -66,6 +68,15 @@
         self.payloads = rest
 
 
+@dataclass
+class Rewriting:
+    """A replacement of a long file, which is written beside the writes."""
+
+    compacted: Iterable[Any]
+    ready_at: float
+    tail: list[Any] = field(default_factory=list)
+
+
 @dataclass
 class Machine:
     """One store machine: what is on its disk outlasts its lives."""
@@ -82,6 +93,7 @@
     disk_full_until: float = 0.0  # writes fail until then
     disk_stalled_until: float = 0.0  # writes return then at the earliest
     disk_factor: float = 1.0  # how much longer a write takes
+    rewriting: Rewriting | None = None
     write_since: float = math.inf  # when the write that is under way began
     disk_failed: bool = False  # it stands aside until a rewriting is taken
 
@@ -143,7 +155,7 @@
         """Ends a life; a loss of power may keep any part of what was not synced, a wipe nothing."""
         machine = self.machines[host]
         machine.life += 1
-        machine.replica = None
+        machine.replica = machine.rewriting = None
         if power:
             kept = self.random.randint(0, len(machine.unsynced))
             machine.disk += machine.unsynced[:kept]
@@ -197,6 +209,8 @@
             if records and self.env.now < machine.disk_full_until:
                 yield from self._wait_for_disk(machine, life)
                 continue
+            assert machine.replica is not None
+            compacted = machine.replica.compacted() if self._is_long(machine) else None
             if records:
                 machine.unsynced = records
                 machine.write_since = began = self.env.now
@@ -206,16 +220,33 @@
                 if machine.life != life:
                     return
                 machine.write_since = math.inf
-                assert machine.replica is not None
                 taken = min(DISK_STALLED_S, self.env.now - began)
                 machine.replica.sync_s += SYNC_SMOOTHING * (taken - machine.replica.sync_s)
-                machine.disk += records
-                machine.unsynced = []
+                self._write(machine, records)
+                if compacted is not None:
+                    machine.rewriting = Rewriting(compacted, self.env.now + self.random.uniform(*REWRITE_S))
             for output in queue:
                 for receiver, message in output.durable:
                     self._deliver(machine, receiver, message)
             self._step(machine)
 
+    @staticmethod
+    def _is_long(machine: Machine) -> bool:
+        return machine.rewriting is None and len(machine.disk) > LONG_FILE
+
+    def _write(self, machine: Machine, records: list[Any]) -> None:
+        """As Disk does: to the file, or to its replacement once that is ready."""
+        machine.unsynced = []
+        rewriting = machine.rewriting
+        if rewriting is None:
+            machine.disk += records
+        elif self.env.now < rewriting.ready_at:
+            machine.disk += records
+            rewriting.tail += records
+        else:
+            machine.disk = [*rewriting.compacted, *rewriting.tail, *records]
+            machine.rewriting = None
+
     def _wait_for_disk(self, machine: Machine, life: int) -> Any:  # noqa: ANN401
         """As ReplicaNode does: takes no part until the disk has taken a rewriting."""
         assert machine.replica is not None
@@ -226,7 +257,8 @@
             machine.queue = []
             yield self.env.timeout(DISK_RETRY_S)
             if machine.life == life and self.env.now >= machine.disk_full_until:
-                machine.disk = machine.replica.compacted()
+                machine.disk = list(machine.replica.compacted())
+                machine.rewriting = None
                 machine.disk_failed = False
 
     def _step(self, machine: Machine) -> None:
--- a/tests/tier/test_decisions.py
+++ b/tests/tier/test_decisions.py
@@ -151,8 +151,8 @@
     report_failure(state, "i2", "a")
     played(state, d.Decision((e.StoreSeen("store-1", "10.0.0.1"), e.RetireAsked("store-1")), None))
     other = TierState()
-    other.load(state.dump())
-    assert other.dump() == state.dump() and other.retired_hosts() == {"10.0.0.1"}
+    other.replace_ranges(dict(state.freeze()))
+    assert dict(other.freeze()) == dict(state.freeze()) and other.retired_hosts() == {"10.0.0.1"}
     assert other.lots["lot"].failures == {"i2": ["a"]}
 
 
--- a/tests/tier/test_disk_troubles.py
+++ b/tests/tier/test_disk_troubles.py
@@ -1,6 +1,8 @@
 """Disks that take no more bytes, answer nothing for a while, or are slow, under one replica or several."""
 
 import asyncio
+import threading
+from collections.abc import Iterator
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -8,7 +10,7 @@
 import pytest
 
 from crowwing.tier.replication.replica_state import Role
-from crowwing.tier.storage.record_file import RecordFile, StorageError
+from crowwing.tier.storage.record_file import RecordFile, Replacement, StorageError
 from crowwing.tier.store import node as store_node
 from crowwing.tier.store.decisions import Decision
 from crowwing.tier.store.disk import Disk
@@ -232,3 +234,88 @@
     disk._file.append([bytes(5 * MEGABYTE)])
     assert disk.is_long(2 * MEGABYTE)
     assert not disk.is_long(4 * MEGABYTE), "little would be won"
+
+
+class SlowPreparation:
+    """Records whose making waits until it is let go on."""
+
+    def __init__(self, records: list[Any]) -> None:
+        self._records = records
+        self.may_go_on = threading.Event()
+
+    def __iter__(self) -> Iterator[Any]:
+        self.may_go_on.wait(5)
+        return iter(self._records)
+
+
+def test_writes_do_not_wait_for_a_rewriting_that_is_under_way(tmp_path: Path) -> None:
+    async def play() -> None:
+        disk = Disk(tmp_path)
+        disk.open()
+        await disk.write(["old"])
+        compacted = SlowPreparation(["all"])
+        disk.begin_rewriting(compacted)
+        await asyncio.wait_for(disk.write(["meanwhile"]), 2)
+        assert not disk.is_long(0), "one rewriting at a time"
+        compacted.may_go_on.set()
+        await wait_until(lambda: disk._preparing.done())
+        await disk.write(["later"])
+        await disk.write(["last"])
+
+    asyncio.run(play())
+    assert Disk(tmp_path).open() == ["all", "meanwhile", "later", "last"]
+
+
+@pytest.mark.parametrize("fails", ["while it is made", "at its end"])
+def test_a_rewriting_that_fails_loses_no_write(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fails: str
+) -> None:
+    def no_space(*_: object) -> None:
+        raise OSError(28, "no space left on device")
+
+    async def play() -> None:
+        disk = Disk(tmp_path)
+        disk.open()
+        await disk.write(["old"])
+        with monkeypatch.context() as patched:
+            if fails == "while it is made":
+                patched.setattr(Replacement, "_sync", no_space)
+            disk.begin_rewriting(["all"])
+            await disk.write(["meanwhile"])
+            await wait_until(lambda: disk._preparing.done())
+            patched.setattr(Replacement, "_sync", no_space)
+            await disk.write(["later"])
+        await disk.write(["last"])
+
+    asyncio.run(play())
+    assert Disk(tmp_path).open() == ["old", "meanwhile", "later", "last"]
+
+
+def test_a_loss_of_power_at_each_moment_of_a_rewriting_loses_no_write(tmp_path: Path) -> None:
+    async def play(folder: Path, moment: int) -> list[Any]:
+        disk = Disk(folder)
+        disk.open()
+        steps = [
+            lambda: disk.write(["old"]),
+            lambda: disk.write(["older"]),
+            lambda: begin(disk),
+            lambda: disk.write(["meanwhile"]),
+            lambda: wait_until(lambda: disk._preparing.done()),
+            lambda: disk.write(["later"]),
+            lambda: disk.write(["last"]),
+        ]
+        for step in steps[:moment]:
+            await step()
+        return Disk(folder).open()
+
+    async def begin(disk: Disk) -> None:
+        disk.begin_rewriting(["old and older"])
+
+    def folded(records: list[Any]) -> list[Any]:
+        return ["old", "older", *records[1:]] if records[:1] == ["old and older"] else records
+
+    written = ["old", "older", "meanwhile", "later", "last"]
+    counts = [0, 1, 2, 2, 3, 3, 4, 5]
+    for moment, count in enumerate(counts):
+        found = asyncio.run(play(tmp_path / str(moment), moment))
+        assert folded(found) == written[:count], f"after {moment} steps"
--- a/tests/tier/test_storage.py
+++ b/tests/tier/test_storage.py
@@ -80,3 +80,51 @@
     monkeypatch.setattr(os, "fsync", fails)
     with pytest.raises(StorageError):
         file.append([b"lost"])
+
+
+def test_what_is_appended_while_a_replacement_is_written_stands_behind_it(tmp_path: Path) -> None:
+    path = tmp_path / "state.log"
+    file = RecordFile(path)
+    file.open()
+    file.append(RECORDS)
+    replacement = file.prepare([b"all"])
+    file.append([b"meanwhile"])
+    replacement.append([b"meanwhile", b"now"])
+    file.switch(replacement)
+    file.append([b"later"])
+    assert file.size == path.stat().st_size
+    file.close()
+    assert RecordFile(path).open() == [b"all", b"meanwhile", b"now", b"later"]
+
+
+def test_a_loss_of_power_while_a_replacement_is_written_keeps_the_file(tmp_path: Path) -> None:
+    path = tmp_path / "state.log"
+    file = RecordFile(path)
+    file.open()
+    file.append(RECORDS)
+    file.prepare([b"all"])
+    file.append([b"meanwhile"])
+    file.close()
+    assert RecordFile(path).open() == [*RECORDS, b"meanwhile"]
+    assert not (tmp_path / "state.log.new").exists()
+
+
+def test_a_replacement_that_finds_no_room_leaves_none_behind(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = RecordFile(tmp_path / "state.log")
+    file.open()
+    file.append(RECORDS)
+    replacement = file.prepare([b"all"])
+
+    def fails(_: int) -> None:
+        raise OSError(28, "no space left")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "fsync", fails)
+        with pytest.raises(StorageError):
+            replacement.append([b"more"])
+    assert not (tmp_path / "state.log.new").exists()
+    file.append([b"later"])
+    file.close()
+    assert RecordFile(tmp_path / "state.log").open() == [*RECORDS, b"later"]
