A front without room renews its leases twice a second, not fifty times

Cause: while a front ran items and had no room for more, each call of its lot runner was answered at once and followed by the next after 0.02 s.

Change: such a front calls each 0.45 s, of a lease of 1.8 s; an empty answer that came at once is followed by a pause of 0.15 s.

--- a/crowwing/tier/front/lot_runner.py
+++ b/crowwing/tier/front/lot_runner.py
@@ -25,8 +25,9 @@
 RESUMED_HOLD_S = 10.0  # the same for one that has given way and keeps what it has
 RUN_LIMIT_S = 30.0
 REPORT_LIMIT_S = 4.0
-PAUSE_S = 0.15
+PAUSE_S, SHORT_PAUSE_S = 0.15, 0.02
 TELL_S = 1.0  # a front without room calls the primary so often, which counts its callers
+RENEW_S = 0.45  # the same while it runs items, whose leases last 1.8 s
 GONE_STATUS = 422
 RUN_ATTEMPTS = 4  # sidecars that one run may go on at
 ATTEMPT_BYTES = 6  # drawn by chance, that name an attempt
@@ -35,6 +36,16 @@
 Report = c.ReportItem | c.ReportFailure
 
 
+def is_call_due(room: int, running: int, quiet_s: float) -> bool:
+    """Whether a front calls the primary now; `quiet_s` is the time since its last call."""
+    return room > 0 or quiet_s >= (RENEW_S if running else TELL_S)
+
+
+def pause_after(items: int, waited_s: float) -> float:
+    """Seconds until a front looks again; an empty answer that came at once is no reason to ask at once."""
+    return SHORT_PAUSE_S if items else max(SHORT_PAUSE_S, PAUSE_S - waited_s)
+
+
 class LotRunner:
     """The items that this front runs."""
 
@@ -49,7 +60,8 @@
         told_at = -TELL_S
         while True:
             room = 0 if self.draining else self._room()
-            if not room and not self._running and time.monotonic() - told_at < TELL_S:
+            quiet_s = time.monotonic() - told_at
+            if not is_call_due(room, len(self._running), quiet_s):
                 await asyncio.sleep(PAUSE_S)
                 continue
             told_at = time.monotonic()
@@ -65,7 +77,7 @@
                     task.cancel()
             for leased in outcome.items:
                 self._start(leased)
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(pause_after(len(outcome.items), time.monotonic() - told_at))
 
     def _room(self) -> int:
         table = self._pool.table
