Entries go to members within windows, and heartbeats on connections of their own

Entries to seven members, each sent again at every heartbeat while its answer was on its way, and 9 MB of entries in one message to each of two learners stood in its buffers (8.7 MB); heartbeats waited behind them and the primary stepped down every half second, from 15.1 s to 22.0 s.

Change: a member is sent 512 KB at most without an answer, in messages of 64 KB, and again only what it has not moved on for 0.35 s; a learner 1 MB at a time; a member that the log does not reach any more is left out. Heartbeats, votes and answers have connections of their own.

--- a/crowwing/tier/replication/candidate.py
+++ b/crowwing/tier/replication/candidate.py
@@ -28,7 +28,6 @@
         was_primary, leads = self.role is Role.PRIMARY, self.holds_lease(now)
         joiners = {x for x, at in self._joiners.items() if now - at < JOIN_FRESH_S} if was_primary else set()
         self._promise((round_number, self.me))
-        self._unsent = []  # the new view's members get them with its data
         self.role = Role.CANDIDATE
         campaign = Campaign(Phase.PREPARE, now, handover or leads)
         self._campaign = campaign
@@ -139,9 +138,14 @@
         if not x.matched:
             self._send_digests(x.sender)
         elif self._campaign is not None and self._campaign.phase is Phase.SYNC:
-            if x.last == self.log.last and x.sender in self._campaign.targets:
+            if x.sender not in self._campaign.targets:
+                return
+            if x.last == self.log.last:
                 self._campaign.synced.add(x.sender)
                 self._sync_moved(now)
+            else:
+                self._learner_moved(now, x.sender)
+                self._send_sync(x.sender, x.last)
         elif self.role is Role.PRIMARY:
             self._learner_wait.pop(x.sender, None)
 
@@ -193,6 +197,7 @@
             self._heard[other] = now if other in view.members else heard.get(other, now)
         last = self.log.last[1]
         self._acked = dict.fromkeys(view.members, last)
+        self._sent = {member: last for member in view.members if member != self.me}
         self.commit_index = last
         log.info(
             "primary with ballot %s, members %s, witnesses %s", view.ballot, view.members, view.witnesses
--- a/crowwing/tier/replication/log.py
+++ b/crowwing/tier/replication/log.py
@@ -1,10 +1,11 @@
 """The entries that a replica holds in memory, after the position that its last snapshot stands for."""
 
+from bisect import bisect_right
 from collections import deque
 
 from crowwing.tier.replication.messages import START, Entry, Position
 
-MOST_ENTRIES, MOST_BYTES = 4000, 16 * 1024 * 1024  # kept for those that catch up; older ones get a snapshot
+MOST_ENTRIES, MOST_BYTES = (4000, 16 * 1024 * 1024)  # kept for those that catch up
 
 
 class EntryLog:
@@ -13,7 +14,8 @@
     def __init__(self) -> None:
         self.base: Position = START
         self._entries: deque[Entry] = deque()
-        self._bytes = 0
+        self._ends: deque[int] = deque()  # bytes of all payloads up to each entry
+        self._base_end = 0  # the same up to the base
 
     @property
     def last(self) -> Position:
@@ -24,19 +26,21 @@
         return newest.ballot, newest.index
 
     def reset(self, position: Position) -> None:
-        """Forgets all entries: a snapshot at `position` stands for them."""
+        """Forgets all entries: a state at `position` stands for them."""
         self.base = position
         self._entries.clear()
-        self._bytes = 0
+        self._ends.clear()
+        self._base_end = 0
 
     def append(self, entry: Entry) -> None:
         """Adds the next entry, and drops the oldest beyond the bound."""
         assert entry.index == self.last[1] + 1, "entries are contiguous"
+        end = (self._ends[-1] if self._ends else self._base_end) + len(entry.payload)
         self._entries.append(entry)
-        self._bytes += len(entry.payload)
-        while len(self._entries) > MOST_ENTRIES or self._bytes > MOST_BYTES:
+        self._ends.append(end)
+        while len(self._entries) > MOST_ENTRIES or end - self._base_end > MOST_BYTES:
             oldest = self._entries.popleft()
-            self._bytes -= len(oldest.payload)
+            self._base_end = self._ends.popleft()
             self.base = (oldest.ballot, oldest.index)
 
     def contains(self, position: Position) -> bool:
@@ -51,7 +55,25 @@
         offset = index - self.base[1] - 1
         return self._entries[offset] if 0 <= offset < len(self._entries) else None
 
-    def after(self, index: int) -> tuple[Entry, ...]:
-        """All entries behind an index that is not before the base."""
-        offset = max(0, index - self.base[1])
-        return tuple(self._entries[place] for place in range(offset, len(self._entries)))
+    def after(self, index: int, upto: int | None = None) -> tuple[Entry, ...]:
+        """The entries behind an index that is not before the base, up to the newest or to an index."""
+        first = max(0, index - self.base[1])
+        end = len(self._entries) if upto is None else min(len(self._entries), upto - self.base[1])
+        return tuple(self._entries[place] for place in range(first, end))
+
+    def bytes_between(self, start: int, end: int) -> int:
+        """Bytes of the payloads behind one index up to another, as far as they are held."""
+        return self._end_of(end) - self._end_of(start)
+
+    def index_within(self, start: int, most_bytes: int) -> int:
+        """The last index behind `start` up to which payloads have so many bytes; at least the next one."""
+        if start >= self.last[1]:
+            return start
+        offset = bisect_right(self._ends, self._end_of(start) + most_bytes)
+        return min(self.last[1], max(start + 1, self.base[1] + offset))
+
+    def _end_of(self, index: int) -> int:
+        offset = index - self.base[1] - 1
+        if offset < 0:
+            return self._base_end
+        return self._ends[min(offset, len(self._ends) - 1)] if self._ends else self._base_end
--- a/crowwing/tier/replication/messages.py
+++ b/crowwing/tier/replication/messages.py
@@ -90,7 +90,7 @@
 @message
 @dataclass(frozen=True)
 class Sync:
-    """The data of a candidate or primary: all of its entries that follow `previous`."""
+    """The data of a candidate or primary: entries that follow `previous`."""
 
     ballot: Ballot
     sender: str
--- a/crowwing/tier/replication/primary.py
+++ b/crowwing/tier/replication/primary.py
@@ -6,6 +6,7 @@
 from crowwing.tier.replication.candidate import Candidate
 from crowwing.tier.replication.replica_state import Role, majority, slow_disks
 from crowwing.tier.replication.timing import (
+    APPEND_BYTES,
     GONE_S,
     HANDOVER_PAUSE_S,
     HEARTBEAT_S,
@@ -13,8 +14,10 @@
     MEMBER_SILENT_S,
     NEAR_ENTRIES,
     RECONFIGURE_PAUSE_S,
+    RESEND_S,
     SLOW_SYNC_S,
     STICKY_S,
+    WINDOW_BYTES,
 )
 
 log = logging.getLogger("crowwing.replication")
@@ -29,21 +32,37 @@
             return None
         entry = m.Entry(self.promised, self.log.last[1] + 1, payload)
         self._take_entries([entry])
-        self._unsent.append(entry)
         self._send(self.me, m.Appended(self.promised, self.me, entry.index), durable=True)
         return entry.index
 
-    def send_entries(self) -> None:
-        """Sends what was proposed since the last call to the other members, as one message.
+    def send_entries(self, now: float) -> None:
+        """Sends the other members what was proposed, as far as their windows are open.
 
         To be called when the own disk begins a write, since a commit waits for that write anyway.
         """
-        if self.role is Role.PRIMARY and self.view is not None and self._unsent:
-            append = m.Append(self.promised, self.me, tuple(self._unsent))
-            for member in self.view.members:
-                if member != self.me:
-                    self._send(member, append)
-        self._unsent = []
+        if self.role is Role.PRIMARY:
+            self._send_windows(now, list(self._sent))
+
+    def _send_windows(self, now: float, members: list[str]) -> None:
+        """Members that are sent the same entries are sent the same message, so that it is encoded once."""
+        appends: dict[tuple[int, int], m.Append] = {}
+        for member in members:
+            while (span := self._next_span(member)) is not None:
+                if span not in appends:
+                    appends[span] = m.Append(self.promised, self.me, self.log.after(*span))
+                if self._acked[member] >= span[0]:
+                    self._moved_at[member] = now  # it had nothing to answer before
+                self._sent[member] = span[1]
+                self._send(member, appends[span])
+
+    def _next_span(self, member: str) -> tuple[int, int] | None:
+        """The indexes behind which, and up to which, a member is sent entries next."""
+        sent, acked = self._sent[member], self._acked.get(member, -1)
+        if acked < 0 or sent >= self.log.last[1] or sent < self.log.base[1]:
+            return None
+        if acked < sent and self.log.bytes_between(acked, sent) >= WINDOW_BYTES:
+            return None
+        return sent, self.log.index_within(sent, APPEND_BYTES)
 
     def beat_now(self, now: float) -> int:
         """Starts a round of heartbeats at once, and gives its number."""
@@ -105,9 +124,9 @@
                 self.confirmed_at = max(self.confirmed_at, self._rounds[x.round])
         behind = self.log.last[1] - x.last[1]
         if x.sender in self.view.members:
-            if x.synced == self.promised and behind > 0 and self._acked.get(x.sender, 0) < self.log.last[1]:
-                self._resend(now, x)
-            elif x.synced != self.promised:  # it has lost its disk since
+            if x.synced == self.promised:
+                self._resend_if_stuck(now, x)
+            else:  # it has lost its disk since
                 self._acked[x.sender] = -1
                 self._lost_member(now, x.sender)
         elif x.sender not in self.excluded:
@@ -119,10 +138,17 @@
             if now >= self._learner_wait.get(x.sender, now):
                 self._learner_wait[x.sender] = now + self._send_sync(x.sender, x.last)
 
-    def _resend(self, now: float, x: m.HeartbeatReply) -> None:
-        if now >= self._learner_wait.get(x.sender, now) and self.log.contains(x.last):
-            self._learner_wait[x.sender] = now + 2 * HEARTBEAT_S
-            self._send(x.sender, m.Append(self.promised, self.me, self.log.after(x.last[1])))
+    def _resend_if_stuck(self, now: float, x: m.HeartbeatReply) -> None:
+        """A member that has not moved for a while is sent again what it has not told to hold."""
+        acked = self._acked.get(x.sender, -1)
+        if not 0 <= acked < self._sent[x.sender] or now - self._moved_at.get(x.sender, now) < RESEND_S:
+            return
+        self._moved_at[x.sender] = now
+        if x.last[1] >= self._sent[x.sender]:  # only its answer was lost
+            self._send(x.sender, m.Append(self.promised, self.me, ()))
+        elif self.log.contains(x.last):
+            self._sent[x.sender] = x.last[1]
+            self._send_windows(now, [x.sender])
 
     def _lost_member(self, now: float, member: str) -> None:
         if now - self._active_since >= RECONFIGURE_PAUSE_S:
@@ -132,10 +158,13 @@
     def _on_appended(self, now: float, x: m.Appended) -> None:
         if self.role is not Role.PRIMARY or x.ballot != self.promised or self.view is None:
             return
-        if self._acked.get(x.sender, -1) >= 0:
-            self._acked[x.sender] = max(self._acked[x.sender], x.index)
+        if x.index > self._acked.get(x.sender, -1) >= 0:
+            self._acked[x.sender] = x.index
+            self._moved_at[x.sender] = now
         if x.sender != self.me:
             self._heard[x.sender] = now
+            if x.sender in self._sent:
+                self._send_windows(now, [x.sender])
         self.commit_index = max(self.commit_index, min(self._acked[member] for member in self.view.members))
 
     def _tick_primary(self, now: float) -> None:
@@ -169,6 +198,9 @@
         silent = [x for x in self.view.members if x != self.me and now - self._heard[x] >= MEMBER_SILENT_S]
         if silent:
             return f"no answer from {', '.join(silent)}"
+        cut_off = [x for x, sent in self._sent.items() if sent < self.log.base[1]]
+        if cut_off:
+            return f"the log does not reach back to {', '.join(cut_off)}"
         slow = self._slow_members()
         if slow and len(self.view.members) - len(slow) >= self.min_copies:
             return f"the disk of {', '.join(sorted(slow))} is slow"
--- a/crowwing/tier/replication/replica_state.py
+++ b/crowwing/tier/replication/replica_state.py
@@ -21,6 +21,7 @@
     SUSPECT_SPREAD_S,
     SUSPECT_SYNCS,
     SUSPECT_TURN_S,
+    SYNC_BYTES,
     SYNC_LIMIT_S,
 )
 
@@ -177,7 +178,8 @@
         self._learner_wait: dict[str, float] = {}  # until when a learner is not sent more
         self._ready: set[str] = set()
         self._sync_s: dict[str, float] = {}
-        self._unsent: list[m.Entry] = []  # entries that the other members have not been sent yet
+        self._sent: dict[str, int] = {}  # up to which index each other member was sent entries
+        self._moved_at: dict[str, float] = {}  # when it last acknowledged more, or began to have to
         self._handover_at = -1e9
 
     def bootstrap(self, members: Iterable[str]) -> None:
@@ -287,9 +289,10 @@
             self._repair = None  # it was compared with the state before
 
     def _send_sync(self, target: str, last: m.Position) -> float:
-        """Sends what a replica at `last` lacks, or digests for it to find out; gives the time to the next."""
+        """Sends some of what a replica at `last` lacks, or digests; gives the time to wait for an answer."""
         if self.log.contains(last):
-            self._send(target, m.Sync(self.promised, self.me, last, self.log.after(last[1])))
+            end = self.log.index_within(last[1], SYNC_BYTES)
+            self._send(target, m.Sync(self.promised, self.me, last, self.log.after(last[1], end)))
             return LEARNER_SYNC_S
         self._send_digests(target)
         return RANGES_WAIT_S
--- a/crowwing/tier/replication/timing.py
+++ b/crowwing/tier/replication/timing.py
@@ -12,6 +12,9 @@
 SYNC_GRACE_S, SYNC_LIMIT_S, ACCEPT_LIMIT_S = 0.6, 3.0, 1.2
 RECONFIGURE_PAUSE_S = 0.3
 HANDOVER_PAUSE_S = 0.4  # after a member was asked to take over
+WINDOW_BYTES, APPEND_BYTES = 512 * 1024, 64 * 1024  # sent to a member without its answer, and in one message
+SYNC_BYTES = 1024 * 1024  # of entries that a learner is sent at once
+RESEND_S = 0.35  # without progress, after which a member is sent again what it lacks
 LEARNER_SYNC_S, RANGES_WAIT_S = 0.5, 1.5  # after which a learner that does not answer is sent entries, or
 # digests, once more
 LEARN_S, JOIN_S = 0.2, 0.3
--- a/crowwing/tier/store/main.py
+++ b/crowwing/tier/store/main.py
@@ -60,8 +60,9 @@
         return None
 
     links = Links(settings.internal_port, handle)
+    urgent_links = Links(settings.internal_port, handle)
     node = ReplicaNode(
-        settings.ip, settings.seed_hosts, settings.fault_tolerance.machines, disk, links, random
+        settings.ip, settings.seed_hosts, settings.fault_tolerance.machines, disk, links, random, urgent_links
     )
     service = StoreService(settings, node, disk, links, documents)
     relay = Relay(Peer(settings.ip, "store", settings.zone, 0), settings.seed_hosts, documents, links, random)
@@ -91,5 +92,6 @@
     server.close()
     tasks.cancel()
     links.close()
+    urgent_links.close()
     log.info("ends")
     return 1 if tasks.failed else 0
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from crowwing.tier.early import started_at
+from crowwing.tier.replication.messages import Append, Digests, Ranges, Sync
 from crowwing.tier.replication.replica import Replica
 from crowwing.tier.replication.replica_state import Output, Role
 from crowwing.tier.state.views import TierState
@@ -29,6 +30,8 @@
 READ_LIMIT_S = 1.5
 COMMIT_LIMIT_S = 3.0
 
+DATA_MESSAGES = (Append, Sync, Digests, Ranges)  # which can be long
+
 Decide = Callable[[TierState], Decision]
 
 
@@ -45,12 +48,21 @@
     """One replica with its disk and its links; asks the replica for decisions and carries them out."""
 
     def __init__(
-        self, me: str, seeds: tuple[str, ...], faults: int, disk: Disk, links: Links, random: Random
+        self,
+        me: str,
+        seeds: tuple[str, ...],
+        faults: int,
+        disk: Disk,
+        links: Links,
+        random: Random,
+        urgent_links: Links | None = None,
     ) -> None:
+        """`urgent_links`: connections of their own for heartbeats and votes, which wait behind no data."""
         self.state = TierState()
         now = time.monotonic()
         self.replica = Replica(me, seeds, self.state, faults, now, random.random, started_at)
         self._disk, self._links = disk, links
+        self._urgent_links = urgent_links or links
         self._pending: list[Pending] = []
         self._queue: list[Output] = []
         self._work = asyncio.Event()
@@ -88,7 +100,7 @@
         while True:
             await self._work.wait()
             self._work.clear()
-            self.replica.send_entries()
+            self.replica.send_entries(time.monotonic())
             self.step()
             queue, self._queue = self._queue, []
             records = [record for output in queue for record in output.records]
@@ -150,7 +162,8 @@
                 self.replica.receive(time.monotonic(), message)
                 receivers.remove(self.replica.me)
             if receivers:
-                self._links.notify_all(receivers, message)
+                links = self._links if isinstance(message, DATA_MESSAGES) else self._urgent_links
+                links.notify_all(receivers, message)
 
     def step(self) -> None:
         """Carries out what the replica asks for."""
--- a/tests/tier/simulated_stores.py
+++ b/tests/tier/simulated_stores.py
@@ -12,7 +12,7 @@
 from crowwing.tier.replication.ranges import RANGES, digest_of, range_of_key
 from crowwing.tier.replication.replica import Replica
 from crowwing.tier.replication.replica_state import Output, Role
-from crowwing.tier.store.node import DISK_RETRY_S, DISK_STALLED_S, SYNC_SMOOTHING
+from crowwing.tier.store.node import DATA_MESSAGES, DISK_RETRY_S, DISK_STALLED_S, SYNC_SMOOTHING
 from crowwing.tier.wire.codec import decode, encode
 
 TICK_S = 0.02
@@ -122,7 +122,8 @@
         self.loss = 0.0
         self.piece_s = 0.0  # that ranges in one message take on their way; what is sent behind them waits
         self.link_busy_until: dict[tuple[str, str], float] = {}
-        self.pieces_sent = self.ranges_sent = 0
+        self.pieces_sent = self.ranges_sent = self.entry_bytes_sent = 0
+        self.bytes_per_s = math.inf  # of entries, on each link
         self.acknowledged: list[bytes] = []
         self.places: dict[bytes, int] = {}  # of what was acknowledged, in the log
         self.waiting: list[Wanted] = []
@@ -263,7 +264,7 @@
 
     def _step(self, machine: Machine) -> None:
         assert machine.replica is not None
-        machine.replica.send_entries()
+        machine.replica.send_entries(self.env.now)
         output = machine.replica.take_output()
         for receiver, message in output.immediate:
             self._deliver(machine, receiver, message)
@@ -281,11 +282,9 @@
 
     def _travel(self, sender: str, receiver: str, message: Any) -> Any:  # noqa: ANN401
         arrives = self.env.now + self.random.uniform(*DELAY_S)
-        arrives = max(arrives, self.link_busy_until.get((sender, receiver), 0.0))
-        if isinstance(message, m.Ranges):
-            self.pieces_sent += 1
-            self.ranges_sent += len(message.contents)
-            arrives += self.piece_s
+        if isinstance(message, DATA_MESSAGES):  # the others have a connection of their own
+            arrives = max(arrives, self.link_busy_until.get((sender, receiver), 0.0))
+            arrives += self._time_on_link(message)
             self.link_busy_until[sender, receiver] = arrives
         yield self.env.timeout(arrives - self.env.now)
         machine = self.machines.get(receiver)
@@ -299,6 +298,16 @@
         machine.replica.receive(self.env.now, message)
         self._step(machine)
 
+    def _time_on_link(self, message: Any) -> float:  # noqa: ANN401
+        if isinstance(message, m.Ranges):
+            self.pieces_sent += 1
+            self.ranges_sent += len(message.contents)
+            return self.piece_s
+        entries = getattr(message, "entries", ())
+        size = sum(len(entry.payload) for entry in entries)
+        self.entry_bytes_sent += size
+        return size / self.bytes_per_s
+
     # Clients
 
     def propose(self, payload: bytes) -> bool:
