Clients are held to the configuration's bounds, and a slow reader to its deadline

Cause: heads of any length and pace were taken, idleTimeoutMs counted in whole seconds from 1 s on, a body could stop for ever, and a client that did not read a resumable answer held its place at a sidecar for as long as it liked.

Change: front/client_connection.py, uvicorn's connection with these bounds (431, 408, closing); one bound on the whole answer, which is held against the sidecar only where the front waited for it.

Measured: new tests on real processes: long heads whole and in pieces, heads and bodies that stop, connections that rest, clients that don't read, on routes that may be resumed and that may not.

--- a/crowwing/tier/front/asgi.py
+++ b/crowwing/tier/front/asgi.py
@@ -1,5 +1,6 @@
 """Small helpers for ASGI: reading a request, writing whole answers."""
 
+import asyncio
 import json
 from dataclasses import dataclass
 
@@ -16,6 +17,10 @@
     """The client sends more than the configuration allows."""
 
 
+class BodyTooSlow(Exception):
+    """The client has sent nothing of its body for too long."""
+
+
 @dataclass(frozen=True)
 class ClientRequest:
     """A whole request of a client."""
@@ -41,12 +46,16 @@
         return (self.header(b"host") or b"").decode("latin-1")
 
 
-async def read_body(receive: Receive, most: int) -> bytes:
-    """The whole body; raises ClientGone or BodyTooLarge."""
+async def read_body(receive: Receive, most: int, silence_s: float) -> bytes:
+    """The whole body; raises ClientGone, BodyTooLarge, or BodyTooSlow after `silence_s` without a byte."""
     parts: list[bytes] = []
     size = 0
     while True:
-        message = await receive()
+        try:
+            async with asyncio.timeout(silence_s):
+                message = await receive()
+        except TimeoutError:
+            raise BodyTooSlow from None
         if message["type"] == "http.disconnect":
             raise ClientGone
         part = message.get("body", b"")
--- /dev/null
+++ b/crowwing/tier/front/client_connection.py
@@ -0,0 +1,105 @@
+"""A client's connection: uvicorn's own, with the bounds that the configuration sets for clients."""
+
+import asyncio
+import logging
+import socket
+from dataclasses import dataclass
+from typing import Any
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+log = logging.getLogger("crowwing.clients")
+
+UNREAD_LIMIT_MS = 20_000  # for which a client may leave bytes of an answer unacknowledged or unread
+HEADER_EXTRA_BYTES = 4  # of each header line beside its name and value
+
+
+@dataclass
+class ClientLimits:
+    """What a client may send, and how long it may take. Shared by all connections, changed in place."""
+
+    max_header_bytes: int = 16 * 1024
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 75.0
+
+
+class ClientConnection(HttpToolsProtocol):
+    """Refuses heads that are too long or come too slowly, and closes connections that rest too long."""
+
+    def __init__(self, limits: ClientLimits, **arguments: Any) -> None:  # noqa: ANN401
+        super().__init__(**arguments)
+        self._limits = limits
+        self.timeout_keep_alive = limits.idle_timeout_s
+        self._head_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._refused = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """A connection that never sends anything rests like one between two requests."""
+        super().connection_made(transport)
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNREAD_LIMIT_MS)
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Nothing is waited for any more."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Counts what comes of a head."""
+        if self._refused:
+            return
+        self._head_bytes += len(data)
+        super().data_received(data)
+        if self._head_timer is not None and self._head_bytes > self._limits.max_header_bytes:
+            self._refuse(431, "Request Header Fields Too Large")
+
+    def on_message_begin(self) -> None:
+        """The first byte of a head has come."""
+        super().on_message_begin()
+        self.timeout_keep_alive = self._limits.idle_timeout_s
+        self._head_timer = self.loop.call_later(self._limits.header_timeout_s, self._head_too_slow)
+
+    def on_headers_complete(self) -> None:
+        """The head is whole; its size counts without what came behind it."""
+        self._stop_head_timer()
+        self._head_bytes = 0
+        lines = sum(len(name) + len(value) + HEADER_EXTRA_BYTES for name, value in self.headers)
+        if len(self.url) + lines > self._limits.max_header_bytes:
+            self._refuse(431, "Request Header Fields Too Large")
+        else:
+            super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """A part of a body."""
+        if not self._refused:
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """The request is whole; what comes next is another head."""
+        self._head_bytes = 0
+        if not self._refused:
+            super().on_message_complete()
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _head_too_slow(self) -> None:
+        self._refuse(408, "Request Timeout")
+
+    def _refuse(self, status: int, reason: str) -> None:
+        """Answers what has not run and never will, and closes the connection."""
+        self._stop_head_timer()
+        self._refused = True
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.transport.close()  # an answer to an earlier request is under way
+            return
+        head = f"HTTP/1.1 {status} {reason}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+        self.transport.write(head.encode())
+        self.transport.close()
--- a/crowwing/tier/front/main.py
+++ b/crowwing/tier/front/main.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import time
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -15,11 +16,12 @@
 from crowwing.tier.distribution.relay import Attach, Beat, Push, Relay, Shuffle
 from crowwing.tier.distribution.sampling import Peer
 from crowwing.tier.front.batch_api import BatchApi
+from crowwing.tier.front.client_connection import ClientConnection, ClientLimits
 from crowwing.tier.front.lot_runner import LotRunner
 from crowwing.tier.front.proxy import Proxy
 from crowwing.tier.front.service_pool import ServicePool
 from crowwing.tier.front.store_client import StoreClient
-from crowwing.tier.http_server import Server, make_server, serve_until
+from crowwing.tier.http_server import make_server, serve_until
 from crowwing.tier.plain_http import NO_CERTIFICATES
 from crowwing.tier.platform_list import SidecarList, read_list
 from crowwing.tier.process import Tasks, watch_signals
@@ -52,7 +54,7 @@
         self.store = StoreClient(self.links, self.store_hosts)
         self.proxy = Proxy(self.pool, BatchApi(self.store))
         self.runner = LotRunner(settings.node, self.pool, self.store)
-        self.servers: list[Server] = []
+        self.client_limits = ClientLimits()
         self.documents.listen(self.take_document)
         self.relay.on_root.append(self.store.moved)
 
@@ -96,8 +98,10 @@
             self._count_fronts()
 
     def _apply_limits(self, configuration: Configuration) -> None:
-        for server in self.servers:
-            server.config.timeout_keep_alive = max(1, int(configuration.limits.idle_timeout_ms / 1000))
+        told = configuration.limits
+        self.client_limits.max_header_bytes = told.max_header_bytes
+        self.client_limits.header_timeout_s = told.header_timeout_ms / 1000
+        self.client_limits.idle_timeout_s = told.idle_timeout_ms / 1000
 
     async def ready(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Tells the platform whether clients may come."""
@@ -143,11 +147,13 @@
             await self.ready(scope, receive, send)
 
         serving: list[asyncio.Task[None]] = []
-        for address, handler in ((settings.listen.front, proxied), (settings.listen.ready, ready)):
+        clients = partial(ClientConnection, self.client_limits)
+        for address, handler, connection in (
+            (settings.listen.front, proxied, clients), (settings.listen.ready, ready, None),
+        ):  # fmt: skip
             if address:
                 app = Litestar([handler], openapi_config=None, logging_config=None)
-                server = make_server(app, address, settings.bounds.grace_s, IDLE_DEFAULT_S)
-                self.servers.append(server)
+                server = make_server(app, address, settings.bounds.grace_s, IDLE_DEFAULT_S, connection)
                 serving.append(tasks.start(serve_until(server, end)))
                 log.info("front listens at %s", address)
 
--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -1,6 +1,7 @@
 """A client's request from its first byte to its last: route, admission, dispatch, and the answer."""
 
 import asyncio
+import contextlib
 import hashlib
 import logging
 import random
@@ -8,10 +9,11 @@
 
 from litestar.types import Receive, Scope, Send
 
-from crowwing.tier.configuration import Route, RoutingTable
+from crowwing.tier.configuration import RequestLimits, Route, RoutingTable
 from crowwing.tier.front.admission import Ticket, rank_of
 from crowwing.tier.front.asgi import (
     BodyTooLarge,
+    BodyTooSlow,
     ClientGone,
     ClientRequest,
     read_body,
@@ -32,7 +34,22 @@
 START_WAIT_S = 0.9  # for the first configuration, while this backend starts
 RETRY_LEAST_S = 0.05
 RETRY_CUT, RETRY_SPREAD_S = 4.0, 0.3  # later with the cut, in aims, and not all at once
-EMPTY_MAX_BODY = 64 * 1024 * 1024
+WITHOUT_CONFIGURATION = RequestLimits(maxBodyBytes=64 * 1024 * 1024)
+ANSWER_MARGIN_S = 0.2  # beyond the deadline, after which an answer is broken off
+
+
+class Answer:
+    """The body of an answer on its way to the client."""
+
+    def __init__(self, send: Send) -> None:
+        self._send = send
+        self.waits_for_client = False  # which reads too slowly
+
+    async def pass_on(self, part: bytes) -> None:
+        """Sends a part."""
+        self.waits_for_client = True
+        await self._send({"type": "http.response.body", "body": part, "more_body": True})
+        self.waits_for_client = False
 
 
 class Proxy:
@@ -59,13 +76,16 @@
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         arrived = time.monotonic()
         table = await self._pool.wait_until_known(START_WAIT_S)
-        most = table.configuration.limits.max_body_bytes if table is not None else EMPTY_MAX_BODY
+        limits = table.configuration.limits if table is not None else WITHOUT_CONFIGURATION
+        most = limits.max_body_bytes
+        closes = [(b"connection", b"close")]
         try:
-            body = await read_body(receive, most)
+            body = await read_body(receive, most, limits.idle_timeout_ms / 1000)
         except BodyTooLarge:
-            await respond_json(
-                send, 413, {"error": f"a body may have {most} bytes"}, [(b"connection", b"close")]
-            )
+            await respond_json(send, 413, {"error": f"a body may have {most} bytes"}, closes)
+            return
+        except BodyTooSlow:
+            await respond_json(send, 408, {"error": "the body did not come in time"}, closes)
             return
         request = ClientRequest(
             scope["method"],
@@ -159,23 +179,30 @@
             await respond_json(send, 502, {"error": "the sidecar's answer has no end"})
             return
         await send({"type": "http.response.start", "status": opened.status, "headers": headers})
-        try:
-            if streams and job.route.resumable:
-                async for event in self._dispatcher.events(job, running):
-                    await send({"type": "http.response.body", "body": event.raw, "more_body": True})
-            else:
-                try:
-                    async with asyncio.timeout(max(0.0, job.deadline + 0.2 - time.monotonic())):
-                        async for chunk in read_answer(opened):
-                            await send({"type": "http.response.body", "body": chunk, "more_body": True})
-                finally:
-                    await self._dispatcher.close(running)
+        answer = Answer(send)
+        try:  # a client that does not read holds its place at a sidecar no longer either
+            async with asyncio.timeout(max(0.0, job.deadline + ANSWER_MARGIN_S - time.monotonic())):
+                if streams and job.route.resumable:
+                    async with contextlib.aclosing(self._dispatcher.events(job, running)) as events:
+                        async for event in events:
+                            await answer.pass_on(event.raw)
+                else:
+                    await self._relay_whole(running, answer)
         except (StreamBroken, TimeoutError) as error:
-            running.state.failed(time.monotonic())
+            if not answer.waits_for_client:
+                running.state.failed(time.monotonic())
             log.info("an answer of %s broke off: %s", running.state.entry.id, error)
             return  # the server closes the connection, so that the answer does not look complete
         await send({"type": "http.response.body", "body": b""})
 
+    async def _relay_whole(self, running: Running, answer: "Answer") -> None:
+        """Passes the body on as it comes."""
+        try:
+            async for chunk in read_answer(running.opened):
+                await answer.pass_on(chunk)
+        finally:
+            await self._dispatcher.close(running)
+
 
 def passed_on(headers: Headers, keeps_length: bool) -> Headers:
     """The headers of a sidecar that its client gets."""
--- a/crowwing/tier/http_server.py
+++ b/crowwing/tier/http_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import uvicorn
@@ -19,14 +19,23 @@
         yield
 
 
-def make_server(app: Any, address: str, grace_s: float, keep_alive_s: float) -> Server:  # noqa: ANN401
-    """A server for `host:port`. `grace_s` bounds how long its end waits for open requests."""
+def make_server(
+    app: Any,  # noqa: ANN401
+    address: str,
+    grace_s: float,
+    keep_alive_s: float,
+    connection: Callable[..., asyncio.Protocol] | None = None,
+) -> Server:
+    """A server for `host:port`. `grace_s` bounds how long its end waits for open requests.
+
+    `connection` makes the protocol of each connection, uvicorn's own where it is not given.
+    """
     host, port = address.rsplit(":", 1)
     config = uvicorn.Config(
         app,
         host=host,
         port=int(port),
-        http="httptools",
+        http=connection or "httptools",  # type: ignore[arg-type]
         loop="none",
         lifespan="off",
         ws="none",
--- a/tests/tier/loopback.py
+++ b/tests/tier/loopback.py
@@ -29,6 +29,8 @@
         self.runs: list[str] = []  # request ids in the order in which they began
         self.pause_s = 0.01
         self._server: asyncio.Server | None = None
+        self.padding = 0  # bytes more of each event
+        self.answering = 0  # requests under way
         self._open: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
@@ -56,7 +58,11 @@
                     line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip() for line in head[1:] if line
                 }
                 await reader.readexactly(int(headers.get("content-length", "0")))
-                await self._answer(head[0], headers, writer)
+                self.answering += 1
+                try:
+                    await self._answer(head[0], headers, writer)
+                finally:
+                    self.answering -= 1
         except (asyncio.IncompleteReadError, OSError):
             pass
         finally:
@@ -79,7 +85,8 @@
             b"Server-Load: 1,0,48\r\nServer-Stamp: s1\r\nRequest-Id: " + request_id.encode() + b"\r\n\r\n"
         )
         for number in range(first, EVENTS + 1):
-            event = f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+            padding = b": " + b"." * self.padding + b"\n" if self.padding else b""
+            event = padding + f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
             await asyncio.sleep(self.pause_s)
@@ -127,7 +134,9 @@
         {"name": "lots", "pathPrefix": "/lot/", "kind": "batch_queue", "completionSloMs": 12000, **common},
     ]
     services = [{"name": SERVICE, "maxConns": 300}]
-    return json.dumps({"version": version, "routes": routes, "services": services}).encode()
+    limits = {"maxHeaderBytes": 16_000, "headerTimeoutMs": 700, "idleTimeoutMs": 800}
+    whole = {"version": version, "routes": routes, "services": services, "limits": limits}
+    return json.dumps(whole).encode()
 
 
 class Loopback:
--- a/tests/tier/test_processes.py
+++ b/tests/tier/test_processes.py
@@ -219,3 +219,66 @@
         assert "broke off" in log and "Traceback" not in log
 
     played(tmp_path, play)
+
+
+async def raw_exchange(
+    tier: Loopback, front: str, parts: list[bytes], pause_s: float, limit_s: float = 8.0
+) -> bytes:
+    """What a connection answers to bytes that are sent with pauses, until it is closed."""
+    reader, writer = await asyncio.open_connection(front, tier.port + 1)
+    try:
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        return await asyncio.wait_for(reader.read(), limit_s)
+    finally:
+        writer.close()
+
+
+def test_clients_are_held_to_the_bounds_of_the_configuration(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        front = tier.fronts[0]
+        start = b"POST /ask/x HTTP/1.1\r\nHost: " + HOST_NAME.encode() + b"\r\nRequest-Id: bound\r\n"
+        whole_head = start + b"X: " + bytes(20_000).replace(b"\0", b"x") + b"\r\n\r\n"
+        assert (await raw_exchange(tier, front, [whole_head], 0)).startswith(b"HTTP/1.1 431 ")
+        pieces = [start, b"X: " + b"x" * 10_000, b"x" * 10_000]
+        assert (await raw_exchange(tier, front, pieces, 0.05)).startswith(b"HTTP/1.1 431 ")
+        assert (await raw_exchange(tier, front, [start], 0)).startswith(b"HTTP/1.1 408 "), "a head that stops"
+        begun = start + b"Content-Length: 10\r\n\r\nfour"
+        assert (await raw_exchange(tier, front, [begun], 0)).startswith(b"HTTP/1.1 408 "), "a body that stops"
+        assert await raw_exchange(tier, front, [], 0) == b"", "a connection that never says anything"
+        answer = start + b"Content-Length: 8\r\n\r\nquestion"
+        told = await raw_exchange(tier, front, [answer], 0)
+        assert told.startswith(b"HTTP/1.1 200 ") and told.endswith(b"0\r\n\r\n"), (
+            "then it rests, and is closed"
+        )
+        assert (await ask(tier, client, front, "/ask/x", "after")).status_code == 200
+
+    played(tmp_path, play)
+
+
+def test_a_client_that_does_not_read_holds_its_place_no_longer_than_its_deadline(tmp_path: Path) -> None:
+    async def play(tier: Loopback, client: httpx.AsyncClient) -> None:
+        for sidecar in tier.sidecars:
+            sidecar.padding = 8 * 1024 * 1024
+        front = tier.fronts[0]
+        for path in (b"/ask/x", b"/once/x"):
+            head = b"POST " + path + b" HTTP/1.1\r\nHost: " + HOST_NAME.encode()
+            head += b"\r\nRequest-Id: unread\r\nDeadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
+            for sidecar in tier.sidecars:
+                sidecar.runs.clear()
+            reader, writer = await asyncio.open_connection(front, tier.port + 1, limit=1024)
+            writer.write(head)
+            await tier.until("a run", lambda: running_anywhere(tier))
+            await tier.until("its end", lambda: nothing_open(tier), 6.0)
+            writer.transport.abort()
+        log = (tier.folder / f"{front}.log").read_text()
+        assert log.count("broke off") == 2 and "Traceback" not in log
+
+    played(tmp_path, play)
+
+
+async def nothing_open(tier: Loopback) -> bool:
+    """Whether no sidecar is answering anything."""
+    return not any(sidecar.answering for sidecar in tier.sidecars)
