Many fronts ask a sidecar for its report no more often than few

Cause: while work waited each front asked every sidecar that had told nothing for 0.4 s.

Change: all fronts together ask a sidecar at most 20 times a second, and a front four at a time, those that have told nothing for longest first.

--- a/crowwing/tier/front/sidecars.py
+++ b/crowwing/tier/front/sidecars.py
@@ -1,6 +1,7 @@
 """The sidecars that this front knows, what it believes of each, and which one gets the next request. Pure."""
 
 import hashlib
+import heapq
 import math
 from collections import OrderedDict, deque
 from collections.abc import Iterable
@@ -16,6 +17,8 @@
 LIVE_FILL, PATIENT_FILL = 0.95, 0.65  # of a sidecar's slots, up to which requests and items of lots go there
 SILENT_S = 0.35  # without a byte while a request waits, after which a sidecar gets no more
 ASK_AFTER_S = 0.4  # without news of its load, after which a sidecar is asked for its report
+REPORTS_PER_S = 20.0  # that a sidecar is asked for by all fronts together at most
+ASKED_AT_ONCE = 4  # sidecars that a front asks in one step at most
 BACKOFF_LEAST_S, BACKOFF_MOST_S = 0.5, 4.0
 LOAD_COST_MS = 120.0  # of a sidecar whose slots are all taken
 OTHER_ZONE_COST_MS = 4.0  # bytes between zones have a price
@@ -221,12 +224,17 @@
         ]
 
     def to_be_asked(self, service: str, now: float) -> list[SidecarState]:
-        """The sidecars whose load has not been told lately."""
-        return [
-            state
-            for state in self.of_service(service)
-            if state.usable(now) and now - max(state.told_at, state.asked_at) >= ASK_AFTER_S
+        """The sidecars whose load has not been told for longest, a few at a time.
+
+        Each front asks the less often the more of them there are.
+        """
+        patience = max(ASK_AFTER_S, self.fronts / REPORTS_PER_S)
+        untold = [
+            (max(state.told_at, state.asked_at), place, state)
+            for place, state in enumerate(self.of_service(service))
+            if state.usable(now) and now - max(state.told_at, state.asked_at) >= patience
         ]
+        return [state for _, _, state in heapq.nsmallest(ASKED_AT_ONCE, untold)]
 
     def choose(
         self, service: str, parts: tuple[Part, ...], now: float, tried: frozenset[str] = frozenset()
--- a/tests/tier/test_sidecars.py
+++ b/tests/tier/test_sidecars.py
@@ -187,3 +187,26 @@
     after = sidecars.places("advisor", 1.01)
     assert (after.live, after.patient) == (before.live - 15, before.patient - 15)
     assert sidecars.places("advisor", 1.05) == before, "counted anew"
+
+
+def test_many_fronts_ask_a_sidecar_for_no_more_reports_than_few() -> None:
+    asked = {}
+    for fronts in (5, 50):
+        sidecars = table(*(f"s{number}" for number in range(30)))
+        sidecars.fronts = fronts
+        count = 0
+        for step in range(200):  # ten seconds in which work waits
+            now = 100 + 0.05 * step
+            for state in sidecars.to_be_asked("advisor", now):
+                state.asked_at = now
+                count += 1
+        asked[fronts] = count * fronts / 30 / 10  # of one sidecar by all, a second
+    assert asked[5] <= 5 / 0.4 + 1 and asked[50] <= 20 + 50 / 10, asked
+
+
+def test_a_few_sidecars_are_asked_at_a_time_those_untold_for_longest_first() -> None:
+    sidecars = table(*(f"s{number}" for number in range(10)))
+    for place, state in enumerate(sidecars.of_service("advisor")):
+        state.tell_load(float(-place), 0, 0, 48)
+    asked = [state.entry.id for state in sidecars.to_be_asked("advisor", 10.0)]
+    assert asked == ["s9", "s8", "s7", "s6"]
