What other fronts have at a sidecar is guessed from this front's count and its mean

Cause: a sidecar that had told nothing lately was taken to have this front's requests times the number of fronts. With 53 fronts one request there stood for 53, more than its slots: it passed for overfull, the limit fell, and the cut could rise while sidecars were idle.

Change: each other front is taken to have the mean of a gamma distribution given one Poisson count: this front's count drawn towards its mean over the service, the more the smaller that mean is.

--- a/crowwing/tier/front/sidecars.py
+++ b/crowwing/tier/front/sidecars.py
@@ -28,6 +28,7 @@
 FULL_SCAN_MOST = 16  # sidecars of a service that are all weighed for each request; of more, a sample is
 SAMPLED, SAMPLED_HOLDERS = 12, 3  # at random, and of those that hold the large shared part
 HOMES_KEPT = 4000  # shared parts whose home is remembered
+LOAD_SHAPE = 2.0  # of the gamma distribution of loads among sidecars: they differ by 0.7 of the mean
 PLACES_FRESH_S = 0.02  # for how long places are counted on instead of counted, where all are not weighed
 HOME_SHARE = 0.6  # of a part's reading that its home is credited with before it is known to be there
 
@@ -73,14 +74,27 @@
     cached: OrderedDict[str, None] = field(default_factory=OrderedDict)
     record: TrackRecord = field(default_factory=TrackRecord)
 
-    def estimate(self, now: float, fronts: int) -> float:
-        """Requests that it probably has now: as told, or later as if all fronts sent alike."""
+    def estimate(self, now: float, fronts: int, mean: float) -> float:
+        """Requests that it probably has now: as told, or later as if all fronts sent alike.
+
+        `mean` is this front's requests at a sidecar of the service on average.
+        """
         age = now - self.told_at
         weight = min(1.0, max(0.0, 1 - (age - LOAD_FRESH_S) / LOAD_FADES_S))
         told = self.running + self.waiting + self.sent_since
-        guessed = float(self.inflight * fronts)
+        guessed = self.inflight + (fronts - 1) * self._expected_of_others(mean)
         return max(float(self.inflight), weight * told + (1 - weight) * guessed)
 
+    def _expected_of_others(self, mean: float) -> float:
+        """What each other front probably has here: this front's own count, drawn towards the mean.
+
+        The mean of a gamma distribution of loads, given one Poisson count; a count of 1 where nearly all are
+        0 says little, a count of 20 where the mean is 10 says much.
+        """
+        if mean <= 0:
+            return 0.0
+        return (self.inflight + LOAD_SHAPE) / (1 + LOAD_SHAPE / mean)
+
     def tell_load(self, now: float, running: float, waiting: float, slots: float) -> None:
         """Takes in what it says of itself."""
         self.running, self.waiting, self.told_at, self.sent_since = running, waiting, now, 0
@@ -180,11 +194,17 @@
         """What is known of a service as a whole."""
         states = [state for state in self.of_service(service) if state.usable(now)]
         slots = sum(state.entry.slots for state in states)
-        estimates = [(state.estimate(now, self.fronts), state.entry.slots) for state in states]
+        mean = self._mean_inflight(service)
+        estimates = [(state.estimate(now, self.fronts, mean), state.entry.slots) for state in states]
         running = sum(min(estimate, count) for estimate, count in estimates)
         waiting = sum(max(0.0, estimate - count) for estimate, count in estimates)
         return Load(running, waiting, float(max(1, slots)))
 
+    def _mean_inflight(self, service: str) -> float:
+        """This front's requests at a sidecar on average."""
+        states = self.of_service(service)
+        return sum(state.inflight for state in states) / max(1, len(states))
+
     def survived(self, service: str, now: float) -> float:
         """The most requests of this front that the sidecars of a service may have at once."""
         states = [state for state in self.of_service(service) if state.usable(now)]
@@ -207,9 +227,10 @@
 
     def _count_places(self, service: str, now: float) -> Places:
         live = patient = 0
+        mean = self._mean_inflight(service)
         for state in self.of_service(service):
             if state.usable(now):
-                estimate = state.estimate(now, self.fronts)
+                estimate = state.estimate(now, self.fronts, mean)
                 slots = state.entry.slots * (1 - state.record.share_failing(now))
                 live += max(0, math.ceil(LIVE_FILL * slots - estimate))
                 patient += max(0, math.ceil(PATIENT_FILL * slots - estimate))
@@ -257,7 +278,8 @@
         home = None
         if shared is not None:
             home = home_of(shared, candidates) if weighed is states else self._home(shared, states).entry.id
-        return min(candidates, key=lambda state: self._cost_ms(state, parts, home, now))
+        mean = self._mean_inflight(service)
+        return min(candidates, key=lambda state: self._cost_ms(state, parts, home, mean, now))
 
     def _sample(self, states: list[SidecarState], shared: str | None) -> list[SidecarState]:
         """Some at random, and the home and some holders of a shared part."""
@@ -289,8 +311,10 @@
         while len(self._holders) > HOMES_KEPT:
             self._holders.popitem(last=False)
 
-    def _cost_ms(self, state: SidecarState, parts: tuple[Part, ...], home: str | None, now: float) -> float:
-        part_taken = (state.estimate(now, self.fronts) + 1) / max(1, state.entry.slots)
+    def _cost_ms(
+        self, state: SidecarState, parts: tuple[Part, ...], home: str | None, mean: float, now: float
+    ) -> float:
+        part_taken = (state.estimate(now, self.fronts, mean) + 1) / max(1, state.entry.slots)
         cost = LOAD_COST_MS * part_taken + OVERFULL_COST_MS * max(0.0, part_taken - 1)
         cost += state.record.cost_ms(now)
         unread = state.unread_tokens(parts)
--- a/tests/tier/test_sidecars.py
+++ b/tests/tier/test_sidecars.py
@@ -53,7 +53,7 @@
     assert sidecars.places("advisor", 0.1).live == 0
     assert sidecars.places("advisor", 2.0).live > 40
     state.inflight, sidecars.fronts = 3, 9
-    assert state.estimate(2.0, 9) == pytest.approx(27), "as if all fronts sent alike"
+    assert state.estimate(2.0, 9, 3.0) == pytest.approx(27), "as if all fronts sent alike"
 
 
 def test_items_leave_a_third_of_the_slots_to_live_requests() -> None:
@@ -210,3 +210,23 @@
         state.tell_load(float(-place), 0, 0, 48)
     asked = [state.entry.id for state in sidecars.to_be_asked("advisor", 10.0)]
     assert asked == ["s9", "s8", "s7", "s6"]
+
+
+def test_one_request_at_a_sidecar_does_not_stand_for_one_of_each_of_many_fronts() -> None:
+    sidecars = table(*(f"s{number}" for number in range(30)))
+    sidecars.fronts = 50
+    state = sidecars.of_service("advisor")[0]
+    state.inflight = 1
+    assert sidecars.load("advisor", 100.0).waiting == 0, "50 requests would be more than its slots"
+    assert sidecars.load("advisor", 100.0).running == pytest.approx(50, rel=0.2), "in all, one of each front"
+
+
+def test_many_requests_at_one_sidecar_do_tell_of_those_of_other_fronts() -> None:
+    sidecars = table("a", "b", "c")
+    sidecars.fronts = 9
+    crowded, *others = sidecars.of_service("advisor")
+    crowded.inflight = 12
+    for state in others:
+        state.inflight = 3
+    assert crowded.estimate(100.0, 9, 6.0) > 80
+    assert others[0].estimate(100.0, 9, 6.0) < 40
