--- a/crowwing/tier/storage/record_file.py
+++ b/crowwing/tier/storage/record_file.py
@@ -11,7 +11,7 @@
 
 HEADER = struct.Struct("<II")  # the payload's length, and the CRC-32 of that length and the payload
 LENGTH = struct.Struct("<I")
-MAX_RECORD_BYTES = 64 * 1024 * 1024
+MAX_RECORD_BYTES = 1024 * 1024 * 1024  # a longer one would be read as a torn end
 TEMPORARY_SUFFIX = ".new"
 SYNC_BYTES = 1024 * 1024  # of a replacement, between two syncs
 
@@ -31,6 +31,7 @@
 
 def encode_record(payload: bytes) -> bytes:
     """One record as it stands in the file."""
+    assert len(payload) <= MAX_RECORD_BYTES, "a record can be read again"
     return HEADER.pack(len(payload), checksum_of(payload)) + payload
 
 
--- a/tests/tier/test_storage.py
+++ b/tests/tier/test_storage.py
@@ -128,3 +128,12 @@
     file.append([b"later"])
     file.close()
     assert RecordFile(tmp_path / "state.log").open() == [*RECORDS, b"later"]
+
+
+def test_a_repair_of_a_large_state_is_one_record_that_is_read_again(tmp_path: Path) -> None:
+    file = RecordFile(tmp_path / "state.log")
+    file.open()
+    whole_state = bytes(80 * 1024 * 1024)
+    file.append([b"before", whole_state, b"behind"])
+    file.close()
+    assert RecordFile(tmp_path / "state.log").open() == [b"before", whole_state, b"behind"]
