make demo-tier plays the serving tier on loopback, its primary killed

Cause: the only demonstration was the single backend's. Change: benchmarks/tier_demo.py: three store machines, a front and played sidecars as processes; streams all the time, a lot, a kill, a change. The played sidecars stand in a module that the slopes use, too; a request that was refused comes back as Retry-After says.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON = .venv/bin/python
 CONFIGURATION ?= deploy/example.json
 
-.PHONY: build demo test lint run
+.PHONY: build demo demo-tier test lint run
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -10,6 +10,9 @@
 demo: build
 	$(PYTHON) -m crowwing emulate deploy/demo.json --out runs/demo
 
+demo-tier: build
+	$(PYTHON) -m benchmarks.tier_demo
+
 test: build
 	$(PYTHON) -m pytest -q
 
--- /dev/null
+++ b/benchmarks/tier_demo.py
@@ -0,0 +1,144 @@
+"""A tier of real processes on loopback that loses its primary: `make demo-tier`.
+
+Three store machines, one front and four played sidecars. While streams are asked for all the time, a lot is
+handed in, the primary of the store machines is killed, and a configuration is changed. Ends with 0 where
+every stream was served, each item of the lot has one result, and the change was acknowledged.
+"""
+
+import asyncio
+import base64
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httpx
+
+from benchmarks.tier_scale.sidecar_stand_in import start_sidecars
+from benchmarks.tier_scale.stand import FRONT, HOST_NAME, Platform, Stand
+from crowwing.tier.plain_http import NO_CERTIFICATES
+
+SIDECARS, ITEMS = 4, 100
+STREAM_EVERY_S = 0.05
+BEFORE_KILL_S, AFTER_CHANGE_S = 2.0, 2.0
+LOT_LIMIT_S = 20.0
+RETRY_LIMIT_S = 4.0
+
+
+@dataclass
+class Streams:
+    """The streams that were asked for, and how they fared."""
+
+    asked: int = 0
+    served: int = 0
+    refused: int = 0  # tries
+    slowest_s: float = 0.0
+    open: set["asyncio.Task[None]"] = field(default_factory=set)
+
+
+class Demo:
+    """The clients of the demonstration."""
+
+    def __init__(self, stand: Stand, client: httpx.AsyncClient) -> None:
+        self._stand, self._client = stand, client
+        self._front = f"http://{FRONT}:{stand.port + 1}"
+        self.streams = Streams()
+
+    async def ask_for_streams(self) -> None:
+        """One stream after another, whether the earlier ones have ended or not."""
+        while True:
+            task = asyncio.ensure_future(self._ask(self.streams.asked))
+            self.streams.asked += 1
+            self.streams.open.add(task)
+            task.add_done_callback(self.streams.open.discard)
+            await asyncio.sleep(STREAM_EVERY_S)
+
+    async def _ask(self, number: int) -> None:
+        headers = {"Host": HOST_NAME, "Request-Id": f"{number:016x}", "Deadline-Ms": "6000"}
+        began = time.monotonic()
+        while True:
+            answer = await self._client.post(f"{self._front}/route0/x", headers=headers, content=b"question")
+            if answer.status_code != 503 or time.monotonic() - began > RETRY_LIMIT_S:
+                break
+            self.streams.refused += 1  # it has not run: the client comes back when it is told to
+            await asyncio.sleep(float(answer.headers["retry-after"]))
+        if answer.status_code == 200:
+            self.streams.served += 1
+            self.streams.slowest_s = max(self.streams.slowest_s, time.monotonic() - began)
+
+    async def until_ready(self) -> None:
+        """Waits until the front serves."""
+        while True:
+            try:
+                answer = await self._client.get(f"http://{FRONT}:{self._stand.port + 2}/")
+            except httpx.HTTPError:
+                answer = None
+            if answer is not None and answer.status_code == 200:
+                return
+            await asyncio.sleep(0.1)
+
+    async def hand_in_lot(self, lot: str) -> None:
+        """Hands a lot in until it is taken."""
+        body = base64.b64encode(b"text").decode()
+        requests = [{"id": f"{lot}-{n}", "path": "/lot/x", "headers": {}, "body": body} for n in range(ITEMS)]
+        headers = {"Host": HOST_NAME, "Request-Id": lot}
+        while True:
+            answer = await self._client.post(
+                f"{self._front}/lot/x", headers=headers, json={"requests": requests}
+            )
+            if answer.status_code == 202:
+                return
+            await asyncio.sleep(0.1)
+
+    async def read_lot(self, lot: str) -> list[str]:
+        """The items that have a result, by position, once all have one or the time is up."""
+        deadline = time.monotonic() + LOT_LIMIT_S
+        while True:
+            url = f"{self._front}/lots/{lot}?startAfter=0"
+            answer = await self._client.get(url, headers={"Host": HOST_NAME})
+            results = answer.json()["results"] if answer.status_code == 200 else []
+            if len(results) == ITEMS or time.monotonic() > deadline:
+                return [result["id"] for result in results]
+            await asyncio.sleep(0.2)
+
+
+async def play(folder: Path) -> bool:
+    """The whole demonstration; gives whether all went well."""
+    platform = Platform(await start_sidecars(SIDECARS))
+    client = httpx.AsyncClient(trust_env=False, verify=NO_CERTIFICATES, timeout=10)
+    async with Stand(folder, 0, platform) as stand, client:
+        demo = Demo(stand, client)
+        await stand.put(0, 1)
+        await demo.until_ready()
+        print("configuration 1 is in force, the front is ready")
+        asking = asyncio.ensure_future(demo.ask_for_streams())
+        await asyncio.sleep(BEFORE_KILL_S)
+        await demo.hand_in_lot("lot-1")
+        killed = stand.primary()
+        stand.kill(killed)
+        killed_at = time.time()
+        print(f"a lot of {ITEMS} items is taken; the primary {killed} is killed")
+        acknowledged_s = await stand.put(1, 2) - killed_at
+        print(f"configuration 2 is acknowledged {acknowledged_s:.2f} s later by the others")
+        results = await demo.read_lot("lot-1")
+        await asyncio.sleep(AFTER_CHANGE_S)
+        asking.cancel()
+        await asyncio.gather(*demo.streams.open)
+    streams = demo.streams
+    print(
+        f"streams: {streams.served} of {streams.asked} served, the slowest in {streams.slowest_s:.2f} s, "
+        f"{streams.refused} tries refused"
+    )
+    print(f"lot: {len(set(results))} of {ITEMS} items have a result, at {len(results)} positions")
+    return streams.served == streams.asked and len(results) == len(set(results)) == ITEMS
+
+
+def main() -> int:
+    """The command."""
+    with tempfile.TemporaryDirectory() as folder:
+        return 0 if asyncio.run(play(Path(folder))) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/tier_scale/slopes.py
+++ b/benchmarks/tier_scale/slopes.py
@@ -19,6 +19,7 @@
 
 import httpx
 
+from benchmarks.tier_scale.sidecar_stand_in import start_sidecars
 from benchmarks.tier_scale.stand import FRONT, HOST_NAME, Platform, Stand, Usage, configuration, entries
 from crowwing.tier.configuration import parse_configuration
 from crowwing.tier.front.sidecars import Part, SidecarTable
@@ -146,41 +147,8 @@
     return {"bytes": len(text), "parse_ms": timed(lambda: parse_configuration(text))}
 
 
-async def _stream(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    try:
-        while True:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            lines = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
-            await reader.readexactly(int(lines.get("content-length", "0")))
-            if head.startswith("GET"):
-                body = b'{"waiting":0,"running":0}'
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-                continue
-            request_id = lines["request-id"].encode()
-            writer.write(
-                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nServer-Load: 1,0,48\r\n"
-                b"Server-Stamp: s\r\nRequest-Id: " + request_id + b"\r\n\r\n"
-            )
-            for number in range(1, int(lines["events"]) + 1):
-                event = b"id: %d\ndata: " % number + b"t" * 130 + b"\n\n"
-                writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
-                await writer.drain()
-                await asyncio.sleep(0.004)
-            writer.write(b"0\r\n\r\n")
-    except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError, KeyError):
-        writer.close()
-
-
-async def _stand_in_sidecars(count: int) -> list[dict[str, Any]]:
-    made = entries(count, "127.0.0.1")
-    for entry in made:
-        server = await asyncio.start_server(_stream, "127.0.0.1", 0)
-        entry["address"] = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    return made
-
-
 async def _requests(events: int, folder: Path) -> Row:
-    platform = Platform(await _stand_in_sidecars(4))
+    platform = Platform(await start_sidecars(4))
     async with Stand(folder, 0, platform) as stand:
         await stand.put(0, 1)
         url = f"http://{FRONT}:{stand.port + 1}/route0/x"
