--- a/crowwing/logic/__init__.py
+++ b/crowwing/logic/__init__.py
@@ -7,7 +7,7 @@
 microseconds. Drop a ticket once it is `closed`. Nothing here knows a wire or another instance.
 """
 
-from crowwing.logic.latency_window import ENOUGH
+from crowwing.logic.feedback import ENOUGH
 from crowwing.logic.manager import LoadManager
 from crowwing.logic.ticket import NEW, Ticket
 
--- a/crowwing/logic/books.py
+++ b/crowwing/logic/books.py
@@ -4,12 +4,12 @@
 from random import Random
 
 from crowwing.contract import Halt, Id, Premises, Repeat, Result, Step
-from crowwing.logic.latency_window import ENOUGH, LatencyWindow
-from crowwing.logic.limit_loop import LimitGains, LimitLoop
+from crowwing.logic.feedback import ENOUGH, SAMPLES, LimitLoop
 from crowwing.logic.ticket import ASKING, CALLING, HELD, OVER, PAUSED, RUNNING, Ticket
+from crowwing.ranked_window import RankedWindows
 
 WAKE_EVERY, WAKE_QUIET = 40_000, 200_000  # the watch over outer limits and gauges; with no ticket open
-LIMIT_GAINS = LimitGains(climb=12, proportional=0.5, integral=0.6, derivative=0.05)  # in cores
+LIMIT_GAINS = 12, 0.5, 0.6, 0.05  # climb, proportional, integral and derivative, in cores
 SURVIVE = 0.75  # part of the deadly crowd, memory or calls used
 STALL = 6  # usual times between two moves of runs, without one, from which work is taken for hung
 SICK, PROBE = 0.25, 0.1  # error rate from which work is sent elsewhere, and the part still tried
@@ -38,9 +38,8 @@
         self.errors = self.on_cores = self.busy = self.unread = self.read_rate = self.spent = self.shed = 0.0
         self.limit, self.stretch, self.call_late, self.pace = float(facts.cores), 1.0, 0.0, 0.0
         self.calls = deque([facts.calls_over // (8 * CALL_PATIENCE)] * ENOUGH, 2 * ENOUGH)  # times of calls
-        self.limit_loop = LimitLoop(LIMIT_GAINS)
-        self.runs: list[LatencyWindow[int]] = [LatencyWindow() for _ in facts.types]  # ended runs
-        self.ranked: list[int] = []  # all of these, in order
+        self.limit_loop = LimitLoop(*LIMIT_GAINS)
+        self.runs: RankedWindows[int] = RankedWindows(len(facts.types), SAMPLES)  # times of ended runs
         self.timeout = [t.expected_time for t in facts.types]
         self.span = self.timeout[:]  # the time that tickets come with
         self.median, self.usual = [0] * len(facts.types), [0.0] * len(facts.types)  # usual: uncrowded ones
--- a/crowwing/logic/learned.py
+++ b/crowwing/logic/learned.py
@@ -1,11 +1,8 @@
 """What is learned: P90s and timeouts, the inflight limit, the cut, and the free value that follows."""
 
-from bisect import bisect_left, insort
-
 from crowwing.contract import Result, Signal, Step
 from crowwing.logic.books import PROBE, WAKE_QUIET, Books
-from crowwing.logic.feedback import step_cut
-from crowwing.logic.latency_window import ENOUGH, p90, queue_timeout
+from crowwing.logic.feedback import ENOUGH, SAMPLES, queue_timeout, step_cut
 from crowwing.logic.ticket import ASKING, CALLING, HELD, PAUSED, Ticket
 
 CUT_MOST = 5 / 6  # the cut's end: tier t0 is never cut
@@ -29,15 +26,15 @@
             self.read_rate = sum(self.weights.values())
         error = STRETCH - self.stretch - self.errors
         idle = f.cores - self.on_cores
-        waits = self.counts[HELD] + self.counts[PAUSED] > 0
-        self.limit = self.limit_loop.step(self.limit, dt, idle, waits, error, f.cores)
+        held = self.counts[HELD] + self.counts[PAUSED] > 0
+        self.limit = self.limit_loop.step(self.limit, dt, idle, held, error, f.cores)
         most = self.ceiling(now)
         stuck = self.limit >= most or (error <= 0 and idle <= 0) or idle <= -0.1 * f.cores
         self.limit = min(max(self.limit, f.cores), most)
-        outwaits = [
+        waits = [
             (now - t.arrived) / max(1, self.patience(t) - t.arrived) for queue in self.queues for t in queue
         ]
-        outwait, self.waited = max([self.waited, *outwaits]), 0.0
+        outwait, self.waited = max([self.waited, *waits]), 0.0
         full = self.busy > 0.9 and stuck
         self.cut_base, self.cut = step_cut(self.cut_base, dt, outwait, full, idle / f.cores, CUT_MOST)
 
@@ -47,25 +44,21 @@
         if not good:
             return
         k, runs, own = t.kind, self.runs[t.kind], took - t.below
-        oldest = runs.add(took)
-        if oldest is not None:
-            del self.ranked[bisect_left(self.ranked, oldest)]
-        insort(self.ranked, took)
+        self.runs.add(k, took)
         for j, own_runs in enumerate(self.runs):  # a type without enough of its own goes by all of them
-            ranked = self.ranked if not own_runs.enough else own_runs.ranked if j == k else ()
+            ranked = self.runs.ranked if len(own_runs) < ENOUGH else own_runs.ranked if j == k else ()
             if len(ranked) >= ENOUGH:
-                self.median[j] = ranked[len(ranked) // 2]
-                span = self.span[j]
-                self.timeout[j] = queue_timeout(p90(ranked), span, least=span // 8, most=span)
+                self.median[j], span = ranked[len(ranked) // 2], self.span[j]
+                self.timeout[j] = queue_timeout(ranked, span, span // 8, span)
         usual = 0.05 if t.crowd <= self.facts.cores else 0.002
-        weight = max(usual, 0 if runs.full else 1 / len(runs))
+        weight = max(usual, 0 if len(runs) == SAMPLES else 1 / len(runs))
         self.usual[k] += weight * (own - self.usual[k])
         self.stretch += 0.08 * (own / max(1.0, self.usual[k]) - self.stretch)
 
     def taught(self, now: int, kinds: tuple[tuple[int, int], ...], limit: float, call: int) -> None:
         """What others have learned, as a start; nothing that was measured here is touched."""
         for k, (timeout, middle) in enumerate(kinds):
-            if not self.runs[k].enough and timeout > 0:
+            if len(self.runs[k]) < ENOUGH and timeout > 0:
                 self.timeout[k], self.median[k] = min(timeout, self.span[k]), middle
         if not any(self.runs):
             self.limit = min(max(limit, float(self.facts.cores)), self.ceiling(now))
--- a/crowwing/tier/front/admission.py
+++ b/crowwing/tier/front/admission.py
@@ -3,20 +3,19 @@
 The mechanism is that of the project's design: arrivals whose rank lies under a cut are refused at once, held
 requests start highest rank first within an inflight limit, a held request is refused past its class' queue
 timeout, and loops move the cut and the limit. The cut's step, the limit's loop and the queue timeout are the
-backend's own, from crowwing/logic/.
+backend's own (crowwing/logic/feedback.py).
 """
 
 from dataclasses import dataclass, field
 from typing import Any
 
-from crowwing.logic.feedback import step_cut
-from crowwing.logic.latency_window import LatencyWindow, p90, queue_timeout
-from crowwing.logic.limit_loop import LimitGains, LimitLoop
+from crowwing.logic.feedback import ENOUGH, SAMPLES, LimitLoop, queue_timeout, step_cut
+from crowwing.ranked_window import RankedWindow
 
 BANDS = 6  # tiers t0 to t5, t0 the most important
 CUT_MOST = 1 - 1 / (4 * BANDS)  # a quarter of the highest band is never cut
 LIMIT_FLOOR = 4.0
-LIMIT_GAINS = LimitGains(climb=4.0, proportional=0.05, integral=0.5, derivative=0.0)  # in limits
+LIMIT_GAINS = 4.0, 0.05, 0.5, 0.0  # climb, proportional, integral and derivative, in limits
 WAITING_AIM = 0.1  # of the slots, the requests that may wait at sidecars before the limit falls
 BUSY = 0.9  # part of the slots from which sidecars count as full
 TIMEOUT_AIM = 0.23  # part of the aim, the longest hold of a live request: a refusal in time for another try
@@ -44,7 +43,7 @@
 
     aim_s: float
     held: list[Ticket] = field(default_factory=list)
-    latencies: LatencyWindow[float] = field(default_factory=LatencyWindow)
+    latencies: RankedWindow[float] = field(default_factory=lambda: RankedWindow(SAMPLES))
     timeout_s: float = 0.0
 
     def __post_init__(self) -> None:
@@ -53,10 +52,9 @@
     def learn(self, latency_s: float) -> None:
         """Takes in the time to the first event of one run."""
         self.latencies.add(latency_s)
-        if self.latencies.enough:
+        if len(self.latencies) >= ENOUGH:
             most = TIMEOUT_AIM * self.aim_s
-            usual = p90(self.latencies.ranked)
-            self.timeout_s = queue_timeout(usual, self.aim_s, TIMEOUT_LEAST_S, most)
+            self.timeout_s = queue_timeout(self.latencies.ranked, self.aim_s, TIMEOUT_LEAST_S, most)
 
 
 @dataclass(frozen=True)
@@ -87,7 +85,7 @@
 
     def __init__(self, now: float, share: float) -> None:
         self.limit = max(LIMIT_FLOOR, share)
-        self._limit_loop = LimitLoop(LIMIT_GAINS)
+        self._limit_loop = LimitLoop(*LIMIT_GAINS)
         self.cut = self._cut_base = 0.0
         self.inflight = 0
         self.refused, self.refused_at = 0, -1e9
--- a/tests/test_module_at_size.py
+++ b/tests/test_module_at_size.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from crowwing.logic.feedback import ENOUGH, SAMPLES
 from crowwing.logic.intake import SHARE_SPAN
-from crowwing.logic.latency_window import ENOUGH, SAMPLES
 from crowwing.logic.manager import LoadManager
 from tests.rig import MS, World, facts
 
@@ -111,4 +111,4 @@
                 timeout[j] = max(manager.span[j] // 8, min(p90, manager.span[j] - p90))
         ended(manager, world, k, took)
         assert (manager.timeout, manager.median) == (timeout, median)
-    assert sorted(one for kind in manager.runs for one in kind) == manager.ranked
+    assert sorted(one for kind in manager.runs for one in kind) == manager.runs.ranked
