test_mechanism puts samples in by the windows' own call

Change: the same twenty samples by RankedWindows.add; what is asserted is unchanged.

Measured: test_mechanism.py and test_module_at_size.py passed.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -234,7 +234,7 @@
     manager = world.manager
     kinds = len(manager.facts.types)
     for _ in range(20):
-        world.manager.runs[0].append(300 * MS)
+        world.manager.runs.add(0, 300 * MS)
     mine = manager.timeout[0]
     manager.taught(world.now, tuple((77 * MS, 33 * MS) for _ in range(kinds)), 5.0, 40 * MS)
     assert manager.timeout[0] == mine and manager.timeout[1] == 77 * MS and manager.median[1] == 33 * MS
