A lease is given up before a handover; taken changes are remembered; partial copies don't count

Found beside them by reading: a view accepted late gave a lease that its witnesses no longer vouched for; a learner counted as whole under a ballot after the first piece of the data, so that a wiped member of the last view could have led with a part; a wiped machine could learn before a candidate had stopped counting its former word; two primaries of one round could publish lists that can't be told apart; a dead witness stayed for 8 s beside its successor, over catchUpS; machines retired long ago kept others from leaving.

Tests replaced: the one that asserted 412 for a taken change was wrong (PROTOCOL.md: never refused). retire is asked with the witnesses' names, not their number. Two tests of repairs wait LEARN_AFTER_S longer before the primary is stopped, with the same bound after it.

--- a/crowwing/tier/replication/candidate.py
+++ b/crowwing/tier/replication/candidate.py
@@ -22,14 +22,19 @@
 class Candidate(RangeTransfer):
     """Opens a ballot, brings the others to its data, and has the new view accepted."""
 
-    def _start_campaign(self, now: float, handover: bool, above: m.Ballot = m.NO_BALLOT) -> None:
+    def _start_campaign(
+        self, now: float, released: m.Ballot = m.NO_BALLOT, above: m.Ballot = m.NO_BALLOT
+    ) -> None:
+        """`released`: the ballot whose primary has handed over. A primary releases its own by campaigning."""
         assert self.view is not None
         round_number = max(self.promised[0], above[0], self._seen_round) + 1
-        was_primary, leads = self.role is Role.PRIMARY, self.holds_lease(now)
+        was_primary = self.role is Role.PRIMARY
+        if was_primary:
+            released = self.promised
         joiners = {x for x, at in self._joiners.items() if now - at < JOIN_FRESH_S} if was_primary else set()
         self._promise((round_number, self.me))
         self.role = Role.CANDIDATE
-        campaign = Campaign(Phase.PREPARE, now, handover or leads)
+        campaign = Campaign(Phase.PREPARE, now, released)
         self._campaign = campaign
         if not was_primary:
             log.info("campaigns with ballot %s", self.promised)
@@ -38,12 +43,14 @@
 
     def _ask(self, campaign: Campaign, other: str) -> None:
         campaign.asked.add(other)
-        self._send(other, m.Prepare(self.promised, self.me, campaign.handover))
+        self._send(other, m.Prepare(self.promised, self.me, campaign.released))
 
     def _on_promise(self, now: float, x: m.Promise) -> None:
         campaign = self._campaign
         if campaign is None or x.ballot != self.promised or campaign.phase is not Phase.PREPARE:
             return
+        if now - campaign.since >= PREPARE_LIMIT_S:
+            return  # a witness that has lost its disk since may have learned without this ballot
         campaign.promises[x.sender] = x
         views = [promise.view for promise in campaign.promises.values() if promise.view is not None]
         base = max(views, key=lambda view: view.ballot, default=None)
@@ -62,9 +69,9 @@
     def _on_refuse(self, now: float, x: m.Refuse) -> None:
         if x.ballot != self.promised or self.role is Role.FOLLOWER:
             return
-        if x.promised > self.promised:
+        if x.promised[0] >= self.promised[0] and x.promised != self.promised:
             if self.role is Role.PRIMARY and self._may_lead():  # somebody tried meanwhile: go above
-                self._start_campaign(now, handover=False, above=x.promised)
+                self._start_campaign(now, above=x.promised)
             else:
                 self._step_down(now, f"{x.sender} is bound to {x.promised}")
                 self._seen_round = max(self._seen_round, x.promised[0])
@@ -74,7 +81,7 @@
 
     def _on_handover(self, now: float, x: m.Handover) -> None:
         if x.ballot == self.promised and self.role is Role.FOLLOWER and self._may_lead():
-            self._start_campaign(now, handover=True)
+            self._start_campaign(now, released=x.ballot)
 
     def _tick_candidate(self, now: float) -> None:
         campaign = self._campaign
@@ -180,19 +187,23 @@
         campaign = self._campaign
         if campaign is None or x.ballot != self.promised or campaign.view is None or campaign.base is None:
             return
+        if now - campaign.since >= ACCEPT_LIMIT_S:
+            return  # as for a promise that comes too late
         campaign.accepted.add(x.sender)
         for witnesses in (campaign.base.witnesses, campaign.view.witnesses):
             if len(campaign.accepted & set(witnesses)) < majority(len(witnesses)):
                 return
-        self._activate(now, campaign.view)
+        self._activate(now, campaign.view, campaign.since)
 
-    def _activate(self, now: float, view: m.View) -> None:
+    def _activate(self, now: float, view: m.View, asked_at: float) -> None:
+        """`asked_at`: when the witnesses were asked to accept the view; they vouch for it from then on."""
         heard = dict(self._heard)
         joiners = {x: at for x, at in self._joiners.items() if x not in view.witnesses}
         self._reset_primary(now)
         self._joiners = joiners
+        self.confirmed_at = asked_at
         self.role, self._campaign, self.view = Role.PRIMARY, None, view
-        self.leader, self.leader_heard = self.me, now
+        self._heard_leader(now, self.me, view.ballot)
         for other in view.witnesses:
             self._heard[other] = now if other in view.members else heard.get(other, now)
         last = self.log.last[1]
--- a/crowwing/tier/replication/messages.py
+++ b/crowwing/tier/replication/messages.py
@@ -54,11 +54,15 @@
 @message
 @dataclass(frozen=True)
 class Prepare:
-    """A candidate asks a witness not to serve lower ballots. `handover`: the primary itself asked for it."""
+    """A candidate asks a witness not to serve lower ballots.
+
+    `released`: the ballot of a primary that has given up its lease for good, NO_BALLOT where none has. A
+    witness that vouches for no later primary need not wait until that lease would have ended.
+    """
 
     ballot: Ballot
     sender: str
-    handover: bool
+    released: Ballot
 
 
 @message
@@ -90,12 +94,16 @@
 @message
 @dataclass(frozen=True)
 class Sync:
-    """The data of a candidate or primary: entries that follow `previous`."""
+    """The data of a candidate or primary: entries that follow `previous`, of a log that ends at `last`.
+
+    Only a receiver whose log reaches `last` holds all that was committed before the ballot.
+    """
 
     ballot: Ballot
     sender: str
     previous: Position
     entries: tuple[Entry, ...]
+    last: Position
 
 
 @message
@@ -148,7 +156,7 @@
 @dataclass(frozen=True)
 class Synced:
     """The receiver's data equals the sender's, on disk, up to `last`. `matched` is False if it could not
-    follow.
+    follow; `last` may lie before the end of the sender's log, which then sends more.
     """
 
     ballot: Ballot
@@ -263,7 +271,7 @@
 @message
 @dataclass(frozen=True)
 class Handover:
-    """The primary asks a member to take over."""
+    """The primary asks a member to take over; it has given up its lease under this ballot for good."""
 
     ballot: Ballot
     sender: str
--- a/crowwing/tier/replication/prevote.py
+++ b/crowwing/tier/replication/prevote.py
@@ -53,4 +53,4 @@
         witnesses = self.view.witnesses if self.view is not None else ()
         if len(self._willing & set(witnesses)) >= majority(len(witnesses)) and self._may_lead():
             self._willing = set()
-            self._start_campaign(now, handover=False)
+            self._start_campaign(now)
--- a/crowwing/tier/replication/primary.py
+++ b/crowwing/tier/replication/primary.py
@@ -6,6 +6,7 @@
 from crowwing.tier.replication.candidate import Candidate
 from crowwing.tier.replication.replica_state import Role, majority, slow_disks
 from crowwing.tier.replication.timing import (
+    ANNOUNCED_S,
     APPEND_BYTES,
     GONE_S,
     HANDOVER_PAUSE_S,
@@ -74,7 +75,10 @@
         return any(number <= later and self._round_majority(later) for later in self._round_acks)
 
     def lead_off(self, now: float) -> None:
-        """Hands the role over, where this is the primary and another member can take it."""
+        """Gives up the lease and hands the role over, where this is the primary and another can take it.
+
+        The lease goes first: the new primary's witnesses don't wait until it would have ended.
+        """
         if self.role is not Role.PRIMARY or self.view is None:
             return
         others = [x for x in self.view.members if x != self.me and x not in self.excluded]
@@ -83,6 +87,7 @@
             freshest = max(
                 others, key=lambda x: (x not in slow, self._acked.get(x, 0), self._heard.get(x, 0.0))
             )
+            self._lease_released = True
             self._send(freshest, m.Handover(self.promised, self.me))
 
     def stand_down(self, now: float, why: str) -> None:
@@ -101,7 +106,11 @@
             del self._rounds[old], self._round_acks[old]
         joiners = {x for x, at in self._joiners.items() if now - at < 2 * JOIN_FRESH_S}
         heartbeat = m.Heartbeat(self.promised, self.me, self._round, self.view)
-        for other in sorted({*self.view.witnesses, *joiners} - {self.me}):
+        receivers = {*self.view.witnesses, *joiners}
+        if now - self._announced_at >= ANNOUNCED_S:  # who lost its disk may have no other way to hear of us
+            self._announced_at = now
+            receivers |= self.announced - self.excluded
+        for other in sorted(receivers - {self.me}):
             self._send(other, heartbeat)
         if self._round_majority(self._round):
             self.confirmed_at = now
@@ -153,7 +162,7 @@
     def _lost_member(self, now: float, member: str) -> None:
         if now - self._active_since >= RECONFIGURE_PAUSE_S:
             log.info("member %s came back without its data", member)
-            self._start_campaign(now, handover=False)
+            self._start_campaign(now)
 
     def _on_appended(self, now: float, x: m.Appended) -> None:
         if self.role is not Role.PRIMARY or x.ballot != self.promised or self.view is None:
@@ -171,7 +180,7 @@
         assert self.view is not None
         if now - self._beat_at >= HEARTBEAT_S:
             self._beat(now)
-        if now - self.confirmed_at >= MEMBER_SILENT_S:
+        if now - max(self.confirmed_at, self._active_since) >= MEMBER_SILENT_S:
             self.leader_heard = now - STICKY_S
             self._step_down(now, "no majority of the witnesses answers its heartbeats")
             return
@@ -191,7 +200,7 @@
         reason = self._reason_to_reconfigure(now)
         if reason:
             log.info("changes its view: %s", reason)
-            self._start_campaign(now, handover=False)
+            self._start_campaign(now)
 
     def _reason_to_reconfigure(self, now: float) -> str:
         assert self.view is not None
--- a/crowwing/tier/replication/range_transfer.py
+++ b/crowwing/tier/replication/range_transfer.py
@@ -58,7 +58,8 @@
             return
         if all(self.log.contains(position) for position in x.positions):
             start = min(x.positions, key=lambda position: position[1])
-            self._send(x.sender, m.Sync(self.promised, self.me, start, self.log.after(start[1])))
+            entries = self.log.after(start[1])
+            self._send(x.sender, m.Sync(self.promised, self.me, start, entries, self.log.last))
             self._learner_moved(now, x.sender)
         else:
             self._send_digests(x.sender, restart=True)
@@ -95,8 +96,12 @@
             self._fetch_next(x.ballot, x.sender)
 
     def _completes_repair(self, x: m.Sync) -> bool:
+        """Whether these entries reach from the first digests to the newest range that was fetched."""
         repair = self._repair
-        return repair is not None and not repair.wanted and x.previous == repair.start
+        if repair is None or repair.wanted or x.previous != repair.start:
+            return False
+        newest = max((position[1] for position in repair.positions.values()), default=repair.start[1])
+        return x.previous[1] + len(x.entries) >= newest
 
     def _finish_repair(self, x: m.Sync) -> None:
         """Replaces the ranges that differed and applies the entries to each from its position on."""
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -15,7 +15,7 @@
 from crowwing.tier.replication.prevote import PreVote
 from crowwing.tier.replication.primary import Primary
 from crowwing.tier.replication.replica_state import Role, majority
-from crowwing.tier.replication.timing import JOIN_S, LEARN_S, STICKY_S
+from crowwing.tier.replication.timing import JOIN_S, LEARN_AFTER_S, LEARN_S, STICKY_S
 
 log = logging.getLogger("crowwing.replication")
 
@@ -29,7 +29,7 @@
     def tick(self, now: float) -> None:
         """To be called every few hundredths of a second."""
         if not self.whole:
-            if now - self._asked_at >= LEARN_S:
+            if now - self._started >= LEARN_AFTER_S and now - self._asked_at >= LEARN_S:
                 self._asked_at = now
                 for peer in sorted(self.known):
                     self._send(peer, m.Learn(self.me))
@@ -58,7 +58,7 @@
         handler(now, message)
 
     def _on_learn(self, now: float, x: m.Learn) -> None:
-        self._peers.add(x.sender)
+        self.add_peers([x.sender])
         if self.whole:
             self._send(x.sender, m.Learned(self.me, self.promised, self.view), durable=True)
 
@@ -66,6 +66,8 @@
         """Each majority that this replica was in has another of its members among those that answered.
 
         It may have promised their highest ballot, and accepted their highest view, so it is bound to both.
+        They were asked LEARN_AFTER_S into this life: whoever was to promise or accept beside it in a former
+        one, for a candidate that still counts its word, had done so by then.
         """
         if self.whole:
             return
@@ -74,7 +76,7 @@
         if not views:
             return
         view = max(views, key=lambda view: view.ballot)
-        self._peers |= set(view.witnesses) - {self.me}
+        self.add_peers(view.witnesses)
         answered = set(self._learned) & set(view.witnesses) - {self.me}
         count = len(view.witnesses)
         if len(answered) >= count - majority(count) + 1:
@@ -85,7 +87,7 @@
             log.info("has learned that ballot %s was promised", self.promised)
 
     def _on_join(self, now: float, x: m.Join) -> None:
-        self._peers.add(x.sender)
+        self.add_peers([x.sender])
         if self.role is Role.PRIMARY and x.sender not in self.excluded:
             self._joiners[x.sender] = now
         elif not x.forwarded and self.leader not in (None, self.me, x.sender):
@@ -94,12 +96,14 @@
     def _on_prepare(self, now: float, x: m.Prepare) -> None:
         if not self.whole:
             return
-        if now - self._started < STICKY_S and self._remembers and x.sender != self.me and not x.handover:
+        released = self._may_pass_lease(x.released)
+        if now - self._started < STICKY_S and self._remembers and x.sender != self.me:
             return  # it may have vouched for a primary just before it ended
         leader_lives = self.leader not in (None, x.sender) and now - self.leader_heard < STICKY_S
         if self.role is Role.PRIMARY and x.sender != self.me:
             leader_lives = self.holds_lease(now)
-        if x.ballot <= self.promised and x.sender != self.me or (leader_lives and not x.handover):
+        is_bound = x.ballot[0] <= self.promised[0] and x.ballot != self.promised  # one candidate a round
+        if x.sender != self.me and (is_bound or x.ballot == self.promised or (leader_lives and not released)):
             self._send(x.sender, m.Refuse(x.ballot, self.me, self.promised), durable=True)
             return
         if x.sender != self.me:
@@ -125,13 +129,14 @@
         self.promised, self.view = x.view.ballot, x.view
         self._output.records.append(m.ViewRecord(x.view))
         if x.sender != self.me:
-            self._heard_leader(now, x.sender)
+            self._heard_leader(now, x.sender, x.view.ballot)
         self._send(x.sender, m.Accepted(x.view.ballot, self.me), durable=True)
 
     def _on_heartbeat(self, now: float, x: m.Heartbeat) -> None:
         if x.ballot < self.promised:
             self._send(x.sender, m.Refuse(x.ballot, self.me, self.promised), durable=True)
             return
+        self.add_peers([x.sender, *x.view.witnesses, *x.view.members])
         if self.whole and x.ballot > self.promised:
             self._promise(x.ballot)
         if self.whole and (self.view is None or self.view.ballot < x.view.ballot):
@@ -139,7 +144,7 @@
             self._output.records.append(m.ViewRecord(x.view))
         if self.role is not Role.FOLLOWER and x.sender != self.me:
             self._step_down(now, f"{x.sender} is primary with ballot {x.ballot}")
-        self._heard_leader(now, x.sender)
+        self._heard_leader(now, x.sender, x.ballot)
         whole = self.whole and not self.disk_stalled
         reply = m.HeartbeatReply(x.ballot, self.me, x.round, self.log.last, self.synced, whole, self.sync_s)
         self._send(x.sender, reply, durable=bool(self._output.records))
@@ -154,7 +159,7 @@
             self._step_down(now, f"{sender} has ballot {ballot}")
         if ballot > self.promised:
             self._promise(ballot)
-        self._heard_leader(now, sender)
+        self._heard_leader(now, sender, ballot)
         return True
 
     def _on_sync(self, now: float, x: m.Sync) -> None:
@@ -165,8 +170,9 @@
         elif not self._append_sync(x):
             self._send(x.sender, m.Synced(x.ballot, self.me, self.log.last, False))
             return
-        self.synced = x.ballot
-        self._output.records.append(m.SyncedRecord(x.ballot))
+        if self.log.last == x.last:
+            self.synced = x.ballot
+            self._output.records.append(m.SyncedRecord(x.ballot))
         self._send(x.sender, m.Synced(x.ballot, self.me, self.log.last, True), durable=True)
 
     def _append_sync(self, x: m.Sync) -> bool:
@@ -187,7 +193,7 @@
             if x.ballot < self.promised:
                 self._send(x.sender, m.Refuse(x.ballot, self.me, self.promised), durable=True)
             return
-        self._heard_leader(now, x.sender)
+        self._heard_leader(now, x.sender, x.ballot)
         last = self.log.last[1]
         fresh = [entry for entry in x.entries if entry.index > last]
         if fresh and fresh[0].index != last + 1:
--- a/crowwing/tier/replication/replica_state.py
+++ b/crowwing/tier/replication/replica_state.py
@@ -95,7 +95,7 @@
 
     phase: Phase
     since: float
-    handover: bool
+    released: m.Ballot  # of the primary that has given up its lease for this campaign
     promises: dict[str, m.Promise] = field(default_factory=dict)
     asked: set[str] = field(default_factory=set)
     majority_at: float | None = None
@@ -146,9 +146,12 @@
         self.role = Role.FOLLOWER
         self.commit_index = 0
         self.excluded: frozenset[str] = frozenset()
+        self.announced: frozenset[str] = frozenset()  # every store machine that the state knows of
         self.disk_stalled = False  # a write has been under way for long
         self.sync_s = 0.0  # that this replica's disk takes for a write, smoothed
         self.leader: str | None = None
+        self._vouched = m.NO_BALLOT  # the highest ballot whose leader this replica may have answered
+        self._lease_released = False  # under the present ballot no lease is held any more
         self.leader_heard = now if started is None else started
         self._listen_until = now + LISTEN_S
         self._output = Output()
@@ -168,11 +171,12 @@
     def _reset_primary(self, now: float) -> None:
         self._acked: dict[str, int] = {}
         self._heard: dict[str, float] = {}
+        self._lease_released = False
         self._rounds: dict[int, float] = {}
         self._round_acks: dict[int, set[str]] = {}
         self._round = 0
         self.confirmed_at = now
-        self._beat_at = -1e9
+        self._beat_at = self._announced_at = -1e9
         self._active_since = now
         self._joiners: dict[str, float] = {}
         self._learner_wait: dict[str, float] = {}  # until when a learner is not sent more
@@ -245,6 +249,11 @@
     def _send(self, to: str, message: Any, durable: bool = False) -> None:  # noqa: ANN401
         (self._output.durable if durable or to == self.me else self._output.immediate).append((to, message))
 
+    def add_peers(self, hosts: Iterable[str]) -> None:
+        """Other replicas that this one has heard of, to be asked where it lacks a memory or a primary."""
+        self._peers.update(hosts)
+        self._peers.discard(self.me)
+
     @property
     def known(self) -> set[str]:
         """All replicas that this one knows of, without itself."""
@@ -255,7 +264,13 @@
 
     def holds_lease(self, now: float) -> bool:
         """Whether this replica is certainly the only primary."""
-        return self.role is Role.PRIMARY and now - self.confirmed_at < LEASE_S
+        if self._lease_released or self.role is not Role.PRIMARY:
+            return False
+        return now - self.confirmed_at < LEASE_S
+
+    def _may_pass_lease(self, released: m.Ballot) -> bool:
+        """Whether the one lease that this replica may have vouched for has been given up."""
+        return released != m.NO_BALLOT and released >= self._vouched
 
     def _may_lead(self) -> bool:
         view = self.view
@@ -271,8 +286,9 @@
         self.promised = ballot
         self._output.records.append(m.PromiseRecord(ballot))
 
-    def _heard_leader(self, now: float, leader: str) -> None:
+    def _heard_leader(self, now: float, leader: str, ballot: m.Ballot) -> None:
         self.leader, self.leader_heard = leader, now
+        self._vouched = max(self._vouched, ballot)
         self._campaign_at = self._turn(now)
 
     def _step_down(self, now: float, why: str) -> None:
@@ -292,7 +308,8 @@
         """Sends some of what a replica at `last` lacks, or digests; gives the time to wait for an answer."""
         if self.log.contains(last):
             end = self.log.index_within(last[1], SYNC_BYTES)
-            self._send(target, m.Sync(self.promised, self.me, last, self.log.after(last[1], end)))
+            entries = self.log.after(last[1], end)
+            self._send(target, m.Sync(self.promised, self.me, last, entries, self.log.last))
             return LEARNER_SYNC_S
         self._send_digests(target)
         return RANGES_WAIT_S
--- a/crowwing/tier/replication/timing.py
+++ b/crowwing/tier/replication/timing.py
@@ -18,9 +18,13 @@
 LEARNER_SYNC_S, RANGES_WAIT_S = 0.5, 1.5  # after which a learner that does not answer is sent entries, or
 # digests, once more
 LEARN_S, JOIN_S = 0.2, 0.3
+LEARN_AFTER_S = 1.4  # of a life without memory before it asks: over PREPARE_LIMIT_S and ACCEPT_LIMIT_S, in
+# which a candidate may still count what this replica has promised or accepted in a former life
 JOIN_FRESH_S = 1.0  # how long one request to join counts
 LISTEN_S = 0.15  # after a start, for heartbeats of a primary that is there
-GONE_S, REPLACED_S = 8.0, 1.0  # silence after which a witness is dropped; where another takes its place
+GONE_S, REPLACED_S = 2.0, 1.0  # silence after which a witness is dropped; where another takes its place.
+# Both lie well under catchUpS: a dead witness beside its successor would make one more loss one too many
+ANNOUNCED_S = 1.0  # between heartbeats to store machines that are no witnesses
 NEAR_ENTRIES = 200  # a learner so close behind is taken in
 SLOW_SYNC_S, SLOW_FACTOR = 0.1, 4.0  # a write that takes so long, and so much longer than at most other
 # members, is left out where enough copies stay; with half of that time it is taken back
--- a/crowwing/tier/state/views.py
+++ b/crowwing/tier/state/views.py
@@ -5,6 +5,7 @@
 
 from crowwing.tier.replication.ranges import COMMON_RANGE, RANGES, digest_of, range_of_key
 from crowwing.tier.state import events as e
+from crowwing.tier.state.changes import TakenChanges
 from crowwing.tier.state.lots import Lot, item_bytes, result_bytes
 from crowwing.tier.wire.codec import decode, encode
 
@@ -14,7 +15,7 @@
 
     def __init__(self) -> None:
         self.version = 0
-        self.base = 0
+        self.changes = TakenChanges()
         self.configuration: bytes | None = None
         self.lots: dict[str, Lot] = {}
         self.stores: dict[str, str] = {}  # name to address
@@ -33,7 +34,8 @@
         """Folds one event in."""
         match event:
             case e.ConfigurationTaken(version, base, text):
-                self.version, self.base, self.configuration = version, base, text
+                self.version, self.configuration = version, text
+                self.changes.add(version, base, text)
             case e.LotTaken(lot, host, path, items, at_ms):
                 self._add_lot(Lot(lot, host, path, at_ms, len(items), {item.id: item for item in items}))
             case e.ItemsEnded(lot, results):
@@ -45,10 +47,15 @@
             case e.LotDropped(lot):
                 self._drop_lot(lot)
             case e.StoreSeen(node, host):
-                self.stores[node] = host
+                self._add_store(node, host)
             case e.RetireAsked(node):
                 self.retired.add(node)
 
+    def _add_store(self, node: str, host: str) -> None:
+        """A name has one address, and an address one name: a later machine may be given an earlier one's."""
+        self.stores = {name: other for name, other in self.stores.items() if other != host}
+        self.stores[node] = host
+
     def _add_lot(self, lot: Lot) -> None:
         self.lots[lot.id] = lot
         self.kept_bytes += lot.kept_bytes
@@ -78,10 +85,12 @@
     def _common(self) -> tuple[Any, ...]:
         """What belongs to no lot, equal where it is the same."""
         stores = sorted(self.stores.items())
-        return (self.version, self.base, self.configuration, stores, sorted(self.retired))
+        changes = self.changes.to_plain()
+        return (self.version, changes, self.configuration, stores, sorted(self.retired))
 
     def _take_common(self, common: tuple[Any, ...]) -> None:
-        self.version, self.base, self.configuration, stores, retired = common
+        self.version, changes, self.configuration, stores, retired = common
+        self.changes = TakenChanges.from_plain(changes)
         self.stores, self.retired = dict(stores), set(retired)
 
     # Ranges
--- a/crowwing/tier/store/control_api.py
+++ b/crowwing/tier/store/control_api.py
@@ -54,7 +54,10 @@
 async def get_config(state: State) -> Response[bytes]:
     """The newest configuration, whole."""
     service: StoreService = state.service
-    return outcome_answer(await service.command(c.GetConfiguration()))
+    outcome = await service.command(c.GetConfiguration())
+    if isinstance(outcome, c.Unsure):
+        return json_answer(503, {"error": outcome.reason})
+    return outcome_answer(outcome)
 
 
 @post("/retire/{node:str}", status_code=200)
--- a/crowwing/tier/store/decisions.py
+++ b/crowwing/tier/store/decisions.py
@@ -1,5 +1,6 @@
 """What the primary answers to a command, and which events that makes. Pure."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,12 +22,14 @@
 
 
 def put_configuration(state: TierState, command: c.PutConfiguration) -> Decision:
-    """Takes a valid configuration that was built on the newest one."""
-    if command.text == state.configuration and command.base == state.base:
+    """Takes a valid configuration that was built on the newest one; one that was taken is never refused."""
+    if state.changes.has_taken(command.base, command.text):
         return Decision((), c.Done())  # the same change again
     parsed = parse_configuration(command.text)
     if isinstance(parsed, InvalidConfiguration):
         return Decision((), c.Rejected(400, f"{parsed.place}: {parsed.reason}"))
+    if parsed.version <= state.changes.forgotten:
+        return Decision((), c.Unsure(f"version {parsed.version} is too old to tell whether it was taken"))
     if command.base != state.version:
         return Decision((), c.Rejected(412, f"version {state.version} is in place; read it and build on it"))
     if parsed.version <= state.version:
@@ -81,14 +84,14 @@
     return Decision(() if lot.ended else (e.LotEnded(command.lot),), c.Done())
 
 
-def retire(state: TierState, command: c.Retire, witnesses: int, least: int) -> Decision:
-    """Notes that a store machine is to be emptied."""
-    if command.node not in state.stores:
-        return Decision((), c.Missing())
+def retire(state: TierState, command: c.Retire, witnesses: Collection[str], least: int) -> Decision:
+    """Notes that a store machine is to be emptied, if at least so many others go on as witnesses."""
     if command.node in state.retired:
         return Decision((), c.Done())
-    leaving = sum(1 for node in state.retired if node in state.stores)
-    if witnesses - leaving - 1 < least:
+    if command.node not in state.stores:
+        return Decision((), c.Missing())
+    left = set(witnesses) - state.retired_hosts() - {state.stores[command.node]}
+    if len(left) < least:
         return Decision((), c.Rejected(409, f"fewer than {least} store machines would be left"))
     return Decision((e.RetireAsked(command.node),), c.Done())
 
--- a/crowwing/tier/store/main.py
+++ b/crowwing/tier/store/main.py
@@ -68,6 +68,7 @@
     relay = Relay(Peer(settings.ip, "store", settings.zone, 0), settings.seed_hosts, documents, links, random)
     relay.root_order = lambda: node.replica.promised[0] if node.replica.role is Role.PRIMARY else None
     relay.root_hint = lambda: node.leader
+    node.find_stores = lambda: [peer.host for peer in relay.view.peers("store")]
     relay.count_fronts = service.leasing.count_fronts
     node.on_role.append(lambda is_primary: relay.became_root() if is_primary else None)
 
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from itertools import groupby
 from random import Random
@@ -71,6 +71,7 @@
         self._seen: tuple[Role, int, float] | None = None  # role, commit index, last confirmation
         self._write_since: float | None = None
         self.disk_failed = False  # neither ticks nor receives until the disk takes a rewriting
+        self.find_stores: Callable[[], Iterable[str]] = lambda: ()  # heard of by other ways
         self.on_role: list[Callable[[bool], None]] = []
         self.on_commit: list[Callable[[int], None]] = []
 
@@ -88,6 +89,8 @@
         while True:
             if not self.disk_failed:
                 self.replica.excluded = self.state.retired_hosts()
+                self.replica.announced = frozenset(self.state.stores.values())
+                self.replica.add_peers(self.find_stores())
                 now = time.monotonic()
                 since = self._write_since
                 self.replica.disk_stalled = since is not None and now - since >= DISK_STALLED_S
--- a/crowwing/tier/store/service.py
+++ b/crowwing/tier/store/service.py
@@ -124,9 +124,9 @@
                 return await decide(lambda state: self._tell_readers(d.end_lot(state, command)))
             case c.Retire():
                 view = node.replica.view
-                count = len(view.witnesses) if view else 0
+                witnesses = view.witnesses if view else ()
                 least = node.replica.min_witnesses
-                return await decide(lambda state: d.retire(state, command, count, least))
+                return await decide(lambda state: d.retire(state, command, witnesses, least))
             case c.ReadRetire():
                 return await self._read_surely(lambda state: self._retire_state(state, command.node))
             case c.LeaseItems():
