Disk, network and clocks are parameters of the store machine; changed settings are taken up

Cause: the control side could be simulated only as a copy of what the node does, and seeds that were turned over were read at a start alone.

Change: Clock, Network, Files and DiskWorkers are handed in; StoreMachine puts replica, commands, relay tree and list reader together, for the process and for simulated runs.

--- a/crowwing/tier/distribution/relay.py
+++ b/crowwing/tier/distribution/relay.py
@@ -8,12 +8,12 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 from typing import Any
 
+from crowwing.tier.clock import SYSTEM_CLOCK, Clock
 from crowwing.tier.distribution.documents import Document, Documents, Order
 from crowwing.tier.distribution.sampling import PartialView, Peer
 from crowwing.tier.wire.codec import message
@@ -101,9 +101,16 @@
     """Keeps this backend's documents as new as the root's."""
 
     def __init__(
-        self, me: Peer, seeds: tuple[str, ...], documents: Documents, links: Links, random: Random
+        self,
+        me: Peer,
+        seeds: tuple[str, ...],
+        documents: Documents,
+        links: Links,
+        random: Random,
+        clock: Clock = SYSTEM_CLOCK,
     ) -> None:
-        self.me, self._seeds, self._links, self._random = me, seeds, links, random
+        self.me, self.seeds, self._links, self._random = me, seeds, links, random
+        self._clock = clock
         self.documents = documents
         self.view = PartialView(me, random)
         self.root_order: Callable[[], int | None] = lambda: None  # the ballot's round, at the root itself
@@ -113,7 +120,7 @@
         self._children: dict[str, Connection] = {}
         self._parent: Connection | None = None
         self._beat: Order = (-1, 0)
-        self._beat_at = time.monotonic()
+        self._beat_at = self._clock.monotonic()
         self.root: str | None = None
         self._beat_soon = asyncio.Event()
         self.on_root: list[Callable[[str], None]] = []
@@ -127,12 +134,12 @@
     @property
     def in_touch(self) -> bool:
         """Whether the root's beats arrive."""
-        return time.monotonic() - self._beat_at < LOST_S
+        return self._clock.monotonic() - self._beat_at < LOST_S
 
     @property
     def seconds_out_of_touch(self) -> float:
         """How long ago the root's last beat came."""
-        return time.monotonic() - self._beat_at
+        return self._clock.monotonic() - self._beat_at
 
     async def handle(self, connection: Connection, body: Any) -> Any:  # noqa: ANN401
         """Answers what other backends send of the messages above."""
@@ -178,7 +185,7 @@
         """Notes a beat of the root; False where it is no newer one."""
         if beat <= self._beat:
             return False
-        self._beat, self._beat_at = beat, time.monotonic()
+        self._beat, self._beat_at = beat, self._clock.monotonic()
         if root is not None and root != self.root:
             self.root = root
             for listener in self.on_root:
@@ -224,7 +231,7 @@
         peers = [peer.host for peer in self.view.peers()]
         self._random.shuffle(peers)
         candidates = [
-            host for host in (hint, *self._seeds, *peers) if host is not None and host != self.me.host
+            host for host in (hint, *self.seeds, *peers) if host is not None and host != self.me.host
         ]
         for host in dict.fromkeys(candidates):
             if await self._try_parent(host, MAX_REDIRECTS):
@@ -257,7 +264,7 @@
         while True:
             await asyncio.sleep(SHUFFLE_S * (0.8 + 0.4 * self._random.random()))
             partner, sample = self.view.start_shuffle()
-            host = partner.host if partner else self._random.choice(self._seeds) if self._seeds else None
+            host = partner.host if partner else self._random.choice(self.seeds) if self.seeds else None
             if host is not None and host != self.me.host:
                 await self._shuffle(host, sample or (self.me,))
 
--- a/crowwing/tier/front/main.py
+++ b/crowwing/tier/front/main.py
@@ -26,6 +26,7 @@
 from crowwing.tier.platform_list import SidecarList, read_list
 from crowwing.tier.process import Tasks, watch_signals
 from crowwing.tier.settings import Settings
+from crowwing.tier.settings_watch import watch_settings
 from crowwing.tier.wire.codec import decode
 from crowwing.tier.wire.connection import Connection, Links, serve
 
@@ -64,9 +65,13 @@
             return await self.relay.handle(connection, body)
         return None
 
+    def take_settings(self, settings: Settings) -> None:
+        """The settings name other seeds now; the rest holds from the next start on."""
+        self.relay.seeds = settings.seed_hosts
+
     def store_hosts(self) -> list[str]:
         """Where the primary may be found, in a random order."""
-        known = {peer.host for peer in self.relay.view.peers("store")} | set(self.settings.seed_hosts)
+        known = {peer.host for peer in self.relay.view.peers("store")} | set(self.relay.seeds)
         hosts = sorted(known)
         self.random.shuffle(hosts)
         return hosts
@@ -125,14 +130,14 @@
 
     async def run(self) -> int:
         """Runs until SIGTERM; gives the exit status."""
-        stop, end = asyncio.Event(), asyncio.Event()
-        watch_signals(stop)
+        stop, end, settings_changed = asyncio.Event(), asyncio.Event(), asyncio.Event()
+        watch_signals(stop, settings_changed)
         tasks = Tasks(stop)
         settings = self.settings
         internal = await serve(settings.ip, settings.internal_port, self.handle)
         for work in (
             self.relay.run_child(), self.relay.run_shuffles(), self.pool.run_loops(), self.runner.run(),
-            self.run_count(),
+            self.run_count(), watch_settings(settings_changed, self.take_settings),
         ):  # fmt: skip
             tasks.start(work)
         if settings.cloud is not None:
--- a/crowwing/tier/front/store_client.py
+++ b/crowwing/tier/front/store_client.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from typing import Any
 
+from crowwing.tier.clock import SYSTEM_CLOCK, Clock
 from crowwing.tier.store import commands as c
 from crowwing.tier.wire.connection import CallError, Links
 
@@ -18,8 +18,8 @@
 class StoreClient:
     """Finds the primary and calls it until there is a clear answer or the time is up."""
 
-    def __init__(self, links: Links, hosts: Callable[[], list[str]]) -> None:
-        self._links, self._hosts = links, hosts
+    def __init__(self, links: Links, hosts: Callable[[], list[str]], clock: Clock = SYSTEM_CLOCK) -> None:
+        self._links, self._hosts, self._clock = links, hosts, clock
         self._primary: str | None = None
         self._moved = asyncio.Event()  # replaced at each change of the primary
 
@@ -33,10 +33,10 @@
         """The outcome of a command; Unsure where it may have been done, NotPrimary where it certainly was
         not.
         """
-        deadline = time.monotonic() + limit_s
+        deadline = self._clock.monotonic() + limit_s
         unsure = False
         hosts: list[str] = []
-        while (left := deadline - time.monotonic()) > 0:
+        while (left := deadline - self._clock.monotonic()) > 0:
             if self._primary is None:
                 hosts = hosts or self._hosts()
                 if not hosts:
--- a/crowwing/tier/process.py
+++ b/crowwing/tier/process.py
@@ -18,12 +18,12 @@
         logging.getLogger(noisy).setLevel(logging.WARNING)
 
 
-def watch_signals(stop: asyncio.Event) -> None:
-    """SIGTERM and SIGINT ask for the end; SIGHUP is heard and noted."""
+def watch_signals(stop: asyncio.Event, settings_changed: asyncio.Event) -> None:
+    """SIGTERM and SIGINT ask for the end; SIGHUP tells that the settings file has changed."""
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("SIGHUP: settings are read at the next start"))
+    loop.add_signal_handler(signal.SIGHUP, settings_changed.set)
 
 
 class Tasks:
--- a/crowwing/tier/storage/record_file.py
+++ b/crowwing/tier/storage/record_file.py
@@ -1,13 +1,13 @@
 """An append-only file of checksummed records that is rewritten when it gets long."""
 
 import contextlib
-import os
 import struct
 import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import BinaryIO
+
+from crowwing.tier.storage.files import OS_FILES, Files, OpenFile
 
 HEADER = struct.Struct("<II")  # the payload's length, and the CRC-32 of that length and the payload
 LENGTH = struct.Struct("<I")
@@ -55,12 +55,12 @@
 class Replacement:
     """A content that is written beside a file, to take its place; where writing fails, it is discarded."""
 
-    def __init__(self, path: Path) -> None:
-        self.path = path
+    def __init__(self, path: Path, files: Files) -> None:
+        self.path, self._files = path, files
         self.size = 0
         self._unsynced = 0
         try:
-            self.file: BinaryIO = open(path, "w+b", buffering=0)
+            self.file: OpenFile = files.create(path)
         except OSError as error:
             raise StorageError(str(path), str(error)) from error
 
@@ -80,14 +80,14 @@
             raise StorageError(str(self.path), str(error)) from error
 
     def _sync(self) -> None:
-        os.fsync(self.file.fileno())
+        self._files.sync(self.file)
         self._unsynced = 0
 
     def discard(self) -> None:
         """Frees its room."""
         self.file.close()
         with contextlib.suppress(OSError):
-            self.path.unlink(missing_ok=True)
+            self._files.remove(self.path)
 
 
 class RecordFile:
@@ -96,44 +96,42 @@
     Not thread-safe but for `prepare`: one thread appends and switches.
     """
 
-    def __init__(self, path: Path) -> None:
-        self._path = path
-        self._file: BinaryIO | None = None
+    def __init__(self, path: Path, files: Files = OS_FILES) -> None:
+        self._path, self._files = path, files
+        self._file: OpenFile | None = None
         self.size = 0
 
     def open(self) -> list[bytes]:
         """Opens the file, creating it if need be, and gives its records."""
         try:
-            self._path.parent.mkdir(parents=True, exist_ok=True)
-            temporary = self._path.with_name(self._path.name + TEMPORARY_SUFFIX)
-            if temporary.exists():
-                temporary.unlink()
-            data = self._path.read_bytes() if self._path.exists() else b""
+            data = self._files.read(self._path) or b""
+            self._files.remove(self._temporary)
             records, self.size = decode_records(data)
-            self._file = open(self._path, "r+b" if self._path.exists() else "w+b", buffering=0)
-            if self.size < len(data):
-                self._file.truncate(self.size)
-            self._file.seek(self.size)
-            os.fsync(self._file.fileno())
+            self._file = self._files.open_at(self._path, self.size)
+            self._files.sync(self._file)
             self._sync_folder()
         except OSError as error:
             raise StorageError(str(self._path), str(error)) from error
         return records
 
+    @property
+    def _temporary(self) -> Path:
+        return self._path.with_name(self._path.name + TEMPORARY_SUFFIX)
+
     def append(self, payloads: Iterable[bytes]) -> None:
         """Appends records and syncs them; when this returns they outlast a loss of power."""
         assert self._file is not None, "the file is not open"
         data = b"".join(encode_record(payload) for payload in payloads)
         try:
             _write_all(self._file, data)
-            os.fsync(self._file.fileno())
+            self._files.sync(self._file)
         except OSError as error:
             raise StorageError(str(self._path), str(error)) from error
         self.size += len(data)
 
     def prepare(self, payloads: Iterable[bytes]) -> Replacement:
         """Writes another content beside the file, which may be appended to meanwhile by another thread."""
-        replacement = Replacement(self._path.with_name(self._path.name + TEMPORARY_SUFFIX))
+        replacement = Replacement(self._temporary, self._files)
         replacement.append(payloads)
         return replacement
 
@@ -145,7 +143,7 @@
         """
         assert self._file is not None, "the file is not open"
         try:
-            os.replace(replacement.path, self._path)
+            self._files.replace(replacement.path, self._path)
             self._file.close()
             self._file, self.size = replacement.file, replacement.size
             self._sync_folder()
@@ -165,15 +163,10 @@
             self._file = None
 
     def _sync_folder(self) -> None:
-        folder = os.open(self._path.parent, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        self._files.sync_folder(self._path.parent)
 
 
-def _write_all(file: BinaryIO, data: bytes) -> None:
+def _write_all(file: OpenFile, data: bytes) -> None:
     view = memoryview(data)
     while view:
-        written = file.write(view)
-        view = view[written:]
+        view = view[file.write(view) or 0 :]
--- a/crowwing/tier/store/disk.py
+++ b/crowwing/tier/store/disk.py
@@ -1,15 +1,15 @@
 """The replica's records on disk: one writer thread, one sync for all that has gathered, and a rewriter."""
 
-import asyncio
 import contextlib
 import logging
-import time
-from collections.abc import Callable, Iterable
-from concurrent.futures import Future, ThreadPoolExecutor
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
+from crowwing.tier.clock import SYSTEM_CLOCK, Clock
+from crowwing.tier.storage.files import OS_FILES, Files
 from crowwing.tier.storage.record_file import RecordFile, Replacement, StorageError
+from crowwing.tier.store.workers import DiskWorkers, Outcome, ThreadWorkers
 from crowwing.tier.wire.codec import decode, encode
 
 log = logging.getLogger("crowwing.disk")
@@ -28,14 +28,20 @@
     replacement is ready, behind its content too.
     """
 
-    def __init__(self, folder: Path, room_bytes: int = 0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        room_bytes: int = 0,
+        files: Files = OS_FILES,
+        workers: DiskWorkers | None = None,
+        clock: Clock = SYSTEM_CLOCK,
+    ) -> None:
         """`room_bytes`: what the disk holds in all; 0 where that is not known."""
-        self._room = room_bytes
-        self._file = RecordFile(folder / "state.log")
-        self._writer = ThreadPoolExecutor(1, "disk")
-        self._rewriter = ThreadPoolExecutor(1, "rewriter")
+        self._room, self._clock = room_bytes, clock
+        self._file = RecordFile(folder / "state.log", files)
+        self._workers = workers or ThreadWorkers()
         self._compacted_bytes = 0
-        self._preparing: Future[Replacement] | None = None
+        self._preparing: Outcome[Replacement] | None = None
         self._tail: list[bytes] = []  # written since the rewriting began
         self._rewrite_after = 0.0
 
@@ -53,7 +59,7 @@
     def is_long(self, compacted_bytes: int) -> bool:
         """Whether the file should be rewritten, which takes about `compacted_bytes` beside it meanwhile."""
         size = self._file.size
-        if self._preparing is not None or time.monotonic() < self._rewrite_after:
+        if self._preparing is not None or self._clock.monotonic() < self._rewrite_after:
             return False
         if self._room and size + compacted_bytes > USABLE_SHARE * self._room:
             return False
@@ -68,33 +74,30 @@
         preparing = self._preparing
         if preparing is not None and preparing.done():
             self._preparing, tail, self._tail = None, self._tail, []
-            await self._run(self._finish, preparing, tail, payloads)
+            await self._workers.write(self._finish, preparing, tail, payloads)
             return
         if preparing is not None:
             self._tail += payloads
-        await self._run(self._file.append, payloads)
+        await self._workers.write(self._file.append, payloads)
 
     def begin_rewriting(self, records: Iterable[Any]) -> None:
         """Starts to write what stands for everything written so far, for later writes to end."""
-        self._preparing = self._rewriter.submit(self._prepare, records)
+        self._preparing = self._workers.rewrite(self._prepare, records)
         self._tail = []
 
     async def rewrite(self, records: Iterable[Any]) -> None:
         """Replaces everything by these records; raises StorageError."""
         preparing, self._preparing = self._preparing, None
         if preparing is not None:
-            await self._run(_discard, preparing)
-        await self._run(self._replace, records)
-
-    async def _run(self, work: Callable[..., None], *arguments: Any) -> None:  # noqa: ANN401
-        await asyncio.get_running_loop().run_in_executor(self._writer, work, *arguments)
+            await self._workers.write(_discard, preparing)
+        await self._workers.write(self._replace, records)
 
     # In the threads
 
     def _prepare(self, records: Iterable[Any]) -> Replacement:
         return self._file.prepare(encode(record) for record in records)
 
-    def _finish(self, preparing: "Future[Replacement]", tail: list[bytes], payloads: list[bytes]) -> None:
+    def _finish(self, preparing: Outcome[Replacement], tail: list[bytes], payloads: list[bytes]) -> None:
         """Switches to the replacement, or goes on with the file where that can't be."""
         try:
             replacement = preparing.result()
@@ -102,7 +105,7 @@
             replacement.append([*tail, *payloads])
         except StorageError as error:
             log.warning("the file was not rewritten: %s", error)
-            self._rewrite_after = time.monotonic() + REWRITE_PAUSE_S
+            self._rewrite_after = self._clock.monotonic() + REWRITE_PAUSE_S
             self._file.append(payloads)
             return
         self._file.switch(replacement)
@@ -114,7 +117,7 @@
         self._compacted_bytes = self._file.size
 
 
-def _discard(preparing: "Future[Replacement]") -> None:
+def _discard(preparing: Outcome[Replacement]) -> None:
     """Waits for a rewriting that is not wanted any more."""
     with contextlib.suppress(StorageError):
         preparing.result().discard()
--- a/crowwing/tier/store/item_leasing.py
+++ b/crowwing/tier/store/item_leasing.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,7 +11,6 @@
 from crowwing.tier.state.events import Item
 from crowwing.tier.state.lots import Lot
 from crowwing.tier.store import commands as c
-from crowwing.tier.store.clock import now_ms
 from crowwing.tier.store.leases import ItemKey, Leases
 from crowwing.tier.store.node import ReplicaNode
 
@@ -37,24 +35,25 @@
 
     def __init__(self, node: ReplicaNode, configuration: Callable[[], Configuration | None]) -> None:
         self._node, self._configuration = node, configuration
-        self._leases = Leases(time.monotonic())
+        self._clock = node.clock
+        self._leases = Leases(self._clock.monotonic())
         self._waiting: deque[WaitingFront] = deque()
         self._uncommitted: deque[tuple[int, str]] = deque()  # index and lot
         self._heard: dict[str, float] = {}  # fronts, and when they called
-        self._since = time.monotonic()
+        self._since = self._clock.monotonic()
 
     def became_primary(self) -> None:
         """Starts anew: all lots of the state are committed."""
-        self._leases = Leases(time.monotonic())
+        self._leases = Leases(self._clock.monotonic())
         self._uncommitted.clear()
         self._heard.clear()
-        self._since = time.monotonic()
+        self._since = self._clock.monotonic()
         for lot in self._node.state.lots.values():
             self._leases.add_lot(lot)
 
     def count_fronts(self) -> int:
         """How many fronts call this primary; 0 until all have had the time to."""
-        now = time.monotonic()
+        now = self._clock.monotonic()
         if now - self._since < FRONT_HEARD_S:
             return 0
         self._heard = {front: at for front, at in self._heard.items() if now - at < FRONT_HEARD_S}
@@ -80,16 +79,19 @@
 
     async def lease(self, command: c.LeaseItems) -> c.ItemsLeased | c.NotPrimary:
         """Renews what a front runs, and waits for as many items as it wants, or for some of them."""
-        if not self._node.replica.holds_lease(time.monotonic()):
+        if not self._node.replica.holds_lease(self._clock.monotonic()):
             if self._node.replica.role is not Role.FOLLOWER:
                 return c.ItemsLeased((), ())
             return c.NotPrimary(self._node.leader)
-        self._heard[command.front] = time.monotonic()
-        stop = self._leases.renew(self._node.state, command.front, command.running, time.monotonic())
+        self._heard[command.front] = self._clock.monotonic()
+        stop = self._leases.renew(self._node.state, command.front, command.running, self._clock.monotonic())
         found = (
             [] if not command.most else await self._wait_for_items(command, 0 if stop else command.wait_ms)
         )
-        return c.ItemsLeased(tuple(_leased(lot, item) for lot, item in found), stop)
+        return c.ItemsLeased(tuple(self._leased(lot, item) for lot, item in found), stop)
+
+    def _leased(self, lot: Lot, item: Item) -> c.LeasedItem:
+        return c.LeasedItem(lot.id, lot.host, item, max(0, self._clock.now_ms() - lot.at_ms))
 
     async def _wait_for_items(self, command: c.LeaseItems, wait_ms: int) -> list[LotItem]:
         waiting = WaitingFront(command.front, command.most, asyncio.get_running_loop().create_future())
@@ -113,11 +115,11 @@
                 self._hand_out()
 
     def _hand_out(self) -> None:
-        now = time.monotonic()
+        now = self._clock.monotonic()
         if not self._waiting or not self._node.replica.holds_lease(now):
             return
         self._leases.free_expired(self._node.state, now)
-        due_ms, clock = self._due_ms(), now_ms()
+        due_ms, clock = self._due_ms(), self._clock.now_ms()
 
         def hopeless(lot: Lot) -> bool:
             return clock - lot.at_ms > due_ms.get(lot.host, math.inf) - RUN_MARGIN_MS
@@ -139,7 +141,3 @@
         configuration = self._configuration()
         routes = configuration.routes if configuration is not None else []
         return {x.host: x.completion_slo_ms for x in routes if x.completion_slo_ms is not None}
-
-
-def _leased(lot: Lot, item: Item) -> c.LeasedItem:
-    return c.LeasedItem(lot.id, lot.host, item, max(0, now_ms() - lot.at_ms))
--- a/crowwing/tier/store/list_reader.py
+++ b/crowwing/tier/store/list_reader.py
@@ -2,14 +2,11 @@
 
 import asyncio
 import logging
-import time
+from collections.abc import Awaitable, Callable
 from random import Random
 
-import httpx
-
 from crowwing.tier.distribution.documents import SIDECARS, Document, Documents
-from crowwing.tier.plain_http import NO_CERTIFICATES
-from crowwing.tier.platform_list import ListUnreadable, SidecarList, read_list
+from crowwing.tier.platform_list import ListUnreadable, SidecarList
 from crowwing.tier.store.node import ReplicaNode
 from crowwing.tier.wire.codec import encode
 
@@ -17,13 +14,14 @@
 
 READ_EVERY_S = 0.6
 
+ReadList = Callable[[], Awaitable[SidecarList | ListUnreadable]]
+
 
 class ListReader:
     """The one reader of the list: the role goes with that of the primary, whose election fills both."""
 
-    def __init__(self, address: str, node: ReplicaNode, documents: Documents, random: Random) -> None:
-        self._address, self._node, self._documents, self._random = address, node, documents, random
-        self._client = httpx.AsyncClient(trust_env=False, verify=NO_CERTIFICATES)
+    def __init__(self, read: ReadList, node: ReplicaNode, documents: Documents, random: Random) -> None:
+        self._read_list, self._node, self._documents, self._random = read, node, documents, random
         self._published: SidecarList | None = None
         self._round = -1
         self._number = 0
@@ -31,19 +29,19 @@
     async def run(self) -> None:
         """Reads the list again and again."""
         while True:
-            if self._node.replica.holds_lease(time.monotonic()):
+            if self._node.replica.holds_lease(self._node.clock.monotonic()):
                 await self._read()
                 await asyncio.sleep(READ_EVERY_S * (0.9 + 0.2 * self._random.random()))
             else:
                 await asyncio.sleep(0.05)
 
     async def _read(self) -> None:
-        listed = await read_list(self._client, self._address)
+        listed = await self._read_list()
         if isinstance(listed, ListUnreadable):
             log.warning("the platform's list: %s", listed.reason)
             return
         round_number = self._node.replica.promised[0]
-        if not self._node.replica.holds_lease(time.monotonic()):
+        if not self._node.replica.holds_lease(self._node.clock.monotonic()):
             return
         if round_number == self._round and listed == self._published:
             return
--- /dev/null
+++ b/crowwing/tier/store/machine.py
@@ -0,0 +1,114 @@
+"""One store machine put together: replica, commands, place in the relay tree, reader of the list."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine, Iterable
+from random import Random
+from typing import Any
+
+from crowwing.tier.clock import SYSTEM_CLOCK, Clock
+from crowwing.tier.distribution.documents import Documents
+from crowwing.tier.distribution.relay import Attach, Beat, Push, Relay, Shuffle
+from crowwing.tier.distribution.sampling import Peer
+from crowwing.tier.early import started_at
+from crowwing.tier.replication.replica_state import Role
+from crowwing.tier.settings import Settings
+from crowwing.tier.storage.record_file import StorageError
+from crowwing.tier.store import commands as c
+from crowwing.tier.store.disk import Disk
+from crowwing.tier.store.list_reader import ListReader, ReadList
+from crowwing.tier.store.node import DISK_RETRY_S, ReplicaNode
+from crowwing.tier.store.service import StoreService
+from crowwing.tier.wire.connection import Connection, Links, serve
+from crowwing.tier.wire.network import TCP, Listener, Network
+
+log = logging.getLogger("crowwing.store")
+
+RELAYED = (Attach, Beat, Push, Shuffle)
+
+
+class StoreMachine:
+    """What a store machine's process runs, without signals and the operator's HTTP server."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        disk: Disk,
+        random: Random,
+        network: Network = TCP,
+        clock: Clock = SYSTEM_CLOCK,
+        started: float = started_at,
+    ) -> None:
+        """`started`: when this process began, on the monotonic clock."""
+        self._settings, self._random, self._network = settings, random, network
+        self.documents = Documents()
+        self._links = Links(settings.internal_port, self._handle, network)
+        self._urgent_links = Links(settings.internal_port, self._handle, network)
+        faults, seeds = settings.fault_tolerance.machines, settings.seed_hosts
+        self.node = ReplicaNode(
+            settings.ip, seeds, faults, disk, self._links, random, self._urgent_links, clock, started
+        )
+        self.service = StoreService(settings, self.node, disk, self._links, self.documents)
+        me = Peer(settings.ip, "store", settings.zone, 0)
+        self.relay = Relay(me, seeds, self.documents, self._links, random, clock)
+        self.relay.root_order = self._root_order
+        self.relay.root_hint = lambda: self.node.leader
+        self.relay.count_fronts = self.service.leasing.count_fronts
+        self.node.find_stores = self._stores_heard_of
+        self.node.on_role.append(self._role_changed)
+
+    def _root_order(self) -> int | None:
+        return self.node.replica.promised[0] if self.node.replica.role is Role.PRIMARY else None
+
+    def _role_changed(self, is_primary: bool) -> None:
+        if is_primary:
+            self.relay.became_root()
+
+    def _stores_heard_of(self) -> Iterable[str]:
+        return [peer.host for peer in self.relay.view.peers("store")]
+
+    async def _handle(self, connection: Connection, body: Any) -> Any:  # noqa: ANN401
+        if isinstance(body, RELAYED):
+            return await self.relay.handle(connection, body)
+        if isinstance(body, c.Forwarded):
+            return await self.service.command(body.command, may_forward=False)
+        if type(body).__module__ == c.__name__:
+            return await self.service.command(body)
+        self.node.receive(body)
+        return None
+
+    def take_seeds(self, hosts: tuple[str, ...]) -> None:
+        """The settings name other seeds now."""
+        self.relay.seeds = hosts
+        self.node.replica.add_peers(hosts)
+
+    async def start(self, is_wanted: Callable[[], bool] = lambda: True) -> Listener:
+        """Opens the disk, again and again while that can't be done and it is wanted, and listens."""
+        while is_wanted():
+            try:
+                self.node.start(self._settings.bootstrap, self._settings.seed_hosts)
+                break
+            except StorageError as error:
+                log.error("the disk can't be opened: %s", error)
+                await asyncio.sleep(DISK_RETRY_S)
+        return await serve(self._settings.ip, self._settings.internal_port, self._handle, self._network)
+
+    def works(self, read_list: ReadList | None) -> list[Coroutine[Any, Any, None]]:
+        """What runs for as long as the process; `read_list` reads the platform's list, where there is one."""
+        works = [
+            self.node.run_disk(), self.node.run_clock(), self.service.run_housekeeping(),
+            self.service.leasing.run(), self.relay.run_root(), self.relay.run_child(),
+            self.relay.run_shuffles(),
+        ]  # fmt: skip
+        if read_list is not None:
+            works.append(ListReader(read_list, self.node, self.documents, self._random).run())
+        return works
+
+    def lead_off(self) -> None:
+        """Asks another member to take over, where this machine is the primary."""
+        self.node.lead_off()
+
+    def close(self) -> None:
+        """Ends all connections."""
+        self._links.close()
+        self._urgent_links.close()
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from itertools import groupby
 from random import Random
 from typing import Any
 
+from crowwing.tier.clock import SYSTEM_CLOCK, Clock
 from crowwing.tier.early import started_at
 from crowwing.tier.replication.messages import Append, Digests, Ranges, Sync
 from crowwing.tier.replication.replica import Replica
@@ -56,11 +56,17 @@
         links: Links,
         random: Random,
         urgent_links: Links | None = None,
+        clock: Clock = SYSTEM_CLOCK,
+        started: float = started_at,
     ) -> None:
-        """`urgent_links`: connections of their own for heartbeats and votes, which wait behind no data."""
+        """`urgent_links`: connections of their own for heartbeats and votes, which wait behind no data.
+
+        `started`: when this process began, on the monotonic clock.
+        """
+        self.clock = clock
         self.state = TierState()
-        now = time.monotonic()
-        self.replica = Replica(me, seeds, self.state, faults, now, random.random, started_at)
+        now = self.clock.monotonic()
+        self.replica = Replica(me, seeds, self.state, faults, now, random.random, started)
         self._disk, self._links = disk, links
         self._urgent_links = urgent_links or links
         self._pending: list[Pending] = []
@@ -91,10 +97,10 @@
                 self.replica.excluded = self.state.retired_hosts()
                 self.replica.announced = frozenset(self.state.stores.values())
                 self.replica.add_peers(self.find_stores())
-                now = time.monotonic()
+                now = self.clock.monotonic()
                 since = self._write_since
                 self.replica.disk_stalled = since is not None and now - since >= DISK_STALLED_S
-                self.replica.tick(time.monotonic())
+                self.replica.tick(self.clock.monotonic())
                 self.step()
             await asyncio.sleep(TICK_S)
 
@@ -103,7 +109,7 @@
         while True:
             await self._work.wait()
             self._work.clear()
-            self.replica.send_entries(time.monotonic())
+            self.replica.send_entries(self.clock.monotonic())
             self.step()
             queue, self._queue = self._queue, []
             records = [record for output in queue for record in output.records]
@@ -121,12 +127,12 @@
             return
         is_long = self._disk.is_long(self.state.kept_bytes)
         compacted = self.replica.compacted() if is_long else None  # at this moment it holds just `records`
-        self._write_since = began = time.monotonic()
+        self._write_since = began = self.clock.monotonic()
         try:
             await self._disk.write(records)
         finally:
             self._write_since = None
-        taken = min(DISK_STALLED_S, time.monotonic() - began)
+        taken = min(DISK_STALLED_S, self.clock.monotonic() - began)
         self.replica.sync_s += SYNC_SMOOTHING * (taken - self.replica.sync_s)
         if compacted is not None:
             log.info("rewrites %d bytes", self._disk.size)
@@ -138,7 +144,7 @@
         No message that waited for the failed records is sent, so to the others this replica has stood still.
         """
         log.error("the disk failed, stands aside: %s", error)
-        self.replica.stand_down(time.monotonic(), "its disk failed")
+        self.replica.stand_down(self.clock.monotonic(), "its disk failed")
         self.step()
         self.disk_failed = True
         while self.disk_failed:
@@ -151,10 +157,15 @@
                 log.warning("the disk still fails: %s", still)
         log.info("the disk holds everything again, takes part")
 
+    def lead_off(self) -> None:
+        """Asks another member to take over, where this replica is the primary."""
+        self.replica.lead_off(self.clock.monotonic())
+        self.step()
+
     def receive(self, message: Any) -> None:  # noqa: ANN401
         """Takes a message of another replica in."""
         if not self.disk_failed:
-            self.replica.receive(time.monotonic(), message)
+            self.replica.receive(self.clock.monotonic(), message)
             self.step()
 
     def _deliver_all(self, messages: list[tuple[str, Any]]) -> None:
@@ -162,7 +173,7 @@
         for message, group in groupby(messages, key=lambda sent: sent[1]):
             receivers = [receiver for receiver, _ in group]
             if self.replica.me in receivers:
-                self.replica.receive(time.monotonic(), message)
+                self.replica.receive(self.clock.monotonic(), message)
                 receivers.remove(self.replica.me)
             if receivers:
                 links = self._links if isinstance(message, DATA_MESSAGES) else self._urgent_links
@@ -219,9 +230,11 @@
 
     async def _wait_primary(self) -> bool:
         """Waits out a change of its own view; False where this is not the primary."""
-        deadline = time.monotonic() + COMMIT_LIMIT_S
+        deadline = self.clock.monotonic() + COMMIT_LIMIT_S
         while (
-            self.replica.role is Role.CANDIDATE and self._was is Role.PRIMARY and time.monotonic() < deadline
+            self.replica.role is Role.CANDIDATE
+            and self._was is Role.PRIMARY
+            and self.clock.monotonic() < deadline
         ):
             await self._next_change(0.1)
         return self.replica.role is Role.PRIMARY
@@ -237,7 +250,7 @@
         """Decides a command on the newest state; its outcome is told once everything it rests on is kept."""
         if not await self._wait_primary():
             return c.NotPrimary(self.leader)
-        now = time.monotonic()
+        now = self.clock.monotonic()
         decision = decide(self.state)
         for event in decision.events:
             self.replica.propose(now, encode(event))
@@ -259,7 +272,7 @@
 
     async def confirm(self) -> bool:
         """Whether this replica is still the only primary, shown by a lease or a round that starts now."""
-        if self.replica.holds_lease(time.monotonic()):
+        if self.replica.holds_lease(self.clock.monotonic()):
             return True
         return await self.confirm_round()
 
@@ -267,10 +280,10 @@
         """Whether a majority of the witnesses still knows this replica as primary at this moment."""
         if self.replica.role is not Role.PRIMARY:
             return False
-        ballot, number = self.replica.promised, self.replica.beat_now(time.monotonic())
+        ballot, number = self.replica.promised, self.replica.beat_now(self.clock.monotonic())
         self.step()
-        deadline = time.monotonic() + READ_LIMIT_S
-        while time.monotonic() < deadline:
+        deadline = self.clock.monotonic() + READ_LIMIT_S
+        while self.clock.monotonic() < deadline:
             if self.replica.role is not Role.PRIMARY or self.replica.promised != ballot:
                 return False
             if self.replica.round_confirmed(number):
--- a/crowwing/tier/store/service.py
+++ b/crowwing/tier/store/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from typing import Any
 
 from crowwing.tier.configuration import Configuration, parse_configuration
@@ -13,7 +12,6 @@
 from crowwing.tier.state.views import TierState
 from crowwing.tier.store import commands as c
 from crowwing.tier.store import decisions as d
-from crowwing.tier.store.clock import now_ms
 from crowwing.tier.store.disk import Disk
 from crowwing.tier.store.item_leasing import ItemLeasing
 from crowwing.tier.store.lot_readers import LotReaders
@@ -35,7 +33,7 @@
         self, settings: Settings, node: ReplicaNode, disk: Disk, links: Links, documents: Documents
     ) -> None:
         self._settings, self._node, self._disk, self._links = settings, node, disk, links
-        self._documents = documents
+        self._documents, self._clock = documents, node.clock
         self.leasing = ItemLeasing(node, lambda: self.configuration)
         self._readers = LotReaders()
         self._parsed: tuple[int, Configuration | None] = (0, None)
@@ -66,7 +64,7 @@
         return decision
 
     def _submit_lot(self, state: TierState, command: c.SubmitLot) -> d.Decision:
-        decision = d.submit_lot(state, command, now_ms(), self._disk_left())
+        decision = d.submit_lot(state, command, self._clock.now_ms(), self._disk_left())
         if decision.events:
             self.leasing.lot_proposed(self._node.replica.log.last[1] + 1, command.lot)
         return decision
@@ -167,11 +165,11 @@
         return d.Decision((e.StoreSeen(command.node, command.host),), c.Done())
 
     async def _read_lot(self, command: c.ReadLot) -> Any:  # noqa: ANN401
-        deadline = time.monotonic() + command.wait_ms / 1000
+        deadline = self._clock.monotonic() + command.wait_ms / 1000
         while True:
             lot = self._node.state.lots.get(command.lot)
             waits = lot is not None and len(lot.results) <= command.start and not lot.done
-            left = deadline - time.monotonic()
+            left = deadline - self._clock.monotonic()
             if not waits or left <= 0 or self._node.replica.role is not Role.PRIMARY:
                 return await self._node.decide(lambda state: d.read_lot(state, command))
             await self._readers.wait(command.lot, left)
@@ -182,13 +180,13 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             if self._node.state.stores.get(self._settings.node) != self._settings.ip:
                 await self.command(c.Announce(self._settings.node, self._settings.ip))
-            if self._node.replica.holds_lease(time.monotonic()):
+            if self._node.replica.holds_lease(self._clock.monotonic()):
                 await self._node.decide(self._clean)
 
     def _clean(self, state: TierState) -> d.Decision:
         """Drops lots that nobody may ask for any more, and gives up items that have waited too long."""
         events: list[Any] = []
-        now = now_ms()
+        now = self._clock.now_ms()
         configuration = self.configuration
         table = d.RoutingTable(configuration) if configuration is not None else None
         for lot in state.lots.values():
--- a/crowwing/tier/wire/connection.py
+++ b/crowwing/tier/wire/connection.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from crowwing.tier.wire.codec import MessageError, decode, encode
+from crowwing.tier.wire.network import TCP, Network
 
 log = logging.getLogger("crowwing.wire")
 
@@ -161,12 +162,12 @@
 
 
 async def open_connection(
-    host: str, port: int, handler: Handler | None, timeout_s: float = 0.5
+    host: str, port: int, handler: Handler | None, network: Network = TCP, timeout_s: float = 0.5
 ) -> Connection:
     """Connects to another backend; raises CallError. The caller runs `run()` as a task of its own."""
     try:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(host, port)
+            reader, writer = await network.connect(host, port)
     except (OSError, TimeoutError) as error:
         raise CallError(f"{host}:{port}: {error or 'no connection in time'}", False) from None
     return Connection(reader, writer, handler)
@@ -175,8 +176,8 @@
 class Links:
     """Connections that this process has opened to others, one for each address, opened when first used."""
 
-    def __init__(self, port: int, handler: Handler | None = None) -> None:
-        self._port, self._handler = port, handler
+    def __init__(self, port: int, handler: Handler | None = None, network: Network = TCP) -> None:
+        self._port, self._handler, self._network = port, handler, network
         self._open: dict[str, Connection] = {}
         self._opening: dict[str, asyncio.Task[Connection]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -194,7 +195,7 @@
         return await asyncio.shield(opening)
 
     async def _connect(self, host: str) -> Connection:
-        connection = await open_connection(host, self._port, self._handler)
+        connection = await open_connection(host, self._port, self._handler, self._network)
         self._open[host] = connection
         self._keep(asyncio.ensure_future(connection.run()))
         return connection
@@ -239,11 +240,11 @@
             connection.close()
 
 
-async def serve(host: str, port: int, handler: Handler) -> asyncio.Server:
-    """Listens for other backends."""
+async def serve(host: str, port: int, handler: Handler, network: Network = TCP) -> Any:  # noqa: ANN401
+    """Listens for other backends; gives the listener."""
 
     async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.CancelledError):  # the process ends
             await Connection(reader, writer, handler).run()
 
-    return await asyncio.start_server(accept, host, port, reuse_address=True)
+    return await network.listen(host, port, accept)
