--- a/crowwing/tier/replication/primary.py
+++ b/crowwing/tier/replication/primary.py
@@ -139,6 +139,7 @@
                 self._acked[x.sender] = -1
                 self._lost_member(now, x.sender)
         elif x.sender not in self.excluded:
+            self._joiners[x.sender] = now  # also one that was shown the primary and did not ask by itself
             near = x.synced == self.promised and 0 <= behind <= NEAR_ENTRIES
             if near and x.sync_s < SLOW_SYNC_S / 2:
                 self._ready.add(x.sender)
--- a/crowwing/tier/store/control_api.py
+++ b/crowwing/tier/store/control_api.py
@@ -37,6 +37,13 @@
     return json_answer(503, {"error": "no store machine decides at this moment; ask again"})
 
 
+def get_outcome_answer(outcome: Any) -> Response[bytes]:  # noqa: ANN401
+    """The same for a reading of the configuration: one that can't be sure of the newest says 503."""
+    if isinstance(outcome, c.Unsure):
+        return json_answer(503, {"error": outcome.reason})
+    return outcome_answer(outcome)
+
+
 @put("/config", status_code=200)
 async def put_config(request: Request[Any, Any, State], state: State) -> Response[bytes]:
     """Takes a whole configuration."""
@@ -54,10 +61,7 @@
 async def get_config(state: State) -> Response[bytes]:
     """The newest configuration, whole."""
     service: StoreService = state.service
-    outcome = await service.command(c.GetConfiguration())
-    if isinstance(outcome, c.Unsure):
-        return json_answer(503, {"error": outcome.reason})
-    return outcome_answer(outcome)
+    return get_outcome_answer(await service.command(c.GetConfiguration()))
 
 
 @post("/retire/{node:str}", status_code=200)
--- a/tests/tier/many_seeds.py
+++ b/tests/tier/many_seeds.py
@@ -1,15 +1,17 @@
-"""Plays random troubles of simulated store machines for many seeds: `python -m tests.tier.many_seeds`.
+"""Plays the simulated control side for many seeds: `python -m tests.tier.many_seeds`.
 
 Prints each failing seed with what it found; ends with 1 where there was one. Keep such a seed as a test.
 """
 
 import argparse
+import logging
 import sys
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 
 from crowwing.tier.replication import log, range_transfer
+from tests.tier.simulation import plays
 from tests.tier.test_disk_troubles import random_disk_troubles
 from tests.tier.test_replication import HOSTS, random_troubles
 
@@ -39,10 +41,14 @@
 }
 
 
-def play(kind: str, seed: int) -> str:
+def find(kind: str, seed: int) -> str:
     """What one seed found; empty where nothing was."""
+    logging.disable(logging.CRITICAL)
     try:
-        KINDS[kind](seed, HOSTS if seed % 2 else FOUR)
+        if kind in plays.KINDS:
+            plays.play(seed, plays.KINDS[kind])
+        else:
+            KINDS[kind](seed, HOSTS if seed % 2 else FOUR)
     except Exception as error:  # whatever it is, it is to be shown with its seed
         return f"{kind} seed {seed}: {type(error).__name__}: {error}"
     return ""
@@ -54,12 +60,13 @@
     parser.add_argument("--first", type=int, default=1000)
     parser.add_argument("--count", type=int, default=1000, help="seeds of each kind")
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--kinds", default=",".join([*KINDS, *plays.KINDS]), help="with commas between them")
     options = parser.parse_args()
     found = 0
     seeds = range(options.first, options.first + options.count)
     with ProcessPoolExecutor(options.jobs) as pool:
-        for kind in KINDS:
-            for finding in pool.map(partial(play, kind), seeds, chunksize=CHUNK):
+        for kind in options.kinds.split(","):
+            for finding in pool.map(partial(find, kind), seeds, chunksize=CHUNK):
                 if finding:
                     found += 1
                     print(finding, flush=True)
--- /dev/null
+++ b/tests/tier/simulation/checkers/__init__.py
@@ -0,0 +1,1 @@
+"""Checkers of a recorded history, each of one kind of promise."""
--- /dev/null
+++ b/tests/tier/simulation/checkers/distribution.py
@@ -0,0 +1,24 @@
+"""Documents at the fronts: no older one after a newer one, and lists of one root at a time."""
+
+from crowwing.tier.distribution.documents import SIDECARS, Document
+
+
+def check_documents(taken: dict[str, list[Document]]) -> list[str]:
+    """What breaks the order in which fronts take documents in."""
+    broken = []
+    contents: dict[tuple[str, tuple[int, ...]], bytes] = {}
+    for host, documents in taken.items():
+        for document in documents:
+            name = (document.kind, document.order)
+            if contents.setdefault(name, document.body) != document.body:
+                broken.append(f"{host}: two {document.kind} documents are both {document.order}")
+        broken += _check_order(host, [x for x in documents if x.kind == SIDECARS])
+    return broken
+
+
+def _check_order(host: str, documents: list[Document]) -> list[str]:
+    return [
+        f"{host}: list {later.order} after {earlier.order}"
+        for earlier, later in zip(documents, documents[1:], strict=False)
+        if later.order <= earlier.order
+    ]
--- /dev/null
+++ b/tests/tier/simulation/clients.py
@@ -0,0 +1,254 @@
+"""Operators and clients of lots that behave as PROTOCOL.md says."""
+
+import asyncio
+import base64
+import contextvars
+import json
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from crowwing.tier.store import commands as c
+from crowwing.tier.store.control_api import get_outcome_answer, outcome_answer
+from tests.tier.simulation.history import Call, Change, hash_of
+from tests.tier.simulation.machines import LOT_PREFIX, Machine, Store, configuration_text
+from tests.tier.simulation.world import World
+
+SILENCE_S = 1.0  # after which a client moves on
+PAUSES_S = (0.05, 0.4)
+FINAL_STATUSES = (400, 409, 412, 413, 422)
+TRAVEL_S = (0.001, 0.003)
+
+
+async def call_machine(
+    world: World, random: Random, machine: Machine, work: Callable[[], Any], limit_s: float, loss: float = 0.0
+) -> Any:  # noqa: ANN401
+    """Has a machine do something for a client; None where no answer comes back."""
+    life = machine.life
+    if life is None:
+        if machine.host not in world.network.dark:
+            await asyncio.sleep(random.uniform(*TRAVEL_S))
+            return None  # refused
+        await asyncio.sleep(limit_s)
+        return None
+    answered: asyncio.Future[Any] = world.loop.create_future()
+
+    def answer(value: Any) -> None:  # noqa: ANN401
+        if not answered.done():
+            answered.set_result(value)
+
+    async def do() -> None:
+        try:
+            value = await work()
+        except ConnectionRefusedError:
+            value = None
+        if random.random() >= loss:
+            world.loop.call_later(random.uniform(*TRAVEL_S), answer, value, context=outside)
+
+    outside = contextvars.copy_context()
+    await asyncio.sleep(random.uniform(*TRAVEL_S))
+    if life.ended or machine.life is not life:
+        return None
+    machine.spawn(do())
+    try:
+        async with asyncio.timeout(limit_s):
+            return await answered
+    except TimeoutError:
+        return None
+
+
+class Operator:
+    """Sends changes and reads the configuration, at any store machine."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name = world, name
+        self.random = Random(f"{world.seed}/{name}")
+        self.loss = 0.0  # share of answers that are lost
+
+    def _machines(self) -> list[Store]:
+        stores = [self.world.stores[host] for host in sorted(self.world.stores)]
+        self.random.shuffle(stores)
+        return stores
+
+    async def ask(self, machine: Store, command: Any) -> tuple[int, bytes] | None:  # noqa: ANN401
+        """One call at one machine, its status and body."""
+
+        async def work() -> tuple[int, bytes] | None:
+            if machine.machine is None:
+                raise ConnectionRefusedError
+            outcome = await machine.machine.service.command(command)
+            tell = get_outcome_answer if isinstance(command, c.GetConfiguration) else outcome_answer
+            response = tell(outcome)
+            return response.status_code, bytes(response.content)
+
+        return await call_machine(self.world, self.random, machine, work, SILENCE_S, self.loss)
+
+    async def read(self, machine: Store | None = None) -> Call:
+        """Asks one machine for the newest configuration."""
+        call = self.world.history.begin(self.world.now, self.name, "read", "")
+        answer = await self.ask(machine or self._machines()[0], c.GetConfiguration())
+        call.ended_at = self.world.now
+        if answer is not None:
+            call.status = answer[0]
+            if answer[0] == 200:
+                call.value = (json.loads(answer[1])["version"], hash_of(answer[1]))
+            elif answer[0] == 404:
+                call.value = (0, "")
+        return call
+
+    async def read_until_told(self, limit_s: float = 20.0) -> int:
+        """The newest version, asked for until it is told."""
+        deadline = self.world.now + limit_s
+        machines: list[Store] = []
+        while self.world.now < deadline:
+            machines = machines or self._machines()
+            call = await self.read(machines.pop())
+            if call.value is not None:
+                return call.value[0]
+            await asyncio.sleep(self.random.uniform(*PAUSES_S))
+        return -1
+
+    async def put_once(self, change: Change, machine: Store | None = None) -> Call:
+        """Sends a change to one machine."""
+        self.world.history.changes[change.key] = change
+        call = self.world.history.begin(self.world.now, self.name, "put", change.key)
+        command = c.PutConfiguration(change.base, change.text)
+        answer = await self.ask(machine or self._machines()[0], command)
+        call.ended_at = self.world.now
+        if answer is not None:
+            call.status = answer[0]
+        return call
+
+    async def put(self, change: Change, limit_s: float = 30.0) -> int | None:
+        """Sends a change, unchanged, to one machine after another until the answer is clear."""
+        deadline, pause = self.world.now + limit_s, PAUSES_S[0]
+        machines: list[Store] = []
+        while self.world.now < deadline:
+            machines = machines or self._machines()
+            call = await self.put_once(change, machines.pop())
+            if call.status == 200 or call.status in FINAL_STATUSES:
+                return call.status
+            await asyncio.sleep(pause)
+            pause = min(PAUSES_S[1], pause * 1.7)
+        return None
+
+    def change(self, base: int, step: int | None = None, mark: str = "") -> Change:
+        """A new change on a version."""
+        version = base + (step or self.random.randint(1, 4))
+        return Change(
+            base, version, configuration_text(version, mark or f"{self.name}{self.random.random()}")
+        )
+
+    async def work(self, until: float) -> None:
+        """Makes changes until a time; now and then sends an old one, an invalid one, or gives one up."""
+        mine: list[Change] = []
+        while self.world.now < until:
+            base = await self.read_until_told(until - self.world.now)
+            if base < 0:
+                return
+            change = self.change(base)
+            limit_s = self.random.choice([0.3, 8.0, 8.0, 8.0])
+            if await self.put(change, min(limit_s, until - self.world.now)) == 200:
+                mine.append(change)
+            if mine and self.random.random() < 0.3:
+                await self.put_once(self.random.choice(mine))
+            if self.random.random() < 0.1:
+                await self.put_once(Change(base, base + 9, b'{"version": 9, "routes"'))
+            await asyncio.sleep(self.random.uniform(0.0, 0.6))
+
+    async def retire(self, host: str, until: float) -> bool:
+        """Has a machine emptied; True once it is completed."""
+        name = f"node-{host}"
+        while self.world.now < until:
+            for command, status in ((c.Retire(name), 200), (c.ReadRetire(name), 200)):
+                answer = await self.ask(self._machines()[0], command)
+                if answer is None or answer[0] != status:
+                    break
+                if isinstance(command, c.ReadRetire) and b"completed" in answer[1]:
+                    return True
+            await asyncio.sleep(self.random.uniform(*PAUSES_S))
+        return False
+
+
+class LotClient:
+    """Hands lots in, reads them from any position at any front, and ends some."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name = world, name
+        self.random = Random(f"{world.seed}/{name}")
+        self.lots: list[str] = []
+
+    async def _call(self, kind: str, key: str, method: str, path: str, lot: str, body: bytes = b"") -> Call:
+        front = self.world.fronts[self.random.choice(sorted(self.world.fronts))]
+        call = self.world.history.begin(self.world.now, self.name, kind, key)
+        answer = await call_machine(
+            self.world, self.random, front, lambda: front.lot_call(method, path, lot, body), 3.5
+        )
+        call.ended_at = self.world.now
+        if answer is not None:
+            call.status = answer[0]
+            if kind == "read" and answer[0] == 200:
+                page = json.loads(answer[1])
+                results = [(x["id"], x["state"], x["text"]) for x in page["results"]]
+                call.value = (page["total"], results)
+            elif kind == "body" and answer[0] == 200:
+                call.value = answer[1]
+        return call
+
+    def lot_body(self, items: tuple[str, ...], size: int) -> bytes:
+        """A lot as it is handed in."""
+        requests = [
+            {
+                "id": item, "path": f"{LOT_PREFIX}x", "headers": {"Model": "m"}, "tokens": 9,
+                "body": base64.b64encode(item.encode() * size).decode(),
+            }
+            for item in items
+        ]  # fmt: skip
+        return json.dumps({"requests": requests}).encode()
+
+    async def submit(self, lot: str, until: float, size: int = 3) -> bool:
+        """Hands a lot in until it is taken, and at times once more."""
+        items = tuple(f"{lot}.{number}" for number in range(self.random.randint(1, 4)))
+        self.world.history.lots[lot] = items
+        body = self.lot_body(items, size)
+        while self.world.now < until:
+            call = await self._call("submit", lot, "POST", f"{LOT_PREFIX}{lot}", lot, body)
+            if call.status == 202:
+                self.lots.append(lot)
+                if self.random.random() < 0.2:
+                    await self._call("submit", lot, "POST", f"{LOT_PREFIX}{lot}", lot, body)
+                return True
+            await asyncio.sleep(self.random.uniform(*PAUSES_S))
+        return False
+
+    async def read(self, lot: str, start: int) -> Call:
+        """Reads results from a position on."""
+        return await self._call("read", f"{lot} {start}", "GET", f"/lots/{lot}?startAfter={start}", lot)
+
+    async def body(self, item: str) -> Call:
+        """Reads the body of an item."""
+        lot = item.rsplit(".", 1)[0]
+        return await self._call("body", item, "GET", f"/items/{lot}?id={item}", lot)
+
+    async def end(self, lot: str) -> Call:
+        """Ends a lot."""
+        return await self._call("end", lot, "DELETE", f"/lots/{lot}", lot)
+
+    async def work(self, until: float) -> None:
+        """Hands in, reads, asks for bodies and ends until a time."""
+        number = 0
+        while self.world.now < until:
+            number += 1
+            await self.submit(f"{self.name}-{number}", until)
+            for _ in range(self.random.randint(0, 4)):
+                if not self.lots or self.world.now >= until:
+                    break
+                lot = self.random.choice(self.lots)
+                what = self.random.random()
+                if what < 0.7:
+                    await self.read(lot, self.random.randint(0, 3))
+                elif what < 0.85:
+                    await self.body(f"{lot}.0")
+                elif what < 0.92:
+                    await self.end(lot)
+                await asyncio.sleep(self.random.uniform(0.0, 0.3))
--- /dev/null
+++ b/tests/tier/simulation/disk.py
@@ -0,0 +1,209 @@
+"""A simulated disk: files and names that last once synced, torn writes, and time for each write."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from crowwing.tier.storage.record_file import StorageError
+from tests.tier.simulation.loop import SimulatedLoop
+
+SYNC_S = (0.0005, 0.006)
+REWRITE_S = (0.01, 0.3)
+POLL_S = 0.01
+
+
+class PowerLostError(Exception):
+    """The power went in the midst of an operation."""
+
+
+@dataclass(eq=False)
+class Inode:
+    """The content of a file; writes since the last sync may be lost each on its own."""
+
+    content: bytearray = field(default_factory=bytearray)
+    unsynced: list[tuple[int, int]] = field(default_factory=list)  # offsets and lengths
+
+    def lose_power(self, random: Random) -> None:
+        """Each write since the last sync is present, missing or torn; at times all are gone."""
+        all_gone = random.random() < 0.3
+        end = self.unsynced[0][0] if self.unsynced else len(self.content)
+        for offset, length in self.unsynced:
+            fate = 0.0 if all_gone else random.choice([0.0, 1.0, random.random()])
+            kept = int(length * fate)
+            for place in range(offset + kept, offset + length):
+                self.content[place] = 0
+            if kept:
+                end = offset + kept
+        del self.content[end:]
+        self.unsynced.clear()
+
+
+@dataclass(eq=False)
+class SimulatedFile:
+    """An open file."""
+
+    disk: "SimulatedFiles"
+    name: str
+    inode: Inode
+
+    def write(self, data: memoryview) -> int:
+        """Appends."""
+        self.disk.step()
+        if self.disk.is_full:
+            raise OSError(28, "no space left on device")
+        self.inode.unsynced.append((len(self.inode.content), len(data)))
+        self.inode.content += data
+        return len(data)
+
+    def close(self) -> None:
+        """Nothing is flushed."""
+
+
+class SimulatedFiles:
+    """The files of one machine (crowwing.tier.storage.files.Files)."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._names: dict[str, Inode] = {}
+        self._durable_names: dict[str, Inode] = {}
+        self.is_full = False
+        self._steps_left: int | None = None
+
+    def step(self) -> None:
+        """One operation; raises PowerLostError where the power goes now."""
+        if self._steps_left is not None:
+            self._steps_left -= 1
+            if self._steps_left < 0:
+                raise PowerLostError
+
+    def read(self, path: Path) -> bytes | None:
+        """The content of a file."""
+        inode = self._names.get(path.name)
+        return None if inode is None else bytes(inode.content)
+
+    def open_at(self, path: Path, size: int) -> SimulatedFile:
+        """Opens a file cut to a size."""
+        inode = self._names.setdefault(path.name, Inode())
+        del inode.content[size:]
+        return SimulatedFile(self, path.name, inode)
+
+    def create(self, path: Path) -> SimulatedFile:
+        """Opens an empty file."""
+        self.step()
+        if self.is_full:
+            raise OSError(28, "no space left on device")
+        inode = self._names[path.name] = Inode()
+        return SimulatedFile(self, path.name, inode)
+
+    def sync(self, file: SimulatedFile) -> None:
+        """The content lasts, and a new name with it."""
+        self.step()
+        if self.is_full and file.inode.unsynced:
+            raise OSError(28, "no space left on device")
+        file.inode.unsynced.clear()
+        if self._names.get(file.name) is file.inode:
+            self._durable_names.setdefault(file.name, file.inode)
+
+    def replace(self, source: Path, target: Path) -> None:
+        """Renames; each of the two names is kept or lost on its own until the folder is synced."""
+        self.step()
+        self._names[target.name] = self._names.pop(source.name)
+
+    def remove(self, path: Path) -> None:
+        """Removes a name."""
+        self.step()
+        self._names.pop(path.name, None)
+
+    def sync_folder(self, folder: Path) -> None:
+        """All names last."""
+        self.step()
+        self._durable_names = dict(self._names)
+
+    def lose_power(self, work: Callable[[], None] | None) -> None:
+        """What is not synced is kept or lost by chance; `work` was under way and is broken off anywhere."""
+        if work is not None:
+            self._steps_left = self._random.randint(0, 6)
+            try:
+                work()
+            except (PowerLostError, OSError, StorageError):
+                pass
+            self._steps_left = None
+        names: dict[str, Inode] = {}
+        for name in sorted({*self._names, *self._durable_names}):
+            kept = self._random.choice([self._names, self._durable_names]).get(name)
+            if kept is not None:
+                names[name] = kept
+        for name in sorted(names):
+            names[name].lose_power(self._random)
+        self._names, self._durable_names = names, dict(names)
+
+    def wipe(self) -> None:
+        """The disk is lost."""
+        self._names, self._durable_names = {}, {}
+
+
+@dataclass(eq=False)
+class Rewriting:
+    """Work of the rewriter."""
+
+    work: Callable[[], Any]
+    is_done: bool = False
+    value: Any = None
+    error: Exception | None = None
+
+    def run(self) -> None:
+        """Does it, once."""
+        if self.is_done:
+            return
+        self.is_done = True
+        try:
+            self.value = self.work()
+        except Exception as error:  # told by `result`, as a thread's future does
+            self.error = error
+
+    def done(self) -> bool:
+        """Whether it has ended."""
+        return self.is_done
+
+    def result(self) -> Any:  # noqa: ANN401
+        """What it gave."""
+        self.run()
+        if self.error is not None:
+            raise self.error
+        return self.value
+
+
+class SimulatedWorkers:
+    """Writes that take simulated time (crowwing.tier.store.workers.DiskWorkers)."""
+
+    def __init__(self, loop: SimulatedLoop, random: Random, trouble: "DiskTrouble") -> None:
+        self._loop, self._random, self._trouble = loop, random, trouble
+        self._lock = asyncio.Lock()
+        self.under_way: Callable[[], Any] | None = None
+
+    async def write(self, work: Callable[..., Any], *arguments: Any) -> Any:  # noqa: ANN401
+        """Does it after a while."""
+        async with self._lock:
+            self.under_way = lambda: work(*arguments)
+            await asyncio.sleep(self._random.uniform(*SYNC_S) * self._trouble.factor)
+            while self._loop.time() < self._trouble.stalled_until:
+                await asyncio.sleep(POLL_S)
+            self.under_way = None
+            return work(*arguments)
+
+    def rewrite(self, work: Callable[..., Any], *arguments: Any) -> Rewriting:  # noqa: ANN401
+        """Does it beside the writes."""
+        rewriting = Rewriting(lambda: work(*arguments))
+        self._loop.call_later(self._random.uniform(*REWRITE_S) * self._trouble.factor, rewriting.run)
+        return rewriting
+
+
+@dataclass
+class DiskTrouble:
+    """What is wrong with a machine's disk."""
+
+    factor: float = 1.0
+    stalled_until: float = 0.0
--- /dev/null
+++ b/tests/tier/simulation/plays.py
@@ -0,0 +1,136 @@
+"""Whole plays of one seed: clients and faults for a while, then calm, then everything is read."""
+
+import asyncio
+from dataclasses import dataclass
+
+from tests.tier.simulation.checkers.configuration import check_configuration
+from tests.tier.simulation.checkers.distribution import check_documents
+from tests.tier.simulation.checkers.lots import check_lots, check_read_back
+from tests.tier.simulation.clients import LotClient, Operator
+from tests.tier.simulation.faults import CATCH_UP_S, Faults
+from tests.tier.simulation.world import RuleBroken, World
+
+RECOVERY_S = 12.0
+ACK_S = 4.0
+READ_BACK_S = 20.0
+
+
+@dataclass(frozen=True)
+class Kind:
+    """How a play is drawn."""
+
+    stores: int = 3
+    faults: int = 1
+    beyond: bool = False
+    span_s: float = 30.0
+    gap_s: float = 4.0
+
+
+KINDS = {
+    "three": Kind(),
+    "four": Kind(stores=4),
+    "five-two": Kind(stores=5, faults=2),
+    "seven": Kind(stores=7),
+    "beyond": Kind(beyond=True),
+    "beyond-four": Kind(stores=4, beyond=True),
+    "beyond-five-two": Kind(stores=5, faults=2, beyond=True),
+    "dense": Kind(stores=4, gap_s=1.0, span_s=20.0),
+    "twelve": Kind(stores=12, faults=2, span_s=20.0),
+}
+
+
+def play(seed: int, kind: Kind) -> World:
+    """Plays a seed; raises RuleBroken with all that broke."""
+    hosts = [f"m{number}" for number in range(kind.stores)]
+    world = World(seed, hosts, faults=kind.faults, fronts=("f0", "f1"))
+    world.settle()
+    operators = [Operator(world, f"operator-{number}") for number in range(3)]
+    operators[2].loss = 0.4
+    clients = [LotClient(world, f"client-{number}") for number in range(2)]
+    until = world.now + kind.span_s
+    faults = Faults(world, kind.beyond)
+
+    async def trouble() -> None:
+        works = [
+            *(x.work(until) for x in operators),
+            *(x.work(until) for x in clients),
+            faults.work(until, kind.gap_s),
+        ]
+        await asyncio.gather(*works)
+
+    world.run(trouble())
+    _calm(world, faults)
+    broken = _check_liveness(world, operators[0])
+    final = _read_back(world, operators[0], clients[0])
+    found: dict[str, int | None] = {}
+    world.run(_read_lots(world, clients[0], found))
+    broken += check_configuration(world.history, final)
+    broken += check_lots(world.history) + check_read_back(world.history, found)
+    broken += check_documents(world.documents_taken)
+    world.raise_broken()
+    if broken:
+        raise RuleBroken(f"seed {seed}: " + "; ".join(broken[:4]))
+    return world
+
+
+def _calm(world: World, faults: Faults) -> None:
+    """All faults end; everything that is down starts."""
+    world.heal()
+    world.network.loss = 0.0
+    for host, store in world.stores.items():
+        store.trouble.factor, store.files.is_full = 1.0, False
+        if store.life is not None:
+            store.life.quota = 1.0
+        if not store.is_up:
+            world.start(host)
+    for front in world.fronts.values():
+        if not front.is_up:
+            front.start()
+    longest = max((store.life.frozen_until for store in world.stores.values() if store.life), default=0.0)
+    world.run_for(max(0.0, longest - world.now) + (RECOVERY_S if faults.beyond else CATCH_UP_S + 1.0))
+
+
+def _check_liveness(world: World, operator: Operator) -> list[str]:
+    """In calm times a change is confirmed in time, and every machine that need not leave is a member."""
+    began = world.now
+
+    async def change() -> int | None:
+        base = await operator.read_until_told(ACK_S)
+        return await operator.put(operator.change(base), ACK_S)
+
+    broken = []
+    if world.run(change()) != 200:
+        broken.append(f"no change was confirmed within {world.now - began:.1f} s of calm")
+    primary = world.primary()
+    if primary is None:
+        return [*broken, "there is no primary"]
+    expected = set(world.stores) - world.state(primary).retired_hosts()
+    if world.members() != expected:
+        broken.append(f"members are {sorted(world.members())}, not {sorted(expected)}")
+    if world.witnesses() - set(world.stores):
+        broken.append(f"witnesses are {sorted(world.witnesses())}")
+    return broken
+
+
+def _read_back(world: World, operator: Operator, client: LotClient) -> tuple[int, str] | None:
+    async def read() -> tuple[int, str] | None:
+        deadline = world.now + READ_BACK_S
+        while world.now < deadline:
+            call = await operator.read()
+            if call.value is not None:
+                return call.value
+            await asyncio.sleep(0.2)
+        return None
+
+    return world.run(read())
+
+
+async def _read_lots(world: World, client: LotClient, found: dict[str, int | None]) -> None:
+    for lot in sorted(
+        {call.key for call in world.history.calls if call.kind == "submit" and call.status == 202}
+    ):
+        for _ in range(10):
+            found[lot] = (await client.read(lot, 0)).status
+            if found[lot] == 200:
+                break
+            await asyncio.sleep(0.2)
--- /dev/null
+++ b/tests/tier/simulation/world.py
@@ -0,0 +1,321 @@
+"""A whole control side in one process on simulated time: store machines, fronts, faults, and rules."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from contextvars import Context
+from random import Random
+from typing import Any
+
+from crowwing.tier.distribution.documents import Document
+from crowwing.tier.replication import messages as m
+from crowwing.tier.replication.replica import Replica
+from crowwing.tier.replication.replica_state import Role
+from crowwing.tier.state import events as e
+from crowwing.tier.state.views import TierState
+from crowwing.tier.store import commands as c
+from crowwing.tier.store.decisions import Decision
+from tests.tier.simulation.history import History
+from tests.tier.simulation.loop import Life, SimulatedLoop
+from tests.tier.simulation.machines import DAY_MS, START_S, Front, Machine, Store
+from tests.tier.simulation.network import SimulatedNetwork
+
+FAR_MS = DAY_MS * 2
+
+
+class RuleBroken(AssertionError):
+    """A rule that must hold at each moment does not."""
+
+
+class World:
+    """Machines, the network between them, and what must hold at each step of any of them."""
+
+    def __init__(
+        self,
+        seed: int,
+        hosts: Iterable[str],
+        seeds: Iterable[str] | None = None,
+        faults: int = 1,
+        fronts: Iterable[str] = (),
+        start_s: tuple[float, float] = START_S,
+    ) -> None:
+        """`hosts`: store machines, of which the seeds (by default the first three) make the first view."""
+        self.seed, self.faults, self.start_s = seed, faults, start_s
+        self.random = Random(seed)
+        self.loop = SimulatedLoop()
+        self.loop.on_exception = self._note_defect
+        self.network = SimulatedNetwork(self.loop, Random(f"{seed}/network"))
+        self.history = History()
+        self.defects: list[str] = []
+        self.broken: list[str] = []
+        self.disk_mb = 0
+        self.list_version = 1
+        self.list_reads: list[tuple[float, str]] = []
+        self.lives: list[Life] = []  # kept, so that no task of an ended life is collected, and closed, midway
+        self.stores: dict[str, Store] = {}
+        self.fronts: dict[str, Front] = {}
+        hosts = tuple(hosts)
+        self.seeds = tuple(seeds) if seeds is not None else hosts[:3]
+        self.acknowledged: list[str] = []
+        self.on_acknowledged: Callable[[str], None] = lambda host: None
+        self.documents_taken: dict[str, list[Document]] = {}
+        self._highest_lease: m.Ballot = m.NO_BALLOT
+        self._committed: dict[str, tuple[m.Ballot, int]] = {}
+        self.pieces_sent = self.ranges_sent = self.entry_bytes_sent = 0
+        self.piece_s = 0.0
+        self._piece_free: dict[tuple[str, str], float] = {}
+        for host in hosts:
+            self.start(host, bootstrap=True)
+        for host in fronts:
+            self.fronts[host] = Front(self, host)
+            self.fronts[host].start()
+
+    def _note_defect(self, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if error is not None and not isinstance(error, (ConnectionError, TimeoutError)):
+            self.defects.append(f"{context.get('message')}: {error!r}")
+
+    # Time
+
+    @property
+    def now(self) -> float:
+        """Simulated seconds since the start."""
+        return self.loop.time()
+
+    def run_for(self, span_s: float) -> None:
+        """Lets time pass, and raises where a rule broke meanwhile."""
+        self.run(asyncio.sleep(span_s))
+
+    def run(self, work: Any) -> Any:  # noqa: ANN401
+        """Plays until some work outside all machines has ended."""
+        asyncio.set_event_loop(self.loop)
+        try:
+            outcome = self.loop.run_until_complete(work)
+        finally:
+            asyncio.set_event_loop(None)
+        self.raise_broken()
+        return outcome
+
+    def raise_broken(self) -> None:
+        """Raises what broke."""
+        if self.broken:
+            raise RuleBroken(f"seed {self.seed}: " + "; ".join(self.broken[:3]))
+        if self.defects:
+            raise RuleBroken(f"seed {self.seed}: " + "; ".join(self.defects[:3]))
+
+    # Machines
+
+    def machines(self) -> list[Machine]:
+        """All machines."""
+        return [*self.stores.values(), *self.fronts.values()]
+
+    def start(self, host: str, bootstrap: bool = False) -> None:
+        """Starts a store machine with what its disk holds."""
+        store = self.stores.setdefault(host, Store(self, host))
+        self.history.note(self.now, f"start {host}")
+        store.start(bootstrap and host in self.seeds)
+
+    def stop(self, host: str, power: bool = False, wipe: bool = False) -> None:
+        """Ends a store machine's process."""
+        self.history.note(self.now, f"stop {host} power={power} wipe={wipe}")
+        self.stores[host].stop(power, wipe)
+
+    def freeze(self, host: str, span_s: float) -> None:
+        """A machine stands still for a while; its clocks go on."""
+        self.history.note(self.now, f"freeze {host} {span_s:.3f}")
+        self.stores[host].freeze(span_s)
+
+    def remove(self, host: str) -> None:
+        """A machine is gone for good, with its disk."""
+        self.stop(host, power=True, wipe=True)
+        del self.stores[host]
+
+    def cut(self, some: Iterable[str], others: Iterable[str], one_way: bool = False, **how: bool) -> None:
+        """Cuts the links from some machines to others, and back unless one way."""
+        some, others = sorted(some), sorted(others)
+        self.history.note(self.now, f"cut {some} {others} one_way={one_way} {how}")
+        for a in some:
+            for b in others:
+                if a != b:
+                    self.network.cut_link(a, b, **how)
+                    if not one_way:
+                        self.network.cut_link(b, a, **how)
+
+    def heal(self) -> None:
+        """All links are whole again."""
+        self.history.note(self.now, "heal")
+        self.network.heal()
+
+    def replica(self, host: str) -> Replica | None:
+        """The replica of a running store machine."""
+        store = self.stores.get(host)
+        return store.machine.node.replica if store is not None and store.machine is not None else None
+
+    def state(self, host: str) -> TierState:
+        """The folded state of a running store machine."""
+        machine = self.stores[host].machine
+        assert machine is not None
+        return machine.node.state
+
+    def replicas(self) -> dict[str, Replica]:
+        """All replicas that run or stand still."""
+        found = {host: self.replica(host) for host in sorted(self.stores)}
+        return {host: replica for host, replica in found.items() if replica is not None}
+
+    def primary(self) -> str | None:
+        """The store machine that holds a lease and is awake."""
+        for host, replica in self.replicas().items():
+            if replica.holds_lease(self.now) and self.stores[host].is_awake:
+                return host
+        return None
+
+    def members(self) -> set[str]:
+        """The members of the view of whoever holds a lease."""
+        primary = self.primary()
+        replica = self.replica(primary) if primary is not None else None
+        return set(replica.view.members) if replica is not None and replica.view is not None else set()
+
+    def witnesses(self) -> set[str]:
+        """The witnesses of the same view."""
+        primary = self.primary()
+        replica = self.replica(primary) if primary is not None else None
+        return set(replica.view.witnesses) if replica is not None and replica.view is not None else set()
+
+    def retire(self, host: str) -> None:
+        """Has a store machine emptied."""
+        primary = self.primary()
+        assert primary is not None
+        machine = self.stores[primary].machine
+        assert machine is not None
+        self.stores[primary].spawn(machine.service.command(c.Retire(f"node-{host}")))
+
+    def fill_disk(self, host: str, span_s: float) -> None:
+        """A disk takes no more bytes for a while."""
+        files = self.stores[host].files
+        files.is_full = True
+        self.loop.call_later(span_s, setattr, files, "is_full", False, context=Context())
+
+    # Watching
+
+    def watch(self, store: Store) -> None:
+        """Checks the rules after each step of a store machine, and counts what it sends."""
+        assert store.machine is not None
+        node, host = store.machine.node, store.host
+        step, notify_all = node.step, node._links.notify_all
+
+        def watched_step() -> None:
+            step()
+            self.check(host, node.replica)
+
+        def counted(receivers: Iterable[str], message: object) -> None:
+            receivers = list(receivers)
+            self._count(host, receivers, message, notify_all)
+
+        node.step = watched_step  # type: ignore[method-assign]
+        node._links.notify_all = counted  # type: ignore[method-assign]
+
+    def _count(self, host: str, receivers: list[str], message: Any, send: Callable[..., None]) -> None:  # noqa: ANN401
+        entries = getattr(message, "entries", ())
+        self.entry_bytes_sent += len(receivers) * sum(len(entry.payload) for entry in entries)
+        if isinstance(message, m.Ranges):
+            self.pieces_sent += len(receivers)
+            self.ranges_sent += len(message.contents)
+            if self.piece_s:
+                for receiver in receivers:
+                    free = max(self.now, self._piece_free.get((host, receiver), 0.0)) + self.piece_s
+                    self._piece_free[host, receiver] = free
+                    self.loop.call_at(free, send, [receiver], message)
+                return
+        send(receivers, message)
+
+    def check(self, host: str, replica: Replica) -> None:
+        """One lease at most, under rising ballots, at who has what was acknowledged; members are whole."""
+        now = self.now
+        if not replica.holds_lease(now):
+            return
+        for other, held in self.replicas().items():
+            if other != host and held.holds_lease(now):
+                self._break(f"{host} and {other} hold leases at once")
+        if replica.promised < self._highest_lease:
+            self._break(
+                f"{host} holds a lease under {replica.promised} after one under {self._highest_lease}"
+            )
+        if replica.promised > self._highest_lease:
+            self._highest_lease = replica.promised
+            lots = self.state(host).lots
+            lost = [payload for payload in self.acknowledged if payload not in lots]
+            if lost:
+                self._break(f"{host} leads without {lost[:3]}")
+        self._check_members(host, replica)
+
+    def _check_members(self, host: str, replica: Replica) -> None:
+        """What is committed is held by every member that has run since the view began."""
+        seen = (replica.promised, replica.commit_index)
+        if self._committed.get(host) == seen or replica.view is None:
+            return
+        self._committed[host] = seen
+        for member in replica.view.members:
+            other = self.replica(member)
+            if other is None or other._started > replica._active_since or member == host:
+                continue
+            if other.log.last[1] < replica.commit_index and other.whole:
+                self._break(f"{host} committed {replica.commit_index} that member {member} lacks")
+
+    def _break(self, what: str) -> None:
+        self.broken.append(f"{self.now:.3f}: {what}")
+
+    def took_document(self, host: str, document: Document) -> None:
+        """A front has taken in a newer document."""
+        self.documents_taken.setdefault(host, []).append(document)
+
+    # Plain entries, for tests of replication alone
+
+    def propose(self, payload: str) -> bool:
+        """Has an entry of this name kept by whoever says that it is the primary; False where nobody does."""
+        for host, replica in self.replicas().items():
+            store = self.stores[host]
+            if replica.role is Role.PRIMARY and store.is_awake:
+                store.spawn(self._propose(store, payload))
+                return True
+        return False
+
+    async def _propose(self, store: Store, payload: str) -> None:
+        assert store.machine is not None
+        event = e.LotTaken(payload, "h", "/", (), FAR_MS)
+
+        def decide(state: TierState) -> Decision:
+            return Decision(() if payload in state.lots else (event,), c.Done())
+
+        outcome = await store.machine.node.decide(decide)
+        if isinstance(outcome, c.Done):
+            self.acknowledged.append(payload)
+            self.on_acknowledged(store.host)
+
+    def is_acknowledged(self, prefix: str) -> bool:
+        """Whether something whose name begins so was acknowledged."""
+        return any(done.startswith(prefix) for done in self.acknowledged)
+
+    def held(self, host: str) -> dict[str, bytes]:
+        """What a store machine holds: entries by name, with what they went through."""
+        return {lot.id: lot.digest for lot in self.state(host).lots.values()}
+
+    def settle(self, span_s: float = 4.0) -> None:
+        """Lets time pass until there is a primary."""
+        for _ in range(int(span_s / 0.1)):
+            self.run_for(0.1)
+            if self.primary() is not None:
+                return
+        raise AssertionError(f"seed {self.seed}: no primary after {span_s} s")
+
+    def acknowledge(self, payload: str, span_s: float = 3.0) -> None:
+        """Hands a payload in again and again until it is acknowledged."""
+        for number in range(int(span_s / 0.2)):
+            self.propose(f"{payload}/{number}")
+            self.run_for(0.2)
+            if self.is_acknowledged(payload):
+                return
+        raise AssertionError(f"seed {self.seed}: {payload!r} was not acknowledged in {span_s} s")
+
+    def close(self) -> None:
+        """Ends all lives, so that nothing of them runs later."""
+        for machine in self.machines():
+            machine.stop(power=True)
--- a/tests/tier/test_control_safety_steps.py
+++ b/tests/tier/test_control_safety_steps.py
@@ -5,14 +5,14 @@
 from crowwing.tier.replication import messages as m
 from crowwing.tier.replication import timing
 from crowwing.tier.replication.replica import Replica
-from tests.tier.simulated_stores import Ledger
+from crowwing.tier.state.views import TierState
 
 HOSTS = ("a", "b", "c")
 
 
 def replica_of(host: str) -> Replica:
     """One of three machines at their first start."""
-    replica = Replica(host, HOSTS, Ledger(), 1, 0.0, lambda: 0.5)
+    replica = Replica(host, HOSTS, TierState(), 1, 0.0, lambda: 0.5)
     replica.bootstrap(HOSTS)
     replica.take_output()
     return replica
@@ -122,7 +122,7 @@
 
 
 def test_a_machine_without_memory_asks_only_once_no_candidate_counts_its_former_word() -> None:
-    replica = Replica("c", HOSTS, Ledger(), 1, 10.0, lambda: 0.5)
+    replica = Replica("c", HOSTS, TierState(), 1, 10.0, lambda: 0.5)
     replica.tick(10.0 + max(timing.PREPARE_LIMIT_S, timing.ACCEPT_LIMIT_S))
     assert not sent(replica, m.Learn)
     replica.tick(10.0 + timing.LEARN_AFTER_S)
@@ -130,12 +130,19 @@
 
 
 def test_a_machine_without_memory_asks_whoever_its_heartbeats_name() -> None:
-    replica = Replica("d", ("gone",), Ledger(), 1, 10.0, lambda: 0.5)
+    replica = Replica("d", ("gone",), TierState(), 1, 10.0, lambda: 0.5)
     replica.receive(10.1, m.Heartbeat((5, "a"), "a", 1, m.View((5, "a"), HOSTS, HOSTS)))
     replica.tick(12.0)
     assert {to for to, _ in sent(replica, m.Learn)} == {"gone", *HOSTS}
 
 
+def test_a_replica_that_answers_without_having_asked_is_taken_in() -> None:
+    replica = primary_of_three(10.0)
+    replica.receive(10.31, m.HeartbeatReply(replica.promised, "d", 1, m.START, replica.promised, True, 0.0))
+    replica.tick(10.32)
+    assert "d" in {to for to, _ in sent(replica, m.Prepare)}, "else it is never among those that promise"
+
+
 def test_a_primary_shows_itself_to_store_machines_that_are_no_witnesses() -> None:
     replica = primary_of_three(10.0)
     replica.announced = frozenset({"d", *HOSTS})
--- a/tests/tier/test_disk_troubles.py
+++ b/tests/tier/test_disk_troubles.py
@@ -16,127 +16,127 @@
 from crowwing.tier.store.disk import Disk
 from crowwing.tier.store.node import ReplicaNode
 from crowwing.tier.wire.connection import Links
-from tests.tier.simulated_stores import StoreWorld
-from tests.tier.test_replication import CATCH_UP_S, HOSTS, acknowledged, settled
+from tests.tier.simulation.world import World
+from tests.tier.test_replication import CATCH_UP_S, HOSTS, quick_world
 
 MEGABYTE = 1024 * 1024
 
 
 @pytest.mark.parametrize("seed", range(4))
 def test_a_primary_whose_disk_is_full_hands_over_and_comes_back(seed: int) -> None:
-    world = StoreWorld(seed, HOSTS, HOSTS)
-    settled(world)
-    acknowledged(world, b"first")
+    world = quick_world(seed, HOSTS, HOSTS)
+    world.settle()
+    world.acknowledge("first")
     full = world.primary()
-    full.disk_full_until = world.env.now + 5.0
-    acknowledged(world, b"second", 2.0)
-    assert world.primary().host != full.host
+    world.fill_disk(full, 5.0)
+    world.acknowledge("second", 2.0)
+    assert world.primary() != full
     world.run_for(6.0)
-    acknowledged(world, b"third", 1.0)
+    world.acknowledge("third", 1.0)
     world.run_for(CATCH_UP_S)
-    assert set(world.primary().replica.view.members) == set(HOSTS)
+    assert world.members() == set(HOSTS)
 
 
 def test_what_a_full_disk_could_not_keep_survives_its_loss_of_power() -> None:
-    world = StoreWorld(9, HOSTS, HOSTS)
-    settled(world)
-    acknowledged(world, b"first")
+    world = quick_world(9, HOSTS, HOSTS)
+    world.settle()
+    world.acknowledge("first")
     full = world.primary()
-    full.disk_full_until = world.env.now + 3.0
-    acknowledged(world, b"second", 2.0)
-    world.stop(full.host, power=True)
-    world.start(full.host)
+    world.fill_disk(full, 3.0)
+    world.acknowledge("second", 2.0)
+    world.stop(full, power=True)
+    world.start(full)
     world.run_for(CATCH_UP_S)
-    acknowledged(world, b"third")
-    assert set(world.primary().replica.view.members) == set(HOSTS)
+    world.acknowledge("third")
+    assert world.members() == set(HOSTS)
 
 
 def test_all_disks_full_at_once_acknowledge_nothing_and_go_on_later() -> None:
-    world = StoreWorld(10, HOSTS, HOSTS)
-    settled(world)
-    acknowledged(world, b"first")
-    for machine in world.machines.values():
-        machine.disk_full_until = world.env.now + 2.0
+    world = quick_world(10, HOSTS, HOSTS)
+    world.settle()
+    world.acknowledge("first")
+    for machine in world.stores.values():
+        world.fill_disk(machine.host, 2.0)
     before = len(world.acknowledged)
     for number in range(15):
-        world.propose(b"full/%d" % number)
+        world.propose(f"full/{number}")
         world.run_for(0.1)
     assert len(world.acknowledged) == before
     world.run_for(1.5)
-    acknowledged(world, b"second", 4.0)
+    world.acknowledge("second", 4.0)
 
 
 @pytest.mark.parametrize("of_primary", [True, False])
 def test_a_disk_that_answers_nothing_holds_nobody_up_for_long(of_primary: bool) -> None:
-    world = StoreWorld(11, HOSTS, HOSTS)
-    settled(world)
-    acknowledged(world, b"first")
-    machine = next(x for x in world.machines.values() if (x is world.primary()) == of_primary)
-    machine.disk_stalled_until = world.env.now + 6.0
-    acknowledged(world, b"second", 2.5)
-    assert machine.host not in world.primary().replica.view.members
+    world = quick_world(11, HOSTS, HOSTS)
+    world.settle()
+    world.acknowledge("first")
+    machine = next(x for x in world.stores.values() if (x.host == world.primary()) == of_primary)
+    machine.trouble.stalled_until = world.now + 6.0
+    world.acknowledge("second", 2.5)
+    assert machine.host not in world.members()
     world.run_for(6.0 + CATCH_UP_S)
-    assert set(world.primary().replica.view.members) == set(HOSTS)
+    assert world.members() == set(HOSTS)
 
 
 @pytest.mark.parametrize("of_primary", [True, False])
 def test_a_slow_disk_is_left_out_and_taken_back(of_primary: bool) -> None:
-    world = StoreWorld(12, HOSTS, HOSTS)
-    settled(world)
-    acknowledged(world, b"first")
-    machine = next(x for x in world.machines.values() if (x is world.primary()) == of_primary)
-    machine.disk_factor = 60.0
+    world = quick_world(12, HOSTS, HOSTS)
+    world.settle()
+    world.acknowledge("first")
+    machine = next(x for x in world.stores.values() if (x.host == world.primary()) == of_primary)
+    machine.trouble.factor = 60.0
     for number in range(6):
-        acknowledged(world, b"slow %d," % number, 3.0)
+        world.acknowledge(f"slow {number},", 3.0)
     primary = world.primary()
-    assert primary.host != machine.host
-    assert machine.host not in primary.replica.view.members
-    machine.disk_factor = 1.0
+    assert primary != machine.host
+    assert machine.host not in world.members()
+    machine.trouble.factor = 1.0
     for number in range(40):
-        world.propose(b"quick %d" % number)
+        world.propose(f"quick {number}")
         world.run_for(0.2)
-    assert set(world.primary().replica.view.members) == set(HOSTS)
+    assert world.members() == set(HOSTS)
 
 
 def test_two_slow_disks_of_three_are_not_left_out() -> None:
-    world = StoreWorld(13, HOSTS, HOSTS)
-    settled(world)
+    world = quick_world(13, HOSTS, HOSTS)
+    world.settle()
     for host in HOSTS[:2]:
-        world.machines[host].disk_factor = 40.0
+        world.stores[host].trouble.factor = 40.0
     for number in range(5):
-        acknowledged(world, b"slow %d," % number, 3.0)
-    assert len(world.primary().replica.view.members) >= 2, "a single copy is never acknowledged on"
+        world.acknowledge(f"slow {number},", 3.0)
+    assert len(world.members()) >= 2, "a single copy is never acknowledged on"
 
 
-def random_disk_troubles(seed: int) -> StoreWorld:
+def random_disk_troubles(seed: int) -> World:
     """Disks in trouble, one after another, beside a lost machine at times."""
-    world = StoreWorld(seed, HOSTS, HOSTS)
+    world = quick_world(seed, HOSTS, HOSTS)
     random = world.random
-    settled(world)
+    world.settle()
     for number in range(4):
-        machine = world.machines[random.choice(HOSTS)]
+        machine = world.stores[random.choice(HOSTS)]
         span = random.uniform(0.2, 3.0)
         match random.choice(["full", "stall", "slow", "power"]):
             case "full":
-                machine.disk_full_until = world.env.now + span
+                world.fill_disk(machine.host, span)
             case "stall":
-                machine.disk_stalled_until = world.env.now + span
+                machine.trouble.stalled_until = world.now + span
             case "slow":
-                machine.disk_factor = random.choice([5.0, 30.0, 60.0])
+                machine.trouble.factor = random.choice([5.0, 30.0, 60.0])
             case "power":
                 world.stop(machine.host, power=True, wipe=random.random() < 0.5)
         for place in range(int(span / 0.1)):
-            world.propose(b"%d/%d" % (number, place))
+            world.propose(f"{number}/{place}")
             world.run_for(random.uniform(0.0, 0.2))
-        machine.disk_factor = 1.0
-        if machine.replica is None:
+        machine.trouble.factor = 1.0
+        if not machine.is_up:
             world.start(machine.host)
         for place in range(10):
-            world.propose(b"%d/after/%d" % (number, place))
+            world.propose(f"{number}/after/{place}")
             world.run_for(0.2)
         world.run_for(CATCH_UP_S)
         assert world.primary() is not None, f"seed {seed}: no primary"
-        members = set(world.primary().replica.view.members)
+        members = world.members()
         assert members == set(HOSTS), f"seed {seed}: {members}"
     return world
 
--- /dev/null
+++ b/tests/tier/test_history_checkers.py
@@ -0,0 +1,113 @@
+"""Each checker is red on a history in which its promise is broken, and quiet on one in which it is kept."""
+
+from crowwing.tier.distribution.documents import SIDECARS, Document
+from tests.tier.simulation.checkers.configuration import check_configuration
+from tests.tier.simulation.checkers.distribution import check_documents
+from tests.tier.simulation.checkers.lots import check_lots, check_read_back
+from tests.tier.simulation.history import Call, Change, History, hash_of
+
+A, B = Change(0, 3, b"a"), Change(0, 3, b"b")
+C = Change(3, 5, b"c")
+
+
+def configurations(*calls: Call) -> History:
+    """A history of changes and reads."""
+    history = History(list(calls))
+    history.changes = {change.key: change for change in (A, B, C)}
+    return history
+
+
+def put(change: Change, sent: float, status: int | None) -> Call:
+    """A change that was sent once."""
+    return Call("operator-1", "put", change.key, sent, sent + 0.5, status)
+
+
+def read(change: Change, sent: float) -> Call:
+    """A read that gave a change's text."""
+    return Call("operator-1", "read", "", sent, sent + 0.5, 200, content(change))
+
+
+def content(change: Change) -> tuple[int, str]:
+    """Version and text as they are read."""
+    return change.version, hash_of(change.text)
+
+
+def test_changes_that_were_kept_are_no_finding() -> None:
+    history = configurations(put(A, 1, None), put(A, 2, 200), put(B, 3, 412), read(A, 4), put(C, 5, 200))
+    assert not check_configuration(history, content(C))
+
+
+def test_two_confirmed_on_one_base_are_found() -> None:
+    assert check_configuration(configurations(put(A, 1, 200), put(B, 1, 200)), content(A))
+
+
+def test_a_taken_change_that_is_refused_later_is_found() -> None:
+    history = configurations(put(A, 1, 200), put(C, 2, 200), put(A, 3, 412))
+    assert any("then refused" in x for x in check_configuration(history, content(C)))
+
+
+def test_a_change_that_others_built_on_counts_as_taken() -> None:
+    history = configurations(put(A, 1, None), put(C, 2, 200), put(A, 3, 412))
+    history.changes.pop(B.key)
+    assert any("then refused" in x for x in check_configuration(history, content(C)))
+
+
+def test_a_proper_change_that_is_refused_is_found() -> None:
+    assert any("newest" in x for x in check_configuration(configurations(put(A, 1, 412)), (0, "")))
+
+
+def test_an_old_read_is_found() -> None:
+    history = configurations(put(A, 1, 200), put(C, 2, 200), read(A, 3))
+    assert any("read 3 after 5" in x for x in check_configuration(history, content(C)))
+
+
+def test_a_lost_change_and_a_missing_reading_back_are_found() -> None:
+    history = configurations(put(A, 1, 200), put(C, 2, 200))
+    assert check_configuration(history, content(A))
+    assert check_configuration(history, None)
+    assert check_configuration(history, (5, "another text"))
+
+
+def lots(*calls: Call) -> History:
+    """A history of one lot of two items."""
+    history = History([Call("c", "submit", "l", 0, 0.5, 202), *calls])
+    history.lots = {"l": ("l.0", "l.1")}
+    return history
+
+
+def page(sent: float, start: int, *results: tuple[str, str, str], total: int = 2) -> Call:
+    """A read of the lot."""
+    return Call("c", "read", f"l {start}", sent, sent + 0.1, 200, (total, list(results)))
+
+
+FIRST, SECOND = ("l.0", "completed", "x"), ("l.1", "completed", "y")
+
+
+def test_a_lot_that_is_read_in_order_is_no_finding() -> None:
+    history = lots(page(1, 0, FIRST), page(2, 1), page(3, 0, FIRST, SECOND), page(5, 2))
+    history.runs = [(0.6, "l", "l.0")]
+    assert not check_lots(history) and not check_read_back(history, {"l": 200})
+
+
+def test_what_breaks_the_promise_of_lots_is_found() -> None:
+    assert check_lots(lots(Call("c", "read", "l 0", 2, 2.1, 404)))
+    assert check_lots(lots(page(1, 0, FIRST), page(2, 0, SECOND))), "another result at a position"
+    assert check_lots(lots(page(1, 0, FIRST, FIRST))), "one item at two positions"
+    assert check_lots(lots(page(1, 0, FIRST), page(4, 0))), "what was read is gone"
+    assert check_lots(lots(page(1, 0, FIRST, total=3)))
+    assert check_lots(lots(page(1, 0, ("k.0", "completed", "x")))), "an item of another lot"
+    assert check_lots(lots(Call("c", "body", "l.0", 1, 2, 200, b"other"))), "another body"
+    assert check_read_back(lots(), {"l": 404})
+
+
+def test_a_refused_lot_that_runs_is_found() -> None:
+    history = History([Call("c", "submit", "l", 0, 0.5, 503)])
+    history.lots, history.runs = {"l": ("l.0",)}, [(1.0, "l", "l.0")]
+    assert check_lots(history)
+
+
+def test_lists_that_differ_under_one_order_or_go_back_are_found() -> None:
+    older, newer = Document(SIDECARS, (1, 1), b"x"), Document(SIDECARS, (2, 1), b"y")
+    assert not check_documents({"f": [older, newer], "g": [newer]})
+    assert check_documents({"f": [newer, older]})
+    assert check_documents({"f": [older], "g": [Document(SIDECARS, (1, 1), b"z")]})
--- /dev/null
+++ b/tests/tier/test_letter_scenarios.py
@@ -0,0 +1,205 @@
+"""Each of the operators' points as one simulated run that brings it about."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from tests.tier.simulation.checkers.configuration import check_configuration
+from tests.tier.simulation.clients import Operator
+from tests.tier.simulation.history import Call
+from tests.tier.simulation.world import World
+
+STORES = ("m0", "m1", "m2")
+CATCH_UP_S = 4.8
+SEEDS = range(6)
+
+
+def put(world: World, operator: Operator) -> int:
+    """Makes one change, and gives its version."""
+
+    async def work() -> int:
+        change = operator.change(await operator.read_until_told())
+        assert await operator.put(change) == 200
+        return change.version
+
+    return world.run(work())
+
+
+def check_history(world: World, operator: Operator) -> None:
+    """Reads back at the end and checks the whole history."""
+
+    async def read() -> Any:  # noqa: ANN401
+        await operator.read_until_told()
+        return world.history.calls[-1].value
+
+    broken = check_configuration(world.history, world.run(read()))
+    assert not broken, broken
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_1_a_machine_cut_off_for_twenty_seconds_hands_out_nothing_old_refuses_and_confirms_nothing(
+    seed: int,
+) -> None:
+    world = World(seed, STORES)
+    world.settle()
+    near, far = Operator(world, "operator-near"), Operator(world, "operator-far")
+    put(world, near)
+    cut_off = world.primary()
+    assert cut_off is not None
+    others = [host for host in STORES if host != cut_off]
+    world.cut([cut_off], others, refuse=seed % 3 == 1, reset=seed % 3 == 2)
+    began = world.now
+    told: list[Call] = []
+
+    async def ask_cut_off() -> None:
+        while world.now < began + 20.0:
+            store = world.stores[cut_off]
+            told.append(await near.read(store))
+            change = near.change(world.history.changes[told_keys()[-1]].version)
+            told.append(await near.put_once(change, store))
+            await asyncio.sleep(0.2)
+
+    def told_keys() -> list[str]:
+        return [call.key for call in world.history.calls if call.kind == "put" and call.status == 200]
+
+    async def change_beyond() -> None:
+        far._machines = lambda: [world.stores[host] for host in others]  # type: ignore[method-assign]
+        while world.now < began + 20.0:
+            await far.put(far.change(await far.read_until_told()), 5.0)
+            await asyncio.sleep(0.5)
+
+    async def both() -> None:
+        await asyncio.gather(ask_cut_off(), change_beyond())
+
+    world.run(both())
+    late = [call for call in told if call.sent_at > began + 0.6]
+    assert late and not any(call.told() for call in late), "it can't be sure of anything"
+    assert len(told_keys()) > 10, "the others go on"
+    world.heal()
+    world.run_for(3.0)
+    assert world.members() == set(STORES)
+    check_history(world, near)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_2_of_two_operators_under_one_number_one_is_confirmed_and_a_resent_order_is_never_refused(
+    seed: int,
+) -> None:
+    world = World(seed, STORES)
+    world.settle()
+    ours, theirs = Operator(world, "operator-a"), Operator(world, "operator-b")
+    ours.loss = theirs.loss = 0.6  # of all answers
+
+    async def race() -> None:
+        taken: list[Any] = []
+        for _ in range(12):
+            base = await ours.read_until_told()
+            same_number = ours.change(base, 3, "a"), theirs.change(base, 3, "b")
+            outcomes = await asyncio.gather(ours.put(same_number[0]), theirs.put(same_number[1]))
+            assert sorted(map(str, outcomes)) == ["200", "412"], outcomes
+            taken.append(same_number[outcomes.index(200)])
+            for change in taken:
+                assert await ours.put(change) == 200, "also after others"
+        world.stop(str(world.primary()), power=True)
+        for change in taken:
+            assert await theirs.put(change) == 200, "also at another primary"
+
+    world.run(race())
+    ours.loss = 0.0
+    check_history(world, ours)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_3_a_second_loss_right_after_a_repair_or_an_emptying_leaves_a_majority_and_every_copy(
+    seed: int,
+) -> None:
+    world = World(seed, (*STORES, "m3"), STORES)
+    world.settle()
+    world.run_for(CATCH_UP_S)
+    operator = Operator(world, "operator-a")
+    put(world, operator)
+    leaving = sorted(world.members())[seed % 4]
+    assert world.run(operator.retire(leaving, world.now + 10.0)), "it is emptied"
+    world.remove(leaving)
+    for _ in range(3):
+        lost = world.primary() if seed % 2 else sorted(world.members())[0]
+        assert lost is not None
+        world.stop(lost, power=True, wipe=True)
+        began = world.now
+        put(world, operator)
+        assert world.now - began < 4.0
+        world.start(lost)
+        world.run_for(world.start_s[1] + CATCH_UP_S)  # just what a machine has to catch up
+    for number in range(2):
+        gone = sorted(world.members())[seed % 3]
+        world.remove(gone)
+        world.run_for(1.0)
+        world.seeds = (f"n{number}", *sorted(world.members())[:2])
+        world.start(f"n{number}")
+        world.run_for(world.start_s[1] + CATCH_UP_S)
+        put(world, operator)
+    check_history(world, operator)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_4_after_hundreds_of_changes_a_restarted_member_catches_up_and_never_leads_with_old_state(
+    seed: int,
+) -> None:
+    world = World(seed, STORES)
+    world.settle()
+    operator = Operator(world, "operator-a")
+    away = sorted(STORES)[seed % 3]
+    world.stop(away, power=seed % 2 == 0)
+
+    async def change_often() -> None:
+        version = 0
+        for _ in range(400):
+            change = operator.change(version)
+            assert await operator.put(change) == 200
+            version = change.version
+
+    world.run(change_often())
+    world.start(away)
+    world.run_for(world.start_s[1] + CATCH_UP_S)
+    assert world.members() == set(STORES), "it is a member again in time"
+    for host in STORES:  # and may lead: the others go and come back one after another
+        if host != away:
+            world.stop(host, power=True)
+            put(world, operator)
+            world.start(host)
+            world.run_for(world.start_s[1] + CATCH_UP_S)
+    check_history(world, operator)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_primary_that_hands_over_and_is_cut_off_at_once_leads_no_longer(seed: int) -> None:
+    world = World(seed, STORES)
+    world.settle()
+    world.run_for(1.0)
+    old = world.primary()
+    assert old is not None
+    machine = world.stores[old].machine
+    assert machine is not None
+    machine.lead_off()
+    world.run_for(0.0002 * seed)  # the message is on its way
+    world.cut([old], [host for host in STORES if host != old])
+    world.run_for(2.0)  # each step checks that there is one lease
+    assert world.primary() not in (None, old)
+
+
+def test_a_machine_without_a_disk_whose_seeds_are_all_gone_finds_the_others() -> None:
+    for seed in range(6):
+        world = World(seed, (*STORES, "m3", "m4"), STORES)
+        world.settle()
+        world.run_for(CATCH_UP_S)
+        for gone in STORES[:2]:
+            world.remove(gone)
+            world.run_for(CATCH_UP_S)
+        lost = "m3"
+        world.stop(lost, power=True, wipe=True)
+        world.seeds = STORES[:2]
+        world.run_for(3.0 if seed % 2 else 0.2)
+        world.start(lost)
+        world.run_for(world.start_s[1] + CATCH_UP_S)
+        assert world.members() == {"m2", "m3", "m4"}, f"seed {seed}"
--- a/tests/tier/test_repair.py
+++ b/tests/tier/test_repair.py
@@ -3,8 +3,8 @@
 import pytest
 
 from crowwing.tier.replication import log, range_transfer, timing
-from tests.tier.simulated_stores import StoreWorld
-from tests.tier.test_replication import CATCH_UP_S, HOSTS, acknowledged, random_troubles, settled
+from tests.tier.simulation.world import World
+from tests.tier.test_replication import CATCH_UP_S, HOSTS, quick_world, random_troubles
 
 FIVE = ("a", "b", "c", "d", "e")
 
@@ -21,19 +21,19 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_a_machine_that_missed_little_is_sent_little(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(log, "MOST_ENTRIES", 3)
-    world = StoreWorld(seed, HOSTS, HOSTS)
-    settled(world)
+    world = quick_world(seed, HOSTS, HOSTS)
+    world.settle()
     for number in range(30):
-        acknowledged(world, b"held %d," % number)
-    host = next(host for host in HOSTS if host != world.primary().host)
+        world.acknowledge(f"held {number},")
+    host = next(host for host in HOSTS if host != world.primary())
     world.stop(host)
     for number in range(6):
-        acknowledged(world, b"missed %d," % number)
+        world.acknowledge(f"missed {number},")
     world.pieces_sent = world.ranges_sent = 0
     world.start(host)
     world.run_for(CATCH_UP_S)
-    assert set(world.primary().replica.view.members) == set(HOSTS)
-    assert world.machines[host].ledger.payloads == world.primary().ledger.payloads
+    assert world.members() == set(HOSTS)
+    assert world.held(host) == world.held(world.primary())
     assert 1 <= world.ranges_sent <= 12, "six entries, some of them twice, lie in few ranges"
 
 
@@ -41,65 +41,64 @@
 def test_a_repair_in_pieces_lets_entries_come_meanwhile(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(log, "MOST_ENTRIES", 60)
     monkeypatch.setattr(range_transfer, "PIECE_RANGES", 1)
-    world = StoreWorld(seed, HOSTS, HOSTS)
-    settled(world)
+    world = quick_world(seed, HOSTS, HOSTS)
+    world.settle()
     for number in range(70):
-        acknowledged(world, b"held %d," % number)
-    host = next(host for host in HOSTS if host != world.primary().host)
+        world.acknowledge(f"held {number},")
+    host = next(host for host in HOSTS if host != world.primary())
     world.stop(host, power=True, wipe=True)
     world.piece_s = 0.02
     world.start(host)
     for number in range(20):
-        acknowledged(world, b"during %d," % number)
+        world.acknowledge(f"during {number},")
     world.run_for(CATCH_UP_S)
     assert world.pieces_sent > 30
-    assert set(world.primary().replica.view.members) == set(HOSTS)
-    assert world.machines[host].ledger.payloads == world.primary().ledger.payloads
+    assert world.members() == set(HOSTS)
+    assert world.held(host) == world.held(world.primary())
 
 
-def far_behind(world: StoreWorld, hosts: tuple[str, ...]) -> None:
+def far_behind(world: World, hosts: tuple[str, ...]) -> None:
     """Two wiped machines come back to a state whose ranges take 2 s on their way."""
-    settled(world)
+    world.settle()
     world.run_for(CATCH_UP_S)
-    acknowledged(world, b"first")
-    others = [host for host in hosts if host != world.primary().host]
+    world.acknowledge("first")
+    others = [host for host in hosts if host != world.primary()]
     world.piece_s = 2.0
     for host in others[:2]:
         world.stop(host, power=True, wipe=True)
-    acknowledged(world, b"second", 2.0)
-    for machine in world.alive():
-        while machine.replica.log.base[1] < machine.replica.log.last[1]:  # entries don't reach back so far
-            machine.replica.log.reset(machine.replica.log.last)
+    world.acknowledge("second", 2.0)
+    for replica in world.replicas().values():
+        replica.log.reset(replica.log.last)  # entries don't reach back so far
     for host in others[:2]:
         world.start(host)
 
 
 @pytest.mark.parametrize("seed", range(4))
 def test_repairs_of_two_machines_hold_no_acknowledgement_up(seed: int) -> None:
-    world = StoreWorld(seed, FIVE, HOSTS, faults=2)
+    world = quick_world(seed, FIVE, HOSTS, faults=2)
     far_behind(world, FIVE)
     for number in range(20):
-        acknowledged(world, b"during %d," % number, 0.4)
+        world.acknowledge(f"during {number},", 0.4)
     world.run_for(CATCH_UP_S)
-    assert set(world.primary().replica.view.members) == set(FIVE)
+    assert world.members() == set(FIVE)
     assert world.pieces_sent <= 6, "what is on its way is not sent again"
 
 
 @pytest.mark.parametrize("seed", range(4))
 def test_a_new_primary_does_not_wait_for_machines_that_need_a_repair(seed: int) -> None:
     six = (*FIVE, "f")
-    world = StoreWorld(seed, six, HOSTS, faults=2)
+    world = quick_world(seed, six, HOSTS, faults=2)
     far_behind(world, six)
     world.run_for(timing.LEARN_AFTER_S + 0.7)
-    world.stop(world.primary().host)
-    acknowledged(world, b"third", 2.0)
+    world.stop(world.primary())
+    world.acknowledge("third", 2.0)
 
 
 @pytest.mark.parametrize("seed", range(4))
 def test_where_too_few_copies_are_left_one_candidate_waits_for_a_repair_undisturbed(seed: int) -> None:
-    world = StoreWorld(seed, FIVE, HOSTS, faults=2)
+    world = quick_world(seed, FIVE, HOSTS, faults=2)
     far_behind(world, FIVE)
     world.run_for(timing.LEARN_AFTER_S + 0.1)
-    world.stop(world.primary().host)
-    acknowledged(world, b"third", 4.5)
+    world.stop(world.primary())
+    world.acknowledge("third", 4.5)
     assert world.pieces_sent <= 8
--- /dev/null
+++ b/tests/tier/test_simulated_control.py
@@ -0,0 +1,18 @@
+"""Random plays of the whole control side; many more by `python -m tests.tier.many_seeds`."""
+
+import pytest
+
+from tests.tier.simulation.plays import KINDS, play
+
+
+@pytest.mark.parametrize("kind", sorted(KINDS))
+@pytest.mark.parametrize("seed", range(3))
+def test_random_faults_break_no_promise(kind: str, seed: int) -> None:
+    world = play(seed, KINDS[kind])
+    assert any(call.status == 200 for call in world.history.calls if call.kind == "put")
+
+
+@pytest.mark.parametrize("kind", ["three", "beyond-four"])
+def test_one_seed_gives_one_history(kind: str) -> None:
+    first, second = (play(41, KINDS[kind]).history.lines() for _ in range(2))
+    assert first == second and len(first) > 100
--- a/tests/tier/test_windows.py
+++ b/tests/tier/test_windows.py
@@ -1,38 +1,37 @@
 """Entries on their way to the members: what is sent without an answer, and what is sent again."""
 
 from crowwing.tier.replication import timing
-from tests.tier.simulated_stores import StoreWorld
-from tests.tier.test_replication import HOSTS, acknowledged, settled
+from tests.tier.test_replication import HOSTS, quick_world
 
 
 def test_more_entries_than_the_links_carry_wait_in_the_log_and_unseat_nobody() -> None:
-    world = StoreWorld(8, HOSTS, HOSTS)
-    settled(world)
-    acknowledged(world, b"first")
+    world = quick_world(8, HOSTS, HOSTS)
+    world.settle()
+    world.acknowledge("first")
     primary = world.primary()
-    world.bytes_per_s = 2e6
+    world.network.bytes_per_s = 2e6
     world.entry_bytes_sent = 0
-    payloads = [b"%d/" % number + bytes(40_000) for number in range(100)]
+    payloads = [f"{number}/" + "x" * 40_000 for number in range(100)]
     for payload in payloads:  # four megabytes for each of two members: two seconds of their links
         world.propose(payload)
     world.run_for(1.0)
     assert 30 <= sum(done in world.acknowledged for done in payloads) < 100
     world.run_for(2.0)
     assert all(payload in world.acknowledged for payload in payloads)
-    assert world.primary() is primary, "heartbeats do not wait behind data"
+    assert world.primary() == primary, "heartbeats do not wait behind data"
     assert world.entry_bytes_sent <= 2 * 1.05 * sum(len(payload) for payload in payloads), "sent once"
 
 
 def test_a_member_is_sent_no_more_than_its_window_without_an_answer() -> None:
-    world = StoreWorld(9, HOSTS, HOSTS)
-    settled(world)
-    acknowledged(world, b"first")
+    world = quick_world(9, HOSTS, HOSTS)
+    world.settle()
+    world.acknowledge("first")
     primary = world.primary()
-    silent = next(host for host in HOSTS if host != primary.host)
+    silent = next(host for host in HOSTS if host != primary)
     world.freeze(silent, 0.3)
     world.entry_bytes_sent = 0
     for number in range(100):
-        world.propose(b"%d/" % number + bytes(40_000))
+        world.propose(f"{number}/" + "x" * 40_000)
     world.run_for(0.2)
     each = timing.WINDOW_BYTES + 2 * timing.APPEND_BYTES
     assert world.entry_bytes_sent <= each + 100 * 40_010, "one member stands still, the other gets on"
@@ -41,15 +40,15 @@
 
 
 def test_an_answer_that_was_lost_is_asked_for_again() -> None:
-    world = StoreWorld(10, HOSTS, HOSTS)
-    settled(world)
-    acknowledged(world, b"first")
+    world = quick_world(10, HOSTS, HOSTS)
+    world.settle()
+    world.acknowledge("first")
     primary = world.primary()
-    member = next(host for host in HOSTS if host != primary.host)
-    world.cut.add((member, primary.host))
-    world.propose(b"second")
+    member = next(host for host in HOSTS if host != primary)
+    world.cut([member], [primary], one_way=True)
+    world.propose("second")
     world.run_for(0.05)
-    world.cut.clear()
+    world.heal()
     world.run_for(1.0)
-    assert b"second" in world.acknowledged and world.primary() is primary
-    assert set(primary.replica.view.members) == set(HOSTS)
+    assert "second" in world.acknowledged and world.primary() == primary
+    assert world.members() == set(HOSTS)
