An answer needs its request's id, and a connection with bytes behind an answer is not used again

Change: front/sidecar_stream.py is httpcore's network backend on asyncio: it knows of bytes and ends that came while a connection rests, and tells an end from a reset. httpcore is used without httpx around it. An answer without id, with another one or with a status below 200 is nobody's; a report that can't be read ends its connection. Headers that Connection lists are dropped. Items are spread by weight (configuration.choose_service). A send to a client that has just gone is no error any more. Deadline-Ms may have a fraction.

--- a/crowwing/tier/configuration.py
+++ b/crowwing/tier/configuration.py
@@ -1,5 +1,6 @@
 """The operator's configuration: its types, its checks, and the choice of a route."""
 
+import hashlib
 import json
 from dataclasses import dataclass
 from typing import Any, Literal
@@ -150,3 +151,17 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+
+def choose_service(route: Route, key: bytes) -> str:
+    """The service of a request or item by the route's weights; `key`, its id, draws the place."""
+    shares = [share for share in route.services if share.weight > 0]
+    if len(shares) == 1:
+        return shares[0].service
+    total = sum(share.weight for share in shares)
+    place = int.from_bytes(hashlib.blake2b(key, digest_size=4, salt=b"split").digest(), "big") / 2**32 * total
+    for share in shares:
+        place -= share.weight
+        if place < 0:
+            return share.service
+    return shares[-1].service
--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -11,13 +11,14 @@
 from crowwing.tier.front.service_pool import ERROR_STATUS, ServicePool
 from crowwing.tier.front.sidecars import Part, SidecarState
 from crowwing.tier.front.upstream import (
-    HOP_BY_HOP,
     Headers,
     MayHaveRun,
     NotRun,
     Opened,
     Outcome,
     StreamBroken,
+    close_after_answer,
+    hop_by_hop,
     read_body,
 )
 
@@ -26,7 +27,7 @@
 MOST_SENDS = 6  # of one try of a client, counting those that did not run
 SILENT_S = 0.6  # without a byte, after which a repeatable request is tried elsewhere
 EVENT_SILENT_S = 1.0  # between the events of one that can go on elsewhere
-DROPPED = HOP_BY_HOP | {b"deadline-ms", b"target-instance", b"content-length", b"last-event-id"}
+DROPPED = {b"deadline-ms", b"target-instance", b"content-length", b"last-event-id"}
 
 
 @dataclass
@@ -145,7 +146,8 @@
 
     @staticmethod
     def _headers(job: Job, state: SidecarState, left_s: float) -> Headers:
-        headers = [(name, value) for name, value in job.headers if name.lower() not in DROPPED]
+        dropped = DROPPED | hop_by_hop(job.headers)
+        headers = [(name, value) for name, value in job.headers if name.lower() not in dropped]
         headers.append((b"Deadline-Ms", str(max(1, int(left_s * 1000))).encode()))
         headers.append((b"Target-Instance", state.entry.id.encode()))
         if job.last_event is not None:
@@ -157,7 +159,7 @@
     async def close(self, running: Running) -> None:
         """Done with an answer; one that has not ended is broken off."""
         self._pool.left(running.state)
-        await running.opened.response.aclose()
+        await close_after_answer(running.opened.response)
 
     async def events(self, job: Job, running: Running) -> AsyncIterator[StreamEvent]:
         """The whole events of a resumable job, taken up elsewhere where a sidecar breaks off.
--- a/crowwing/tier/front/lot_runner.py
+++ b/crowwing/tier/front/lot_runner.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from crowwing.tier.configuration import Route
+from crowwing.tier.configuration import Route, choose_service
 from crowwing.tier.front.admission import Ticket, rank_of
 from crowwing.tier.front.dispatch import Dispatcher, Job, Running
 from crowwing.tier.front.service_pool import ServicePool
@@ -116,7 +116,7 @@
         if route is None:
             await asyncio.sleep(PAUSE_S)
             return
-        service = route.services[0].service
+        service = choose_service(route, leased.item.id.encode())
         run = ItemRun(leased, make_job(leased, route, service))
         report = await self._run_until_done(run, route, service)
         if report is not None:
--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -4,12 +4,13 @@
 import contextlib
 import hashlib
 import logging
+import math
 import random
 import time
 
-from litestar.types import Receive, Scope, Send
+from litestar.types import Message, Receive, Scope, Send
 
-from crowwing.tier.configuration import RequestLimits, Route, RoutingTable
+from crowwing.tier.configuration import RequestLimits, Route, RoutingTable, choose_service
 from crowwing.tier.front.admission import Ticket, rank_of
 from crowwing.tier.front.asgi import (
     BodyTooLarge,
@@ -25,7 +26,7 @@
 from crowwing.tier.front.dispatch import Dispatcher, Failed, Job, NotServed, Running
 from crowwing.tier.front.service_pool import ServicePool
 from crowwing.tier.front.sidecars import parse_prompt
-from crowwing.tier.front.upstream import HOP_BY_HOP, Headers, StreamBroken
+from crowwing.tier.front.upstream import Headers, StreamBroken, hop_by_hop
 from crowwing.tier.front.upstream import read_body as read_answer
 
 log = logging.getLogger("crowwing.proxy")
@@ -67,7 +68,7 @@
             return
         self.open += 1
         try:
-            await self._serve(scope, receive, send)
+            await self._serve(scope, receive, to_client(send))
         except ClientGone:
             pass
         finally:
@@ -129,9 +130,8 @@
             raise ClientGone from None
 
     async def _run(self, request: ClientRequest, route: Route, arrived: float, send: Send) -> None:
-        service = choose_service(route, request)
-        told = request.header(b"deadline-ms")
-        deadline_ms = float(told) if told is not None and told.isdigit() else DEFAULT_DEADLINE_MS
+        service = choose_service(route, request.header(b"request-id") or b"")
+        deadline_ms = parse_deadline(request.header(b"deadline-ms"))
         deadline = arrived + min(deadline_ms, route.timeout_ms) / 1000
         aim_s = route.slo_ms / 1000
         ticket = Ticket(route.name, rank_of(route.priority, spread(request)), arrived, deadline, False)
@@ -174,10 +174,6 @@
         opened = running.opened
         streams = job.route.kind == "stream" and opened.status == 200
         headers = passed_on(opened.headers, keeps_length=not (streams and job.route.resumable))
-        if not opened.framed and opened.status < 300 and not (streams and job.route.resumable):
-            await self._dispatcher.close(running)
-            await respond_json(send, 502, {"error": "the sidecar's answer has no end"})
-            return
         await send({"type": "http.response.start", "status": opened.status, "headers": headers})
         answer = Answer(send)
         try:  # a client that does not read holds its place at a sidecar no longer either
@@ -204,9 +200,22 @@
             await self._dispatcher.close(running)
 
 
+def to_client(send: Send) -> Send:
+    """Sends to a client; raises ClientGone where its connection has just gone."""
+
+    async def send_or_gone(message: Message) -> None:
+        try:
+            await send(message)
+        except (RuntimeError, OSError) as error:  # the transport's word for it
+            log.debug("a client has gone: %s", error)
+            raise ClientGone from error
+
+    return send_or_gone
+
+
 def passed_on(headers: Headers, keeps_length: bool) -> Headers:
     """The headers of a sidecar that its client gets."""
-    dropped = HOP_BY_HOP if keeps_length else HOP_BY_HOP | {b"content-length"}
+    dropped = hop_by_hop(headers) | (set() if keeps_length else {b"content-length"})
     return [(name, value) for name, value in headers if name.lower() not in dropped]
 
 
@@ -216,16 +225,10 @@
     return int.from_bytes(hashlib.blake2b(key, digest_size=4).digest(), "big") / 2**32
 
 
-def choose_service(route: Route, request: ClientRequest) -> str:
-    """The service of a request, by the route's weights."""
-    shares = [share for share in route.services if share.weight > 0]
-    if len(shares) == 1:
-        return shares[0].service
-    total = sum(share.weight for share in shares)
-    key = request.header(b"request-id") or b""
-    place = int.from_bytes(hashlib.blake2b(key, digest_size=4, salt=b"split").digest(), "big") / 2**32 * total
-    for share in shares:
-        place -= share.weight
-        if place < 0:
-            return share.service
-    return shares[-1].service
+def parse_deadline(told: bytes | None) -> float:
+    """How many milliseconds the client waits, a default where it does not say so."""
+    try:
+        deadline_ms = float(told) if told is not None else DEFAULT_DEADLINE_MS
+    except ValueError:
+        return DEFAULT_DEADLINE_MS
+    return deadline_ms if 0 < deadline_ms < math.inf else DEFAULT_DEADLINE_MS
--- a/crowwing/tier/front/upstream.py
+++ b/crowwing/tier/front/upstream.py
@@ -1,15 +1,20 @@
-"""Requests to sidecars, over kept connections, and how each try ended."""
+"""Requests to sidecars, over kept connections, and how each try ended.
+
+An answer belongs to a request where it carries the request's id; one without an id, or with another, is never
+passed on. A connection is used again only after a whole answer with nothing behind it.
+"""
 
 import asyncio
 import json
 import logging
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterable, AsyncIterator
 from dataclasses import dataclass
 
-import httpx
+import h11
+import httpcore
 
-from crowwing.tier.plain_http import NO_CERTIFICATES
+from crowwing.tier.front.sidecar_stream import SidecarNetwork
 
 log = logging.getLogger("crowwing.upstream")
 
@@ -22,27 +27,40 @@
     "write": WRITE_TIMEOUT_S,
     "pool": CONNECT_TIMEOUT_S,
 }
+DRAIN_LIMIT_S = 0.2
 KEEP_IDLE_S = 4.0
 UNACKNOWLEDGED_MS = 1500
 HOP_BY_HOP = frozenset(
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade")
 )
+NEVER_DROPPED = frozenset((b"model", b"token-usage", b"prompt-prefix", b"request-id", b"host"))
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
 )
 
+NOTHING_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+HTTP_ERRORS = (
+    httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, httpcore.UnsupportedProtocol,
+)  # fmt: skip
+
 Headers = list[tuple[bytes, bytes]]
 
 
+def hop_by_hop(headers: Headers) -> set[bytes]:
+    """Names of headers that concern one connection only, also those that its `Connection` header lists."""
+    listed = [value for name, value in headers if name.lower() == b"connection"]
+    names = {name.strip().lower() for value in listed for name in value.split(b",")}
+    return HOP_BY_HOP | (names - NEVER_DROPPED)
+
+
 @dataclass(frozen=True)
 class Opened:
     """The sidecar has begun to answer this very request."""
 
     status: int
     headers: Headers
-    response: httpx.Response
-    framed: bool  # whether the end of the body will show
+    response: httpcore.Response
 
     def header(self, name: bytes) -> bytes | None:
         """The value of one header."""
@@ -84,34 +102,36 @@
 
     def __init__(self, address: str, most_connections: int) -> None:
         self._address = address
-        limits = httpx.Limits(
+        host, port = address.rsplit(":", 1)
+        self._origin = (b"http", host.encode(), int(port))
+        self._pool = httpcore.AsyncConnectionPool(
             max_connections=most_connections,
             max_keepalive_connections=most_connections,
             keepalive_expiry=KEEP_IDLE_S,
-        )
-        self._transport = httpx.AsyncHTTPTransport(
-            verify=NO_CERTIFICATES,
-            limits=limits,
             socket_options=SOCKET_OPTIONS,
-            trust_env=False,
-            http2=False,
-            retries=0,
+            network_backend=SidecarNetwork(),
         )
 
     async def close(self) -> None:
         """Closes all connections; open answers break."""
-        await self._transport.aclose()
+        await self._pool.aclose()
+
+    async def _request(self, method: str, target: bytes, headers: Headers, body: bytes) -> httpcore.Response:
+        scheme, host, port = self._origin
+        url = httpcore.URL(scheme=scheme, host=host, port=port, target=target)
+        request = httpcore.Request(
+            method, url, headers=headers, content=body, extensions={"timeout": TIMEOUTS}
+        )
+        return await self._pool.handle_async_request(request)
 
     async def report(self) -> Report | None:
         """What the sidecar says of its load; None where it says nothing in time."""
-        request = httpx.Request("GET", f"http://{self._address}/report")
-        request.extensions["timeout"] = TIMEOUTS
         try:
             async with asyncio.timeout(REPORT_LIMIT_S):
-                response = await self._transport.handle_async_request(request)
-                told = json.loads(await response.aread())
-            return Report(float(told["running"]), float(told["waiting"]))
-        except (httpx.HTTPError, TimeoutError, ValueError, KeyError, TypeError) as error:
+                headers = [(b"Host", self._address.encode())]
+                response = await self._request("GET", b"/report", headers, b"")
+                return await _read_report(response)
+        except (*HTTP_ERRORS, TimeoutError) as error:
             log.debug("no report from %s: %s", self._address, error)
             return None
 
@@ -119,47 +139,84 @@
         self, method: str, target: bytes, headers: Headers, body: bytes, request_id: bytes
     ) -> Outcome:
         """Sends one request and waits for the head of its answer."""
-        request = httpx.Request(method, f"http://{self._address}/", headers=headers, content=body or None)
-        request.extensions["target"] = target
-        request.extensions["timeout"] = TIMEOUTS
         try:
-            response = await self._transport.handle_async_request(request)
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            response = await self._request(method, target, headers, body)
+        except NOTHING_SENT as error:
             return NotRun(None, f"{type(error).__name__}: {error}")
-        except httpx.HTTPError as error:
+        except HTTP_ERRORS as error:
             return MayHaveRun(f"{type(error).__name__}: {error}")
         return await self._opened(response, request_id)
 
-    async def _opened(self, response: httpx.Response, request_id: bytes) -> Outcome:
-        headers: Headers = [(name, value) for name, value in response.headers.raw]
+    async def _opened(self, response: httpcore.Response, request_id: bytes) -> Outcome:
+        headers: Headers = list(response.headers)
         names = {name.lower(): value for name, value in headers}
-        if names.get(b"request-id", request_id) != request_id:
-            await response.aclose()
-            return MayHaveRun("an answer to another request")
-        if b"not-executed" in names or response.status_code == 421:
+        if names.get(b"request-id", b"") != request_id or response.status < 200:
+            await _give_up(response)
+            return MayHaveRun("an answer that is not this request's")
+        if b"not-executed" in names or response.status == 421:
             await _drain(response)
-            return NotRun(response.status_code, "the sidecar did not run it")
-        framed = b"content-length" in names or b"chunked" in names.get(b"transfer-encoding", b"").lower()
-        return Opened(response.status_code, headers, response, framed)
+            return NotRun(response.status, "the sidecar did not run it")
+        return Opened(response.status, headers, response)
+
+
+async def _read_report(response: httpcore.Response) -> Report | None:
+    """A report, which carries no id: a connection on which anything else stands is not used again."""
+    body = b"".join([chunk async for chunk in _chunks(response)])
+    try:
+        told = json.loads(body)
+        report = Report(float(told["running"]), float(told["waiting"]))
+    except (ValueError, KeyError, TypeError):
+        await _give_up(response)
+        return None
+    await close_after_answer(response)
+    return report
+
 
+def _chunks(response: httpcore.Response) -> AsyncIterator[bytes]:
+    stream = response.stream
+    assert isinstance(stream, AsyncIterable)
+    return aiter(stream)
 
-async def _drain(response: httpx.Response) -> None:
+
+async def _give_up(response: httpcore.Response) -> None:
+    """Ends an answer with its connection."""
+    await response.extensions["network_stream"].aclose()
+    await response.aclose()
+
+
+async def close_after_answer(response: httpcore.Response) -> None:
+    """Done with an answer; its connection is used again only after a whole one with nothing behind it."""
+    stream = response.extensions["network_stream"]
+    if _has_surplus(response) or stream.get_extra_info("is_readable"):
+        await stream.aclose()
+    await response.aclose()
+
+
+def _has_surplus(response: httpcore.Response) -> bool:
+    """Whether bytes behind the answer were read with it. httpcore shows its parser's buffer nowhere."""
+    connection = getattr(getattr(response.stream, "_stream", None), "_connection", None)
+    state: h11.Connection | None = getattr(connection, "_h11_state", None)
+    return state is None or bool(state.trailing_data[0])
+
+
+async def _drain(response: httpcore.Response) -> None:
     """Reads a short body, so that its connection can be used again."""
     try:
-        async with asyncio.timeout(0.2):
-            async for _ in response.stream:  # type: ignore[union-attr]
+        async with asyncio.timeout(DRAIN_LIMIT_S):
+            async for _ in _chunks(response):
                 pass
-    except (httpx.HTTPError, TimeoutError):
+    except (*HTTP_ERRORS, TimeoutError):
         pass
-    await response.aclose()
+    await close_after_answer(response)
 
 
 async def read_body(opened: Opened) -> AsyncIterator[bytes]:
-    """The body as it comes; raises StreamBroken where it ends before its end."""
+    """The body as it comes; raises StreamBroken where it ends before its end.
+
+    One without a length is whole where its connection ended in order, and broken where that was reset.
+    """
     try:
-        async for chunk in opened.response.stream:  # type: ignore[union-attr]
+        async for chunk in _chunks(opened.response):
             yield chunk
-    except httpx.HTTPError as error:
+    except HTTP_ERRORS as error:
         raise StreamBroken(f"{type(error).__name__}: {error}") from error
-    if not opened.framed:
-        raise StreamBroken("its length was not told")
--- /dev/null
+++ b/tests/tier/misbehaving_sidecar.py
@@ -0,0 +1,259 @@
+"""A sidecar on a socket that misbehaves by seed, and the ledger of what it ran and what it answered."""
+
+import asyncio
+import hashlib
+import socket
+import struct
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+EVENTS = 5
+LINGER_NOT = struct.pack("ii", 1, 0)  # closing resets the connection
+
+
+@dataclass
+class Ledger:
+    """What all sidecars together ran, and the whole bodies that they made, by the request's id."""
+
+    runs: Counter[str] = field(default_factory=Counter)
+    bodies: dict[str, list[bytes]] = field(default_factory=dict)
+    spoilt: list[str] = field(default_factory=list)  # requests that came other than they were sent
+
+
+@dataclass
+class Asked:
+    """One request as it came."""
+
+    id: str
+    path: str
+    headers: dict[str, str]
+    body: bytes = b""
+
+
+def body_of(path: str, request_id: str) -> bytes:
+    """What a client sends."""
+    return hashlib.blake2b((path + request_id).encode()).hexdigest().encode() * (1 + int(request_id, 36) % 40)
+
+
+class MisbehavingSidecar:
+    """Answers as PROTOCOL.md says, or in one of the ways in which sidecars in trouble do."""
+
+    def __init__(self, name: str, ledger: Ledger, random: Random, trouble: float = 0.5) -> None:
+        self.name, self._ledger, self._random, self._trouble = name, ledger, random, trouble
+        self._numbers = 0
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def stop(self) -> None:
+        """Listens no more."""
+        self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            if self._random.random() < 0.02 * self._trouble:
+                return  # closed after it was accepted
+            while await self._serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, OSError, asyncio.LimitOverrunError, asyncio.CancelledError):
+            pass  # the far side has gone, or the play is over
+        finally:
+            writer.close()
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in head[1:] if line)
+        }
+        length = int(headers.get("content-length", "0"))
+        if head[0].startswith("GET /report"):
+            return await self._report(writer)
+        asked = Asked(headers.get("request-id", ""), head[0].split(" ")[1], headers)
+        trouble = self._random.random() < self._trouble
+        if trouble and self._random.random() < 0.08:
+            await self._refuse(asked, writer, early=True)
+            await reader.readexactly(length)
+            return True
+        asked.body = await reader.readexactly(length)
+        if headers.get("target-instance") != self.name:
+            writer.write(_head(421, asked.id, [("Content-Length", "0")]))
+            return True
+        return await (self._misbehave(asked, writer) if trouble else self._answer(asked, writer))
+
+    async def _report(self, writer: asyncio.StreamWriter) -> bool:
+        body = b'{"waiting":0,"running":1}'
+        if self._random.random() < 0.1 * self._trouble:
+            body = b"nothing"
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        await writer.drain()
+        return True
+
+    async def _refuse(self, asked: Asked, writer: asyncio.StreamWriter, early: bool = False) -> None:
+        body = b"full"
+        fields = [("Content-Length", str(len(body))), ("Not-Executed", "1")]
+        writer.write(_head(503, asked.id, fields) + body)
+        await writer.drain()
+        if early:
+            await asyncio.sleep(self._random.uniform(0, 0.003))
+
+    def _run(self, asked: Asked) -> tuple[bytes, str]:
+        """Runs a request: its body and its stamp."""
+        ledger = self._ledger
+        ledger.runs[asked.id] += 1
+        sent = body_of(asked.path, asked.id)
+        if asked.body != sent or asked.headers.get("model") != f"m-{asked.id}":
+            ledger.spoilt.append(asked.id)
+        if "/stream/" in asked.path:
+            first = int(asked.headers.get("last-event-id", "0")) + 1
+            events = [f"id: {n}\ndata: {asked.id}-{n}\n\n" for n in range(first, EVENTS + 1)]
+            return "".join(events).encode(), "stream"
+        self._numbers += 1
+        stamp = f"{self.name}.{self._numbers}"
+        body = f"{asked.id} {stamp} ".encode() * self._random.choice([1, 1, 1, 30, 3000])
+        ledger.bodies.setdefault(asked.id, []).append(body)
+        return body, stamp
+
+    async def _answer(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        if self._random.random() < 0.05:
+            await self._refuse(asked, writer)
+            return True
+        body, stamp = self._run(asked)
+        whole, keeps = self._framed(asked, 200, body, stamp)
+        await self._write_in_parts(writer, whole)
+        return keeps
+
+    def _framed(
+        self, asked: Asked, status: int, body: bytes, stamp: str, unframed: bool = False
+    ) -> tuple[bytes, bool]:
+        """An answer as bytes, and whether the connection goes on."""
+        fields = [("Server-Stamp", stamp)]
+        if unframed:
+            return _head(status, asked.id, fields) + body, False
+        if self._random.random() < 0.5:
+            return _head(status, asked.id, [*fields, ("Content-Length", str(len(body)))]) + body, True
+        cut = self._random.randint(0, len(body))
+        chunks = [part for part in (body[:cut], body[cut:]) if part]
+        coded = b"".join(b"%x\r\n" % len(part) + part + b"\r\n" for part in chunks) + b"0\r\n\r\n"
+        return _head(status, asked.id, [*fields, ("Transfer-Encoding", "chunked")]) + coded, True
+
+    async def _write_in_parts(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        if self._random.random() < 0.3:
+            cut = self._random.randint(0, len(data))
+            writer.write(data[:cut])
+            await writer.drain()
+            await asyncio.sleep(self._random.uniform(0, 0.002))
+            data = data[cut:]
+        writer.write(data)
+        await writer.drain()
+
+    async def _misbehave(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        ways = [
+            self._surplus, self._without_id, self._unframed, self._unframed_reset, self._cut_anywhere,
+            self._silence, self._informational, self._error, self._close_at_once, self._nonsense,
+            self._refuse_and_go_on,
+        ]  # fmt: skip
+        return await self._random.choice(ways)(asked, writer)
+
+    async def _surplus(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        """Behind a whole answer comes another one: at once, later, whole or half, in one packet or two."""
+        body, stamp = self._run(asked)
+        whole, _ = self._framed(asked, 200, body, stamp)
+        other = Asked(self._random.choice([asked.id, "zz9", ""]), asked.path, asked.headers)
+        surplus, _ = self._framed(other, 200, b"surplus of " + asked.id.encode(), "surplus")
+        if self._random.random() < 0.3:
+            surplus = surplus[: self._random.randint(1, len(surplus))]
+        if self._random.random() < 0.4:
+            writer.write(whole + surplus)
+        else:
+            writer.write(whole)
+            await writer.drain()
+            await asyncio.sleep(self._random.choice([0, 0.0005, 0.003]))
+            cut = self._random.randint(0, len(surplus))
+            writer.write(surplus[:cut])
+            await writer.drain()
+            await asyncio.sleep(self._random.choice([0, 0.001]))
+            writer.write(surplus[cut:])
+        await writer.drain()
+        return True
+
+    async def _without_id(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        body, stamp = self._run(asked)
+        whole, _ = self._framed(asked, 200, body, stamp)
+        writer.write(whole.replace(f"Request-Id: {asked.id}\r\n".encode(), b"", 1))
+        await writer.drain()
+        return True
+
+    async def _unframed(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        body, stamp = self._run(asked)
+        whole, keeps = self._framed(asked, 200, body, stamp, unframed=True)
+        await self._write_in_parts(writer, whole)
+        return keeps
+
+    async def _unframed_reset(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        body, stamp = self._run(asked)
+        whole, _ = self._framed(asked, 200, body, stamp, unframed=True)
+        return await self._break_off(writer, whole[: self._random.randint(0, len(whole))], resets=True)
+
+    async def _cut_anywhere(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        body, stamp = self._run(asked)
+        whole, _ = self._framed(asked, 200, body, stamp)
+        return await self._break_off(writer, whole[: self._random.randint(0, len(whole) - 1)])
+
+    async def _break_off(self, writer: asyncio.StreamWriter, data: bytes, resets: bool | None = None) -> bool:
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(self._random.choice([0, 0.001]))
+        raw = writer.get_extra_info("socket")
+        if raw is not None and (self._random.random() < 0.5 if resets is None else resets):
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+            writer.transport.abort()
+        return False
+
+    async def _silence(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        if self._random.random() < 0.5:
+            self._run(asked)
+        await asyncio.sleep(self._random.uniform(0.02, 0.4))
+        return False
+
+    async def _informational(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        body, stamp = self._run(asked)
+        whole, keeps = self._framed(asked, 200, body, stamp)
+        writer.write(b"HTTP/1.1 102 Processing\r\n\r\n" + whole)
+        await writer.drain()
+        return keeps
+
+    async def _error(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        body, stamp = self._run(asked)
+        whole, keeps = self._framed(asked, self._random.choice([500, 504]), b"error", stamp)
+        writer.write(whole)
+        await writer.drain()
+        return keeps
+
+    async def _close_at_once(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        if self._random.random() < 0.5:
+            self._run(asked)
+        return await self._break_off(writer, b"")
+
+    async def _nonsense(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        if self._random.random() < 0.5:
+            self._run(asked)
+        writer.write(self._random.randbytes(self._random.randint(1, 200)))
+        await writer.drain()
+        return self._random.random() < 0.5
+
+    async def _refuse_and_go_on(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
+        await self._refuse(asked, writer)
+        return True
+
+
+def _head(status: int, request_id: str, fields: list[tuple[str, str]]) -> bytes:
+    lines = [f"HTTP/1.1 {status} Told"]
+    if request_id:
+        lines.append(f"Request-Id: {request_id}")
+    lines += [f"{name}: {value}" for name, value in fields]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
