A reading of the configuration rests on a round after it, not on a lease; a scenario of a waking primary

Cause: two mutations found nothing: without any check before an answer (no scenario had a primary wake with calls at its door), and without the round before a reading (the lease after it already covered it).

Change: what must be the newest whatever clocks do is decided first and confirmed by a round that starts afterwards; the round before it is gone, so a reading still costs one round. A scenario test sends a read, a change and an order to a primary that stands still while others decide.

--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -246,8 +246,12 @@
         except TimeoutError:
             pass
 
-    async def decide(self, decide: Decide) -> Any:  # noqa: ANN401
-        """Decides a command on the newest state; its outcome is told once everything it rests on is kept."""
+    async def decide(self, decide: Decide, by_round: bool = False) -> Any:  # noqa: ANN401
+        """Decides a command on the newest state; its outcome is told once everything it rests on is kept.
+
+        What changes nothing also waits until it is sure that no later primary had decided before it: by a
+        lease, or with `by_round` by a round that starts after the decision, whatever the clocks do.
+        """
         if not await self._wait_primary():
             return c.NotPrimary(self.leader)
         now = self.clock.monotonic()
@@ -266,7 +270,9 @@
             committed = False
         if not committed:
             return c.Unsure("the store machines did not agree in time")
-        if not decision.events and not await self.confirm():
+        if decision.events:
+            return decision.outcome
+        if not await (self.confirm_round() if by_round else self.confirm()):
             return c.Unsure("it is not known whether this machine still decides")
         return decision.outcome
 
--- a/crowwing/tier/store/service.py
+++ b/crowwing/tier/store/service.py
@@ -140,10 +140,8 @@
         return c.Rejected(400, f"unknown command {type(command).__name__}")
 
     async def _read_surely(self, decide: Decide) -> Any:  # noqa: ANN401
-        """A read that no later primary can have overtaken."""
-        if self._node.replica.role is Role.PRIMARY and not await self._node.confirm_round():
-            return c.Unsure("it is not known whether this machine still decides")
-        return await self._node.decide(decide)
+        """A read that no later primary can have overtaken, whatever the clocks do."""
+        return await self._node.decide(decide, by_round=True)
 
     def _disk_left(self) -> bool:
         limit = self._settings.limits.disk_mb * MEGABYTE
--- a/tests/tier/simulation/clients.py
+++ b/tests/tier/simulation/clients.py
@@ -156,6 +156,15 @@
                 await self.put_once(Change(base, base + 9, b'{"version": 9, "routes"'))
             await asyncio.sleep(self.random.uniform(0.0, 0.6))
 
+    async def retire_once(self, name: str, machine: Store) -> Call:
+        """Asks one machine that a store machine be emptied."""
+        call = self.world.history.begin(self.world.now, self.name, "retire", name)
+        answer = await self.ask(machine, c.Retire(name))
+        call.ended_at = self.world.now
+        if answer is not None:
+            call.status = answer[0]
+        return call
+
     async def retire(self, host: str, until: float) -> bool:
         """Has a machine emptied; True once it is completed."""
         name = f"node-{host}"
--- a/tests/tier/test_letter_scenarios.py
+++ b/tests/tier/test_letter_scenarios.py
@@ -172,6 +172,36 @@
     check_history(world, operator)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_primary_that_wakes_answers_nothing_from_before_it_stood_still(seed: int) -> None:
+    world = World(seed, STORES)
+    world.settle()
+    world.run_for(1.0)
+    operator = Operator(world, "operator-a")
+    put(world, operator)
+    old = world.primary()
+    assert old is not None
+    world.freeze(old, 3.0)
+    thaws_at = world.now + 3.0
+    others = [world.stores[host] for host in STORES if host != old]
+    operator._machines = lambda: list(others)  # type: ignore[method-assign]
+    version = put(world, operator)
+    told: list[Call] = []
+
+    async def ask_as_it_wakes() -> None:
+        await asyncio.sleep(thaws_at - world.now - 0.5)
+        asked = [
+            operator.read(world.stores[old]),
+            operator.put_once(operator.change(version), world.stores[old]),
+            operator.retire_once("unknown", world.stores[old]),
+        ]
+        told.extend(await asyncio.gather(*asked))
+
+    world.run(ask_as_it_wakes())
+    assert not any(call.told() for call in told), told
+    check_history(world, operator)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_a_primary_that_hands_over_and_is_cut_off_at_once_leads_no_longer(seed: int) -> None:
     world = World(seed, STORES)
