Rules of the request path as tests on sockets; typed messages of replicas; zones count as losses

Change: tests/tier/test_request_path.py brings each rule about; the exchanges also count kept connections closed without an answer; Message and Record are unions; faultTolerance's zones and regions count as one store machine each, at least.

--- a/crowwing/tier/replication/messages.py
+++ b/crowwing/tier/replication/messages.py
@@ -314,3 +314,30 @@
 
     last: Position
     contents: tuple[tuple[int, bytes], ...]
+
+
+Message = (
+    AskPreVote
+    | PreVote
+    | Prepare
+    | Promise
+    | Refuse
+    | Sync
+    | Digests
+    | FetchRanges
+    | Ranges
+    | FetchEntries
+    | Synced
+    | Syncing
+    | Accept
+    | Accepted
+    | Append
+    | Appended
+    | Heartbeat
+    | HeartbeatReply
+    | Join
+    | Learn
+    | Learned
+    | Handover
+)
+Record = PromiseRecord | ViewRecord | SyncedRecord | Entry | RangesRecord
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -9,7 +9,6 @@
 """
 
 import logging
-from typing import Any
 
 from crowwing.tier.replication import messages as m
 from crowwing.tier.replication.prevote import PreVote
@@ -52,7 +51,7 @@
             for peer in sorted(self.known):
                 self._send(peer, m.Join(self.me, False))
 
-    def receive(self, now: float, message: Any) -> None:  # noqa: ANN401
+    def receive(self, now: float, message: m.Message) -> None:
         """Takes one message in."""
         handler = getattr(self, "_on_" + type(message).__name__.lower())
         handler(now, message)
--- a/crowwing/tier/replication/replica_state.py
+++ b/crowwing/tier/replication/replica_state.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import chain
-from typing import Any, Protocol
+from typing import Protocol
 
 from crowwing.tier.replication import messages as m
 from crowwing.tier.replication.log import EntryLog
@@ -84,9 +84,9 @@
 class Output:
     """What a step asks for: records to be put on disk, then the messages that wait for them."""
 
-    records: list[Any] = field(default_factory=list)
-    durable: list[tuple[str, Any]] = field(default_factory=list)  # (receiver, message), after the records
-    immediate: list[tuple[str, Any]] = field(default_factory=list)
+    records: list[m.Record] = field(default_factory=list)
+    durable: list[tuple[str, m.Message]] = field(default_factory=list)  # to whom, after the records
+    immediate: list[tuple[str, m.Message]] = field(default_factory=list)
 
 
 @dataclass
@@ -201,7 +201,7 @@
             m.SyncedRecord(self.synced),
         ]
 
-    def recover(self, records: Iterable[Any]) -> None:
+    def recover(self, records: Iterable[m.Record]) -> None:
         """Takes in what the disk holds."""
         self._remembers = True
         for record in records:
@@ -230,9 +230,9 @@
         patience = SUSPECT_S + SUSPECT_SYNCS * self.sync_s
         return heard + patience + SUSPECT_TURN_S * place + SUSPECT_SPREAD_S * self._random()
 
-    def compacted(self) -> Iterable[Any]:
+    def compacted(self) -> Iterable[m.Record]:
         """Records that stand for everything so far; those of the state are made when iterated."""
-        records: list[Any] = [m.RangesRecord(self.log.last, ()), m.SyncedRecord(self.synced)]
+        records: list[m.Record] = [m.RangesRecord(self.log.last, ()), m.SyncedRecord(self.synced)]
         if self.whole:
             records.append(m.PromiseRecord(self.promised))
         if self.view is not None:
@@ -246,7 +246,7 @@
         output, self._output = self._output, Output()
         return output
 
-    def _send(self, to: str, message: Any, durable: bool = False) -> None:  # noqa: ANN401
+    def _send(self, to: str, message: m.Message, durable: bool = False) -> None:
         (self._output.durable if durable or to == self.me else self._output.immediate).append((to, message))
 
     def add_peers(self, hosts: Iterable[str]) -> None:
--- a/crowwing/tier/settings.py
+++ b/crowwing/tier/settings.py
@@ -32,10 +32,17 @@
 
 
 class FaultTolerance(BaseModel):
-    """How many counted machines may be lost at one time."""
+    """What may be lost at one time: counted machines, or zones, or regions."""
 
     model_config = ConfigDict(extra="ignore")
     machines: int = Field(1, ge=0)
+    zones: int = Field(0, ge=0)
+    regions: int = Field(0, ge=0)
+
+    @property
+    def store_machines(self) -> int:
+        """How many store machines may be lost at one time, where a zone holds one of them."""
+        return max(self.machines, self.zones, self.regions)
 
 
 class Bounds(BaseModel):
--- a/crowwing/tier/store/machine.py
+++ b/crowwing/tier/store/machine.py
@@ -44,7 +44,7 @@
         self.documents = Documents()
         self._links = Links(settings.internal_port, self._handle, network)
         self._urgent_links = Links(settings.internal_port, self._handle, network)
-        faults, seeds = settings.fault_tolerance.machines, settings.seed_hosts
+        faults, seeds = settings.fault_tolerance.store_machines, settings.seed_hosts
         self.node = ReplicaNode(
             settings.ip, seeds, faults, disk, self._links, random, self._urgent_links, clock, started
         )
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -10,7 +10,7 @@
 
 from crowwing.tier.clock import SYSTEM_CLOCK, Clock
 from crowwing.tier.early import started_at
-from crowwing.tier.replication.messages import Append, Digests, Ranges, Sync
+from crowwing.tier.replication.messages import Append, Digests, Message, Ranges, Record, Sync
 from crowwing.tier.replication.replica import Replica
 from crowwing.tier.replication.replica_state import Output, Role
 from crowwing.tier.state.views import TierState
@@ -40,7 +40,6 @@
     """An outcome that waits until the log is committed up to an index."""
 
     index: int
-    ballot: tuple[int, str]
     future: asyncio.Future[bool] = field(repr=False)
 
 
@@ -122,7 +121,7 @@
                 self._deliver_all(output.durable)
             self.step()
 
-    async def _keep(self, records: list[Any]) -> None:
+    async def _keep(self, records: list[Record]) -> None:
         if not records:
             return
         is_long = self._disk.is_long(self.state.kept_bytes)
@@ -162,13 +161,13 @@
         self.replica.lead_off(self.clock.monotonic())
         self.step()
 
-    def receive(self, message: Any) -> None:  # noqa: ANN401
+    def receive(self, message: Message) -> None:
         """Takes a message of another replica in."""
         if not self.disk_failed:
             self.replica.receive(self.clock.monotonic(), message)
             self.step()
 
-    def _deliver_all(self, messages: list[tuple[str, Any]]) -> None:
+    def _deliver_all(self, messages: list[tuple[str, Message]]) -> None:
         """Delivers messages in order; one that goes to several receivers is encoded once."""
         for message, group in groupby(messages, key=lambda sent: sent[1]):
             receivers = [receiver for receiver, _ in group]
@@ -260,7 +259,7 @@
             self.replica.propose(now, encode(event))
         index = self.replica.log.last[1]
         future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._pending.append(Pending(index, self.replica.promised, future))
+        self._pending.append(Pending(index, future))
         self.step()
         self._settle()
         try:
--- a/tests/tier/exchanges.py
+++ b/tests/tier/exchanges.py
@@ -74,6 +74,22 @@
     return RoutingTable(Configuration.model_validate(whole))
 
 
+async def serve_front(pool: ServicePool, stop: asyncio.Event) -> tuple[int, "asyncio.Future[None]"]:
+    """Serves a front's request path on loopback until `stop`; gives its port."""
+    proxy = Proxy(pool, BatchApi(None))  # type: ignore[arg-type]
+
+    @asgi("/", is_mount=True, copy_scope=False)
+    async def proxied(scope: Scope, receive: Receive, send: Send) -> None:
+        await proxy(scope, receive, send)
+
+    app = Litestar([proxied], openapi_config=None, logging_config=None)
+    server = make_server(app, "127.0.0.1:0", 1.0, 30.0, partial(ClientConnection, ClientLimits()))
+    serving = asyncio.ensure_future(serve_until(server, stop))
+    while not server.started:
+        await asyncio.sleep(0.01)
+    return server.servers[0].sockets[0].getsockname()[1], serving
+
+
 class Play:
     """One play of a seed."""
 
@@ -83,6 +99,7 @@
         self._number = 0
         self._ledger = Ledger()
         self._sent: list[Sent] = []
+        self._unanswered: list[str] = []  # requests whose kept connection was closed without an answer
 
     async def run(self) -> Outcome:
         """Plays it."""
@@ -97,7 +114,7 @@
         entries = [Sidecar(x.name, "s", x.address, "z", 64, True) for x in sidecars]
         pool.take_list(SidecarList(tuple(entries)))
         stop = asyncio.Event()
-        port, serving = await self._serve(pool, stop)
+        port, serving = await serve_front(pool, stop)
         loops = asyncio.ensure_future(pool.run_loops())
         asking = asyncio.ensure_future(self._ask_reports(pool))
         await asyncio.gather(*(self._client(port) for _ in range(self._clients)))
@@ -110,20 +127,6 @@
             sidecar.stop()
         return self._check()
 
-    async def _serve(self, pool: ServicePool, stop: asyncio.Event) -> tuple[int, "asyncio.Future[None]"]:
-        proxy = Proxy(pool, BatchApi(None))  # type: ignore[arg-type]
-
-        @asgi("/", is_mount=True, copy_scope=False)
-        async def proxied(scope: Scope, receive: Receive, send: Send) -> None:
-            await proxy(scope, receive, send)
-
-        app = Litestar([proxied], openapi_config=None, logging_config=None)
-        server = make_server(app, "127.0.0.1:0", 1.0, 30.0, partial(ClientConnection, ClientLimits()))
-        serving = asyncio.ensure_future(serve_until(server, stop))
-        while not server.started:
-            await asyncio.sleep(0.01)
-        return server.servers[0].sockets[0].getsockname()[1], serving
-
     async def _ask_reports(self, pool: ServicePool) -> None:
         """Reports are asked for all the time, on the same connections."""
         while True:
@@ -149,7 +152,11 @@
                     if self._random.random() < 0.05:  # leaves at any moment
                         await asyncio.sleep(self._random.uniform(0, 0.02))
                         return
-                    one.answer = await asyncio.wait_for(read_answer(reader), 5)
+                    try:
+                        one.answer = await asyncio.wait_for(read_answer(reader), 5)
+                    except (asyncio.IncompleteReadError, OSError, TimeoutError) as error:
+                        self._unanswered.append(f"{one.path}: no answer: {error!r}")
+                        return
                     if not one.answer.is_whole or one.answer.headers.get("connection") == "close":
                         return
                 if self._random.random() < 0.02:
@@ -177,7 +184,7 @@
         return f"{head}Transfer-Encoding: chunked\r\n\r\n".encode() + coded
 
     def _check(self) -> Outcome:
-        outcome = Outcome(len(self._sent))
+        outcome = Outcome(len(self._sent), findings=list(self._unanswered))
         outcome.findings += [
             f"{one} came to a sidecar otherwise than it was sent" for one in self._ledger.spoilt
         ]
--- /dev/null
+++ b/tests/tier/test_request_path.py
@@ -0,0 +1,272 @@
+"""The rules of the request path, each brought about on sockets: a real request path, sidecars by script."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+import uvloop
+
+from crowwing.tier.configuration import Configuration, Route, RoutingTable, choose_service
+from crowwing.tier.front.proxy import DEFAULT_DEADLINE_MS, parse_deadline
+from crowwing.tier.front.service_pool import ServicePool
+from crowwing.tier.platform_list import Sidecar, SidecarList
+from tests.tier.exchanges import HOST, Answer, read_answer, serve_front
+
+GONE_S = 0.5
+
+
+@dataclass
+class Request:
+    """A request as a sidecar got it."""
+
+    headers: dict[str, str]
+    at: float
+    body: bytes = b""
+    gone_at: float | None = None  # when its connection ended
+
+
+Reply = Callable[[Request, asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass
+class Scripted:
+    """Sidecars that answer as one script says, and what they got."""
+
+    reply: Reply
+    got: list[Request] = field(default_factory=list)
+
+    async def start(self, count: int) -> SidecarList:
+        """Listens at so many addresses."""
+        self._servers = [await asyncio.start_server(self._serve, "127.0.0.1", 0) for _ in range(count)]
+        ports = [server.sockets[0].getsockname()[1] for server in self._servers]
+        return SidecarList(
+            tuple(Sidecar(f"i{n}", "s", f"127.0.0.1:{port}", "z", 16, True) for n, port in enumerate(ports))
+        )
+
+    def stop(self) -> None:
+        """Listens no more."""
+        for server in self._servers:
+            server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request: Request | None = None
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                fields = (line.partition(":") for line in head[1:] if line)
+                headers = {name.lower(): value.strip() for name, _, value in fields}
+                request = Request(headers, time.monotonic())
+                request.body = await reader.readexactly(int(headers.get("content-length", "0")))
+                self.got.append(request)
+                answering = asyncio.ensure_future(self.reply(request, writer))
+                ended = asyncio.ensure_future(reader.read(1))
+                await asyncio.wait({answering, ended}, return_when=asyncio.FIRST_COMPLETED)
+                if ended.done() or not answering.done():
+                    answering.cancel()
+                    return
+                ended.cancel()
+                await asyncio.gather(ended, return_exceptions=True)
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            if request is not None:
+                request.gone_at = time.monotonic()
+            writer.close()
+
+
+def answer(request: Request, status: int = 200, body: bytes = b"ok", fields: str = "") -> bytes:
+    """A whole answer."""
+    told = request.headers.get("request-id", "")
+    head = (
+        f"HTTP/1.1 {status} X\r\nRequest-Id: {told}\r\nServer-Stamp: t\r\n{fields}Content-Length: {len(body)}"
+    )
+    return head.encode() + b"\r\n\r\n" + body
+
+
+async def silent(request: Request, writer: asyncio.StreamWriter) -> None:
+    """Never answers."""
+    await asyncio.sleep(60)
+
+
+def routes(**changes: Any) -> RoutingTable:  # noqa: ANN401
+    """One route of each kind."""
+    common = {"host": HOST, "timeoutMs": 400, "sloMs": 200, "service": "s", "maxAttempts": 2, **changes}
+    kinds = {"/safe/": "safe", "/unsafe/": "unsafe", "/stream/": "stream"}
+    listed = [{**common, "name": p, "pathPrefix": p, "kind": k, "resumable": True} for p, k in kinds.items()]
+    whole = {"version": 1, "routes": listed, "services": [{"name": "s", "maxConns": 400}]}
+    return RoutingTable(Configuration.model_validate(whole))
+
+
+def encoded(path: str, headers: str = "", body: bytes = b"b") -> bytes:
+    """A client's request."""
+    head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r1\r\n{headers}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def play(reply: Reply, work: Callable[[int], Awaitable[Any]], count: int = 2, **changes: Any) -> Any:  # noqa: ANN401
+    """Plays clients against a front before scripted sidecars; gives what they saw and what sidecars got."""
+
+    async def run() -> tuple[Any, list[Request]]:
+        scripted = Scripted(reply)
+        pool = ServicePool()
+        pool.table = routes(**changes)
+        pool.take_list(await scripted.start(count))
+        stop = asyncio.Event()
+        port, serving = await serve_front(pool, stop)
+        loops = asyncio.ensure_future(pool.run_loops())
+        seen = await work(port)
+        loops.cancel()
+        stop.set()
+        await serving
+        scripted.stop()
+        return seen, [request for request in scripted.got if "request-id" in request.headers]
+
+    return uvloop.run(run())
+
+
+async def one(port: int, request: bytes) -> tuple[Answer, float]:
+    """One request on a connection of its own, and how long its answer took."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    began = time.monotonic()
+    writer.write(request)
+    found = await asyncio.wait_for(read_answer(reader), 10)
+    writer.close()
+    return found, time.monotonic() - began
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/stream/x"])
+def test_gone_a_sidecar_works_on_for_a_client_that_left_no_longer_than_half_a_second(path: str) -> None:
+    async def leave(port: int) -> float:
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(encoded(path, "Deadline-Ms: 9000\r\n"))
+        await asyncio.sleep(0.2)
+        writer.close()
+        left_at = time.monotonic()
+        await asyncio.sleep(GONE_S)
+        return left_at
+
+    left_at, got = play(silent, leave, timeoutMs=9000, maxAttempts=1)
+    assert len(got) == 1 and got[0].gone_at is not None and got[0].gone_at - left_at < GONE_S
+
+
+def test_gone_a_client_that_leaves_in_the_midst_of_its_stream_is_gone_at_the_sidecar() -> None:
+    async def endless(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 X\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for number in range(1, 500):
+            event = b"id: %d\ndata: x\n\n" % number
+            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            await asyncio.sleep(0.01)
+
+    async def leave(port: int) -> float:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(encoded("/stream/x", "Deadline-Ms: 9000\r\n"))
+        await reader.readuntil(b"data: x")
+        writer.close()
+        left_at = time.monotonic()
+        await asyncio.sleep(GONE_S)
+        return left_at
+
+    left_at, got = play(endless, leave, timeoutMs=9000)
+    assert len(got) == 1 and got[0].gone_at is not None and got[0].gone_at - left_at < GONE_S
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/stream/x"])
+def test_config_what_lasts_longer_than_its_routes_timeout_has_an_answer_half_a_second_later(
+    path: str,
+) -> None:
+    (found, took), _ = play(silent, lambda port: one(port, encoded(path, "Deadline-Ms: 9000\r\n")))
+    assert found.status in (502, 504) and 0.3 < took < 0.9
+
+
+def test_budget_a_sidecar_is_handed_no_more_time_than_is_left_also_on_a_second_try() -> None:
+    (found, _), got = play(
+        silent, lambda port: one(port, encoded("/safe/x", "Deadline-Ms: 1500\r\n")), timeoutMs=9000
+    )
+    assert found.status in (502, 504) and len(got) == 2
+    began = got[0].at
+    for request in got:
+        ends_at = request.at + float(request.headers["deadline-ms"]) / 1000
+        assert ends_at <= began + 1.5 + 0.05
+    assert float(got[1].headers["deadline-ms"]) < float(got[0].headers["deadline-ms"])
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/stream/x", "/unsafe/x"])
+def test_budget_no_more_sidecars_run_a_try_than_its_route_allows(path: str) -> None:
+    async def broken(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.transport.abort()
+
+    (found, _), got = play(broken, lambda port: one(port, encoded(path)), count=5, maxAttempts=3)
+    assert found.status == 502 and len(got) == (1 if path == "/unsafe/x" else 3)
+
+
+def test_a_fraction_of_a_millisecond_is_a_deadline_and_nonsense_is_none() -> None:
+    assert parse_deadline(b"1500.5") == 1500.5
+    for told in (None, b"", b"soon", b"-1", b"inf", b"nan"):
+        assert parse_deadline(told) == DEFAULT_DEADLINE_MS
+
+
+def test_unasked_a_sidecar_gets_the_clients_own_headers_and_body() -> None:
+    async def ok(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(request, fields="Versions: 7\r\n"))
+
+    told = "Model: m\r\nToken-Usage: 5,6\r\nPrompt-Prefix: aa:5,bb:6\r\nExpect-Version: 7\r\n"
+    told += "Connection: X\r\nX: 1\r\n"
+    (found, _), got = play(ok, lambda port: one(port, encoded("/unsafe/x", told, b"body")))
+    assert found.status == 200 and found.body == b"ok" and found.headers["versions"] == "7"
+    headers = got[0].headers
+    assert (headers["model"], headers["token-usage"], headers["prompt-prefix"]) == ("m", "5,6", "aa:5,bb:6")
+    assert headers["expect-version"] == "7" and got[0].body == b"body" and "x" not in headers
+
+
+def test_other_weights_than_expected_are_no_run_and_a_promise() -> None:
+    async def other(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(request, 421, b""))
+
+    (found, _), got = play(other, lambda port: one(port, encoded("/unsafe/x", "Expect-Version: 8\r\n")))
+    assert found.status == 503 and "retry-after" in found.headers and len(got) == 2
+
+
+def test_a_stream_is_taken_up_where_the_client_says() -> None:
+    async def rest(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(request, body=b"id: 4\ndata: x\n\n"))
+
+    (found, _), got = play(rest, lambda port: one(port, encoded("/stream/x", "Last-Event-Id: 3\r\n")))
+    assert found.body == b"id: 4\ndata: x\n\n" and got[0].headers["last-event-id"] == "3"
+
+
+def test_a_failure_keeps_the_sidecars_status_and_stamp_where_it_may_not_run_again() -> None:
+    async def failing(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(request, 500, b"error"))
+
+    (found, _), got = play(failing, lambda port: one(port, encoded("/unsafe/x")))
+    assert (found.status, found.headers["server-stamp"], found.body, len(got)) == (500, "t", b"error", 1)
+
+
+def test_lost_a_kept_connection_has_an_answer_whatever_the_sidecar_does() -> None:
+    async def broken(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.transport.abort()
+
+    async def many(port: int) -> list[int]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        statuses = []
+        for number in range(20):
+            writer.write(encoded(["/safe/x", "/unsafe/x", "/stream/x"][number % 3]))
+            statuses.append((await asyncio.wait_for(read_answer(reader), 5)).status)
+        writer.close()
+        return statuses
+
+    statuses, _ = play(broken, many)
+    assert set(statuses) <= {502, 503, 504}, "and the connection stays"
+
+
+def test_config_each_part_of_a_split_gets_its_share_of_requests_and_of_items() -> None:
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}, {"service": "c", "weight": 0}]
+    route = Route.model_validate(
+        {"name": "r", "host": "h", "pathPrefix": "/", "timeoutMs": 1, "trafficSplit": split}
+    )
+    counts = Counter(choose_service(route, f"item-{number}".encode()) for number in range(10_000))
+    assert abs(counts["a"] / 10_000 - 0.9) < 0.02 and counts["c"] == 0
