Exploration of three replicas, and steps that wait for the disk

Cause: three guards were taken out and nothing went red: no stickiness after a restart, a promise before its sync, and, since test_replication was not among the tests that mutations play, what a lost disk has to learn.

--- /dev/null
+++ b/tests/tier/exploration.py
@@ -0,0 +1,297 @@
+"""Every order of deliveries, losses and crashes of three replicas: `python -m tests.tier.exploration`.
+
+Starts from a primary with a lease, all three members, one entry of which is on its way. A step delivers one
+message, has one disk synced, ends and restarts one replica (what its disk had not synced is lost, or all of
+it), asks for a handover, proposes, or lets time pass. In each state there is at most one lease, and whoever
+leads holds what was committed. Messages that are never delivered are lost ones.
+"""
+
+import argparse
+import pickle
+import sys
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from crowwing.tier.replication import messages as m
+from crowwing.tier.replication.replica import Replica
+from crowwing.tier.replication.replica_state import Output, Role
+
+HOSTS = ("a", "b", "c")
+SHORT_S, LONG_S = 0.2, 0.5  # under a lease, and over every wait of a follower
+START_S = 10.0
+
+
+class Ledger:
+    """The simplest state: payloads in their order, in one range."""
+
+    def __init__(self) -> None:
+        self.payloads: list[bytes] = []
+
+    def apply(self, payload: bytes, index: int) -> None:
+        """Takes one payload in."""
+        self.payloads.append(payload)
+
+    def freeze(self) -> Iterable[tuple[int, bytes]]:
+        """The one range."""
+        return [(0, pickle.dumps(self.payloads))]
+
+    def range_of(self, payload: bytes) -> int:
+        """The one range."""
+        return 0
+
+    def digests(self) -> tuple[bytes, ...]:
+        """Of the one range."""
+        return (pickle.dumps(self.payloads),)
+
+    def dump_range(self, number: int) -> bytes:
+        """The one range."""
+        return pickle.dumps(self.payloads)
+
+    def replace_ranges(self, contents: Mapping[int, bytes]) -> None:
+        """The one range."""
+        for content in contents.values():
+            self.payloads = pickle.loads(content)
+
+
+def half() -> float:
+    """In place of chance."""
+    return 0.5
+
+
+@dataclass
+class Node:
+    """One replica, its disk, and what waits for it."""
+
+    replica: Replica
+    disk: list[m.Record] = field(default_factory=list)
+    waiting: list[Output] = field(default_factory=list)
+
+
+@dataclass
+class State:
+    """All replicas, what is on its way, and what was promised to clients."""
+
+    nodes: dict[str, Node]
+    on_the_way: list[tuple[str, m.Message]]
+    now: float
+    committed: dict[int, m.Ballot] = field(default_factory=dict)
+    crashes: int = 0
+    wipes: int = 0
+    handovers: int = 0
+    proposals: int = 0
+    waits: int = 0
+
+
+@dataclass(frozen=True)
+class Limits:
+    """How often each thing may happen on a way."""
+
+    crashes: int = 1
+    wipes: int = 1
+    handovers: int = 1
+    proposals: int = 1
+    waits: int = 3
+
+
+class Broken(AssertionError):
+    """A rule does not hold in a state."""
+
+
+def first_state() -> State:
+    """A primary with a lease, with one entry on its way."""
+    state = State({}, [], START_S)
+    for host in HOSTS:
+        replica = Replica(host, HOSTS, Ledger(), 1, START_S - 5, half)
+        replica.bootstrap(HOSTS)
+        state.nodes[host] = Node(replica)
+        collect(state, host)
+    state.nodes["a"].replica._start_campaign(state.now)
+    for _ in range(40):
+        for host in HOSTS:
+            collect(state, host)
+            sync(state, host)
+        on_the_way, state.on_the_way = state.on_the_way, []
+        for to, message in on_the_way:
+            state.nodes[to].replica.receive(state.now, message)
+            collect(state, to)
+        if not on_the_way:
+            break
+    propose(state, "a")
+    assert state.nodes["a"].replica.holds_lease(state.now)
+    return state
+
+
+def collect(state: State, host: str) -> None:
+    """Takes what a replica asks for: messages go out, records and what follows them wait for the disk."""
+    node = state.nodes[host]
+    node.replica.send_entries(state.now)
+    output = node.replica.take_output()
+    for to, message in output.immediate:
+        put_on_the_way(state, host, to, message)
+    if output.records or output.durable:
+        node.waiting.append(output)
+
+
+def put_on_the_way(state: State, sender: str, to: str, message: m.Message) -> None:
+    """A message that is on its way already is not sent twice."""
+    if to in state.nodes and (to, message) not in state.on_the_way:
+        state.on_the_way.append((to, message))
+
+
+def sync(state: State, host: str) -> None:
+    """The disk keeps all that waits, and what followed it goes out."""
+    node = state.nodes[host]
+    waiting, node.waiting = node.waiting, []
+    for output in waiting:
+        node.disk += output.records
+    for output in waiting:
+        for to, message in output.durable:
+            if to == host:
+                node.replica.receive(state.now, message)
+                collect(state, host)
+            else:
+                put_on_the_way(state, host, to, message)
+
+
+def restart(state: State, host: str, wiped: bool) -> None:
+    """Ends a replica and starts it with what its disk holds."""
+    node = state.nodes[host]
+    node.waiting = []
+    if wiped:
+        node.disk = []
+    node.replica = Replica(host, HOSTS, Ledger(), 1, state.now, half)
+    if node.disk:
+        node.replica.recover(node.disk)
+    collect(state, host)
+
+
+def propose(state: State, host: str) -> None:
+    """A client's entry."""
+    state.nodes[host].replica.propose(state.now, b"entry %d" % state.proposals)
+    state.proposals += 1
+    collect(state, host)
+
+
+def wait(state: State, span_s: float) -> None:
+    """Time passes, and all replicas tick."""
+    state.now += span_s
+    state.waits += 1
+    for host in HOSTS:
+        state.nodes[host].replica.tick(state.now)
+        collect(state, host)
+
+
+def steps(state: State, limits: Limits) -> Iterator[tuple[str, Any]]:
+    """What may happen next."""
+    for place in range(len(state.on_the_way)):
+        yield "deliver", place
+    for host in HOSTS:
+        if state.nodes[host].waiting:
+            yield "sync", host
+    for host in HOSTS:
+        if state.crashes < limits.crashes:
+            yield "restart", host
+        if state.wipes < limits.wipes:
+            yield "wipe", host
+        if state.nodes[host].replica.role is Role.PRIMARY:
+            if state.handovers < limits.handovers:
+                yield "handover", host
+            if state.proposals < limits.proposals:
+                yield "propose", host
+    if state.waits < limits.waits:
+        yield "wait", SHORT_S
+        yield "wait", LONG_S
+
+
+def take(state: State, kind: str, what: Any) -> None:  # noqa: ANN401
+    """Carries one step out."""
+    match kind:
+        case "deliver":
+            to, message = state.on_the_way.pop(what)
+            state.nodes[to].replica.receive(state.now, message)
+            collect(state, to)
+        case "sync":
+            sync(state, what)
+        case "restart":
+            state.crashes += 1
+            restart(state, what, wiped=False)
+        case "wipe":
+            state.wipes += 1
+            restart(state, what, wiped=True)
+        case "handover":
+            state.handovers += 1
+            state.nodes[what].replica.lead_off(state.now)
+            collect(state, what)
+        case "propose":
+            propose(state, what)
+        case "wait":
+            wait(state, what)
+
+
+def check(state: State) -> None:
+    """At most one lease; what was committed stays committed at whoever leads."""
+    leases = [host for host in HOSTS if state.nodes[host].replica.holds_lease(state.now)]
+    if len(leases) > 1:
+        raise Broken(f"{leases} hold leases at once")
+    for host in HOSTS:
+        replica = state.nodes[host].replica
+        if replica.role is not Role.PRIMARY:
+            continue
+        for index, ballot in state.committed.items():
+            entry = replica.log.at(index)
+            if host in leases and (entry is None or entry.ballot != ballot):
+                raise Broken(f"{host} leads without the committed entry {index}")
+        for index in range(1, replica.commit_index + 1):
+            entry = replica.log.at(index)
+            if entry is not None:
+                state.committed.setdefault(index, entry.ballot)
+
+
+def explore(depth: int, most_states: int = 10**9, limits: Limits = Limits()) -> tuple[int, int]:
+    """Visits every state up to a depth; gives how many there were, and the depth that was finished."""
+    frozen = pickle.dumps(first_state())
+    seen = {hash(frozen)}
+    level: list[tuple[bytes, tuple[str, ...]]] = [(frozen, ())]
+    for done in range(depth):
+        following: list[tuple[bytes, tuple[str, ...]]] = []
+        for parent, way in level:
+            for kind, what in list(steps(pickle.loads(parent), limits)):
+                state = pickle.loads(parent)
+                step = f"{kind} {what if kind != 'deliver' else _told(state.on_the_way[what])}"
+                take(state, kind, what)
+                try:
+                    check(state)
+                except Broken as error:
+                    raise Broken(f"{error} after {' / '.join((*way, step))}") from None
+                child = pickle.dumps(state)
+                if hash(child) not in seen:
+                    seen.add(hash(child))
+                    following.append((child, (*way, step)))
+            if len(seen) >= most_states:
+                return len(seen), done
+        level = following
+    return len(seen), depth
+
+
+def _told(sent: tuple[str, m.Message]) -> str:
+    return (
+        f"{type(sent[1]).__name__} of {sent[1].sender} to {sent[0]}"
+        if hasattr(sent[1], "sender")
+        else str(sent)
+    )
+
+
+def main() -> int:
+    """The command."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--depth", type=int, default=6)
+    parser.add_argument("--states", type=int, default=2_000_000, help="at most")
+    options = parser.parse_args()
+    states, depth = explore(options.depth, options.states)
+    print(f"{states} states, every way of up to {depth} steps: nothing broken")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/tier/test_control_safety_steps.py
+++ b/tests/tier/test_control_safety_steps.py
@@ -121,6 +121,44 @@
     assert learner.synced == ballot
 
 
+def test_a_restarted_witness_promises_nobody_until_a_lease_it_may_have_vouched_for_has_ended() -> None:
+    witness = Replica("b", HOSTS, TierState(), 1, 10.0, lambda: 0.5)
+    witness.recover([m.PromiseRecord((5, "a")), m.ViewRecord(m.View((5, "a"), HOSTS, HOSTS))])
+    witness.receive(10.1, m.Prepare((6, "c"), "c", (5, "a")))
+    assert not sent(witness, m.Promise), "the released ballot may not be the one that it vouched for"
+    witness.receive(10.2, m.AskPreVote((5, "a"), "c"))
+    assert [answer.willing for _, answer in sent(witness, m.PreVote)] == [False]
+    witness.receive(10.01 + timing.STICKY_S, m.Prepare((6, "c"), "c", m.NO_BALLOT))
+    assert sent(witness, m.Promise)
+
+
+def follower(ballot: m.Ballot) -> Replica:
+    """Replica b as a member of a view under a ballot."""
+    replica = replica_of("b")
+    replica.receive(9.0, m.Sync(ballot, "a", m.START, (), m.START))
+    replica.receive(9.0, m.Accept("a", m.View(ballot, HOSTS, HOSTS)))
+    replica.take_output()
+    return replica
+
+
+@pytest.mark.parametrize(
+    ("message", "answer"),
+    [
+        (m.Prepare((6, "c"), "c", (5, "a")), m.Promise),
+        (m.Accept("a", m.View((6, "a"), HOSTS, HOSTS)), m.Accepted),
+        (m.Sync((6, "a"), "a", m.START, (m.Entry((5, "a"), 1, b"\xf6"),), ((5, "a"), 1)), m.Synced),
+        (m.Append((5, "a"), "a", (m.Entry((5, "a"), 1, b"\xf6"),)), m.Appended),
+        (m.Learn("c"), m.Learned),
+    ],
+)
+def test_a_word_that_others_count_waits_for_the_disk(message: m.Message, answer: type) -> None:
+    replica = follower((5, "a"))
+    replica.receive(10.0, message)
+    output = replica.take_output()
+    assert any(isinstance(told, answer) for _, told in output.durable)
+    assert not any(isinstance(told, answer) for _, told in output.immediate)
+
+
 def test_a_machine_without_memory_asks_only_once_no_candidate_counts_its_former_word() -> None:
     replica = Replica("c", HOSTS, TierState(), 1, 10.0, lambda: 0.5)
     replica.tick(10.0 + max(timing.PREPARE_LIMIT_S, timing.ACCEPT_LIMIT_S))
--- /dev/null
+++ b/tests/tier/test_exploration.py
@@ -0,0 +1,19 @@
+"""All short ways of three replicas; longer ones by `python -m tests.tier.exploration`."""
+
+import pytest
+
+from tests.tier.exploration import Broken, check, explore, first_state
+
+
+def test_no_short_way_breaks_a_rule() -> None:
+    states, depth = explore(4)
+    assert depth == 4 and states > 5000
+
+
+def test_a_state_in_which_two_hold_leases_is_found() -> None:
+    state = first_state()
+    check(state)
+    other = state.nodes["b"].replica
+    other.role, other.confirmed_at = state.nodes["a"].replica.role, state.now
+    with pytest.raises(Broken):
+        check(state)
