--- /dev/null
+++ b/benchmarks/tier_stand/__init__.py
@@ -0,0 +1,1 @@
+"""Processes and stand-ins on loopback for the tier's demo."""
--- a/benchmarks/tier_scale/sidecar_stand_in.py
+++ b/benchmarks/tier_stand/sidecar_stand_in.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from benchmarks.tier_scale.stand import entries
+from benchmarks.tier_stand.stand import entries
 
 EVENTS = 6  # where a request does not say how many in a header `Events`
 EVENT_PAUSE_S = 0.004
