--- a/tests/tier/test_control_safety_steps.py
+++ b/tests/tier/test_control_safety_steps.py
@@ -5,6 +5,7 @@
 from crowwing.tier.replication import messages as m
 from crowwing.tier.replication import timing
 from crowwing.tier.replication.replica import Replica
+from crowwing.tier.replication.replica_state import Campaign, Phase
 from crowwing.tier.state.views import TierState
 
 HOSTS = ("a", "b", "c")
@@ -132,6 +133,22 @@
     assert sent(witness, m.Promise)
 
 
+def test_a_view_with_other_witnesses_needs_a_majority_of_the_old_ones_too() -> None:
+    """Else b and c, which know nothing of it, could make another one of the old view's data."""
+    replica = replica_of("a")
+    replica._start_campaign(10.0)  # noqa: SLF001
+    ballot = replica.promised
+    campaign = Campaign(Phase.ACCEPT, 10.0, m.NO_BALLOT)
+    campaign.base = m.View(m.FIRST_BALLOT, HOSTS, HOSTS)
+    campaign.view = m.View(ballot, ("a", "d"), ("a", "b", "d"))
+    replica._campaign = campaign  # noqa: SLF001
+    for host in ("a", "d"):
+        replica.receive(10.1, m.Accepted(ballot, host))
+    assert replica.role.value == "candidate", "two of the new ones, and one of the old ones"
+    replica.receive(10.1, m.Accepted(ballot, "b"))
+    assert replica.role.value == "primary"
+
+
 def follower(ballot: m.Ballot) -> Replica:
     """Replica b as a member of a view under a ballot."""
     replica = replica_of("b")
--- a/tests/tier/test_request_path.py
+++ b/tests/tier/test_request_path.py
@@ -11,9 +11,11 @@
 import uvloop
 
 from crowwing.tier.configuration import Configuration, Route, RoutingTable, choose_service
+from crowwing.tier.front.main import FrontProcess
 from crowwing.tier.front.proxy import DEFAULT_DEADLINE_MS, parse_deadline
 from crowwing.tier.front.service_pool import ServicePool
 from crowwing.tier.platform_list import Sidecar, SidecarList
+from crowwing.tier.settings import Settings
 from tests.tier.exchanges import HOST, Answer, read_answer, serve_front
 
 GONE_S = 0.5
@@ -263,6 +265,39 @@
     assert set(statuses) <= {502, 503, 504}, "and the connection stays"
 
 
+def test_denied_a_front_that_knows_no_configuration_promises_that_nothing_has_run() -> None:
+    async def run() -> Answer:
+        stop = asyncio.Event()
+        port, serving = await serve_front(ServicePool(), stop)
+        found, _ = await one(port, encoded("/safe/x"))
+        stop.set()
+        await serving
+        return found
+
+    found = uvloop.run(run())
+    assert found.status == 503 and "retry-after" in found.headers
+
+
+def test_drain_a_front_that_leaves_is_not_ready_from_that_moment_on() -> None:
+    front = FrontProcess(Settings.model_validate({"node": "f", "ip": "127.0.0.1", "portRange": [1, 2]}))
+
+    def ready() -> int:
+        told: list[Any] = []
+
+        async def send(message: Any) -> None:  # noqa: ANN401
+            told.append(message)
+
+        asyncio.run(front.ready({}, None, send))  # type: ignore[arg-type]
+        return told[0]["status"]
+
+    assert ready() == 503, "it knows neither routes nor sidecars"
+    front.pool.table = routes()
+    front.pool.take_list(SidecarList(()))
+    assert ready() == 200
+    front.proxy.draining = True
+    assert ready() == 503
+
+
 def test_config_each_part_of_a_split_gets_its_share_of_requests_and_of_items() -> None:
     split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}, {"service": "c", "weight": 0}]
     route = Route.model_validate(
