--- a/tests/tier/simulation/disk.py
+++ b/tests/tier/simulation/disk.py
@@ -122,6 +122,10 @@
         self.step()
         self._durable_names = dict(self._names)
 
+    def size(self) -> int:
+        """Bytes of all files."""
+        return sum(len(inode.content) for inode in self._names.values())
+
     def lose_power(self, work: Callable[[], None] | None) -> None:
         """What is not synced is kept or lost by chance; `work` was under way and is broken off anywhere."""
         if work is not None:
--- a/tests/tier/test_letter_scenarios.py
+++ b/tests/tier/test_letter_scenarios.py
@@ -5,9 +5,12 @@
 
 import pytest
 
+from crowwing.tier.state.events import Item
+from crowwing.tier.store import commands as c
 from tests.tier.simulation.checkers.configuration import check_configuration
 from tests.tier.simulation.clients import Operator
 from tests.tier.simulation.history import Call
+from tests.tier.simulation.machines import LOT_HOST, LOT_PREFIX
 from tests.tier.simulation.world import World
 
 STORES = ("m0", "m1", "m2")
@@ -239,6 +242,40 @@
     check_history(world, writer)
 
 
+def test_a_lost_disk_is_made_good_in_time_after_1000_changes_and_with_lots_of_50_mb() -> None:
+    world = World(7, STORES)
+    world.network.bytes_per_s = 60e6  # of each connection
+    world.settle()
+    operator = Operator(world, "operator-a")
+
+    async def fill() -> None:
+        version = 0
+        for number in range(1000):
+            change = operator.change(version)
+            assert await operator.put(change) == 200
+            version = change.version
+            if number % 10 == 0:
+                store = world.stores[str(world.primary())]
+                item = Item("i", "/p", (), bytes(512 * 1024), 1)
+                lot = c.SubmitLot(f"lot-{number}", LOT_HOST, LOT_PREFIX, (item,))
+                assert store.machine is not None
+                assert isinstance(await store.machine.service.command(lot), c.Done)
+
+    world.run(fill())
+    primary = str(world.primary())
+    assert world.state(primary).kept_bytes > 50_000_000
+    lost = next(host for host in STORES if host != primary)
+    world.stop(lost, power=True, wipe=True)
+    world.run_for(1.0)
+    world.start(lost)
+    world.run_for(world.start_s[1] + CATCH_UP_S)
+    assert world.members() == set(STORES)
+    assert world.held(lost) == world.held(primary)
+    sizes = {host: store.files.size() for host, store in world.stores.items()}
+    assert max(sizes.values()) < 4 * 60_000_000, f"files are bounded: {sizes}"
+    check_history(world, operator)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_a_primary_that_hands_over_and_is_cut_off_at_once_leads_no_longer(seed: int) -> None:
     world = World(seed, STORES)
