--- a/tests/tier/test_control_safety_steps.py
+++ b/tests/tier/test_control_safety_steps.py
@@ -133,6 +133,18 @@
     assert sent(witness, m.Promise)
 
 
+def test_a_candidate_with_fewer_promises_than_a_majority_sends_nobody_its_data() -> None:
+    replica = replica_of("a")
+    replica._start_campaign(10.0)  # noqa: SLF001
+    first = m.View(m.FIRST_BALLOT, HOSTS, HOSTS)
+    replica.receive(10.0, m.Promise(replica.promised, "a", first, m.FIRST_BALLOT, m.START, 0.0))
+    replica.tick(10.5)
+    assert replica.role.value == "candidate" and not sent(replica, m.Sync)
+    replica.receive(10.5, m.Promise(replica.promised, "b", first, m.FIRST_BALLOT, m.START, 0.0))
+    replica.tick(10.6)
+    assert sent(replica, m.Sync)
+
+
 def test_a_view_with_other_witnesses_needs_a_majority_of_the_old_ones_too() -> None:
     """Else b and c, which know nothing of it, could make another one of the old view's data."""
     replica = replica_of("a")
