--- a/tests/tier/test_control_safety_steps.py
+++ b/tests/tier/test_control_safety_steps.py
@@ -145,6 +145,40 @@
     assert sent(replica, m.Sync)
 
 
+@pytest.mark.parametrize("members", [("b", "c"), HOSTS])
+def test_who_missed_the_last_view_or_its_data_does_not_lead(members: tuple[str, ...]) -> None:
+    replica = replica_of("a")
+    replica._start_campaign(10.0, above=(5, "c"))  # noqa: SLF001
+    first, last = m.View(m.FIRST_BALLOT, HOSTS, HOSTS), m.View((5, "c"), members, HOSTS)
+    replica.receive(10.0, m.Promise(replica.promised, "a", first, m.FIRST_BALLOT, m.START, 0.0))
+    replica.receive(10.0, m.Promise(replica.promised, "b", last, (5, "c"), ((5, "c"), 1), 0.0))
+    replica.tick(10.2)
+    assert replica.role.value == "follower" and not sent(replica, m.Sync)
+
+
+def test_a_member_without_the_views_data_acknowledges_no_entry() -> None:
+    """It has lost its disk since it became a member, and has learned its ballot from the others."""
+    ballot = (5, "a")
+    replica = Replica("b", HOSTS, TierState(), 1, 10.0, lambda: 0.5)
+    for host in ("a", "c"):
+        replica.receive(12.0, m.Learned(host, ballot, m.View(ballot, HOSTS, HOSTS)))
+    assert replica.promised == ballot
+    replica.receive(12.1, m.Append(ballot, "a", (m.Entry(ballot, 1, b"\xf6"),)))
+    assert not sent(replica, m.Appended) and replica.log.last == m.START
+
+
+def test_a_witness_of_a_later_ballot_confirms_no_earlier_primary() -> None:
+    witness = replica_of("b")
+    witness.receive(10.0, m.Prepare((6, "c"), "c", m.NO_BALLOT))
+    witness.take_output()
+    view = m.View((5, "a"), HOSTS, HOSTS)
+    for message in (m.Heartbeat((5, "a"), "a", 1, view), m.Accept("a", view)):
+        witness.receive(10.1, message)
+        output = witness.take_output()
+        told = [answer for _, answer in output.immediate + output.durable]
+        assert [type(answer) for answer in told] == [m.Refuse]
+
+
 def test_a_view_with_other_witnesses_needs_a_majority_of_the_old_ones_too() -> None:
     """Else b and c, which know nothing of it, could make another one of the old view's data."""
     replica = replica_of("a")
