Simulated plays rewrite their files and repair by ranges

Cause: with the sync of a renamed file's folder taken out nothing went red: no file of a play reached the 8 MB from which it is rewritten.

--- a/tests/tier/mutations.py
+++ b/tests/tier/mutations.py
@@ -23,7 +23,7 @@
     "test_disk_troubles.py",
     "test_repair.py", "test_letter_scenarios.py",
 )  # fmt: skip
-KINDS = ("three", "beyond-four", "dense", "five-two", "short-logs")
+KINDS = ("three", "short-files-beyond", "dense", "five-two", "short-logs")
 TEST_LIMIT_S, SEED_LIMIT_S = 400, 400
 
 
--- a/tests/tier/simulation/plays.py
+++ b/tests/tier/simulation/plays.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import dataclass
 
+from crowwing.tier.replication import log
+from crowwing.tier.store import disk
 from tests.tier.simulation.checkers.configuration import check_configuration
 from tests.tier.simulation.checkers.distribution import check_documents
 from tests.tier.simulation.checkers.lots import check_lots, check_read_back
@@ -24,6 +26,8 @@
     beyond: bool = False
     span_s: float = 30.0
     gap_s: float = 4.0
+    rewrite_bytes: int = disk.LEAST_REWRITE_BYTES  # of a file, from which it may be rewritten
+    log_entries: int = log.MOST_ENTRIES  # kept for those that catch up; the others are repaired by ranges
 
 
 KINDS = {
@@ -35,12 +39,23 @@
     "beyond-four": Kind(stores=4, beyond=True),
     "beyond-five-two": Kind(stores=5, faults=2, beyond=True),
     "dense": Kind(stores=4, gap_s=1.0, span_s=20.0),
+    "short-files": Kind(rewrite_bytes=8_000, log_entries=40),
+    "short-files-beyond": Kind(stores=4, beyond=True, rewrite_bytes=8_000, log_entries=15),
     "twelve": Kind(stores=12, faults=2, span_s=20.0),
 }
 
 
 def play(seed: int, kind: Kind) -> World:
     """Plays a seed; raises RuleBroken with all that broke."""
+    kept = disk.LEAST_REWRITE_BYTES, log.MOST_ENTRIES
+    disk.LEAST_REWRITE_BYTES, log.MOST_ENTRIES = kind.rewrite_bytes, kind.log_entries
+    try:
+        return _play(seed, kind)
+    finally:
+        disk.LEAST_REWRITE_BYTES, log.MOST_ENTRIES = kept
+
+
+def _play(seed: int, kind: Kind) -> World:
     hosts = [f"m{number}" for number in range(kind.stores)]
     world = World(seed, hosts, faults=kind.faults, fronts=("f0", "f1"))
     world.settle()
