--- a/tests/tier/simulation/world.py
+++ b/tests/tier/simulation/world.py
@@ -180,6 +180,13 @@
         replica = self.replica(primary) if primary is not None else None
         return set(replica.view.members) if replica is not None and replica.view is not None else set()
 
+    def whole_members(self) -> set[str]:
+        """Its members that run and hold its data: a machine that lost its disk stays a member for a while."""
+        held = {host: replica.synced for host, replica in self.replicas().items()}
+        primary = self.primary()
+        replica = self.replica(primary) if primary is not None else None
+        return {host for host in self.members() if replica is not None and held.get(host) == replica.promised}
+
     def witnesses(self) -> set[str]:
         """The witnesses of the same view."""
         primary = self.primary()
