A head that runs on into the next one is nobody's answer

Change: an answer has just one Request-Id, this request's, and nothing in its head begins another head.

--- a/crowwing/tier/front/upstream.py
+++ b/crowwing/tier/front/upstream.py
@@ -28,6 +28,7 @@
     "pool": CONNECT_TIMEOUT_S,
 }
 DRAIN_LIMIT_S = 0.2
+NEXT_HEAD = b"HTTP/1."  # how a head begins; in the midst of one it is the next one's
 KEEP_IDLE_S = 4.0
 UNACKNOWLEDGED_MS = 1500
 HOP_BY_HOP = frozenset(
@@ -150,7 +151,7 @@
     async def _opened(self, response: httpcore.Response, request_id: bytes) -> Outcome:
         headers: Headers = list(response.headers)
         names = {name.lower(): value for name, value in headers}
-        if names.get(b"request-id", b"") != request_id or response.status < 200:
+        if response.status < 200 or not _is_answer_to(response, request_id):
             await _give_up(response)
             return MayHaveRun("an answer that is not this request's")
         if b"not-executed" in names or response.status == 421:
@@ -159,6 +160,19 @@
         return Opened(response.status, headers, response)
 
 
+def _is_answer_to(response: httpcore.Response, request_id: bytes) -> bool:
+    """Whether a head is the answer to a request, and one head alone.
+
+    A surplus answer that was broken off within its head runs on into the head of the next one: what comes of
+    that has the status of the first, and the id of the second.
+    """
+    ids = [value for name, value in response.headers if name.lower() == b"request-id"]
+    if ids != ([request_id] if request_id else []):
+        return False
+    reason = response.extensions.get("reason_phrase", b"")
+    return not any(NEXT_HEAD in text for text in (reason, *(value for _, value in response.headers)))
+
+
 async def _read_report(response: httpcore.Response) -> Report | None:
     """A report, which carries no id: a connection on which anything else stands is not used again."""
     body = b"".join([chunk async for chunk in _chunks(response)])
--- a/tests/tier/test_exchanges.py
+++ b/tests/tier/test_exchanges.py
@@ -24,6 +24,7 @@
 from tests.tier.misbehaving_sidecar import LINGER_NOT
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+HALF = b"HTTP/1.1 200 Told\r\nServer-Stamp: old\r\nRequest-Id: r0\r\nContent-Length: 90\r\n\r\nsurplus"
 WHOLE = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -112,6 +113,13 @@
     assert isinstance(uvloop.run(asked(saying(answer))), MayHaveRun)
 
 
+@pytest.mark.parametrize("cut", range(1, len(HALF)))
+def test_a_head_that_runs_on_into_the_next_one_is_nobodys(cut: int) -> None:
+    """Of a surplus answer only a part came, just before the answer to this request."""
+    found = uvloop.run(asked(saying(HALF[:cut] + WHOLE.replace(b"200 OK", b"500 No"))))
+    assert isinstance(found, (MayHaveRun, StreamBroken)), found
+
+
 @pytest.mark.parametrize("surplus", [WHOLE, WHOLE[:7], b"\r\n", WHOLE.replace(b"r1", b"r0")])
 @pytest.mark.parametrize("pause_s", [None, 0.0, 0.02])
 def test_a_connection_with_bytes_behind_an_answer_is_not_used_again(
