Simulated machines have 3 s again until there is a primary, as before the port

Cause: on reading again: the port of the tests to the real node had given settle 4 s where it was 3.

--- a/tests/tier/simulation/world.py
+++ b/tests/tier/simulation/world.py
@@ -310,7 +310,7 @@
         """What a store machine holds: entries by name, with what they went through."""
         return {lot.id: lot.digest for lot in self.state(host).lots.values()}
 
-    def settle(self, span_s: float = 4.0) -> None:
+    def settle(self, span_s: float = 3.0) -> None:
         """Lets time pass until there is a primary."""
         for _ in range(int(span_s / 0.1)):
             self.run_for(0.1)
