--- /dev/null
+++ b/benchmarks/own_days.py
@@ -0,0 +1,66 @@
+"""Plays our own days on the users' bench: `python -m benchmarks.own_days BENCH SITE...`.
+
+A file under benchmarks/days holds what goes wrong; `traffic-SITE.toml` the traffic of a site. Prints one line
+a day; ends with 1 where a rule was broken or a day could not be played.
+"""
+
+import argparse
+import re
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+DAYS = Path(__file__).parent / "days"
+COMPOSED = Path("target") / "own-days"
+SEED = 20_261_202
+RULES = re.compile(
+    r"\b(MIXED|UNASKED|TWICE|REFUSED|DENIED|BUDGET|ROUTE|DRAIN|LOST|CONFIG|ORDER|RECOVER|GONE|FAULT)\b"
+)
+MOST_TOLD = 400  # characters of what was broken
+
+
+def compose(site: str, day: Path) -> Path:
+    """A whole day as the bench reads it."""
+    COMPOSED.mkdir(parents=True, exist_ok=True)
+    path = COMPOSED / f"{site}-{day.stem}.toml"
+    head = f'name = "{day.stem}"\nslot = "trouble"\nseed = {SEED}\none = 1.0\nzero = 0.0\n'
+    goal = "goal = { floor = 0.0 }\nfloor_classes = [0.0]\nfloor_zones = [0.0]\nlabels = []\nlight = true\n"
+    path.write_text(head + goal + day.read_text() + (DAYS / f"traffic-{site}.toml").read_text())
+    return path
+
+
+def play(bench: str, site_file: str, day: Path) -> tuple[bool, str]:
+    """Plays one day; gives whether it kept all rules, and a line."""
+    site = Path(site_file).stem
+    path = compose(site, day)
+    command = [bench, "run", site_file, str(path), "--why", f"Our own day {day.stem}"]
+    done = subprocess.run(command, capture_output=True, text=True)
+    path.with_suffix(".log").write_text(done.stdout + done.stderr)
+    lines = [line.strip() for line in (done.stdout + done.stderr).splitlines() if line.strip()]
+    row = next((line for line in lines if line.startswith(day.stem)), lines[-1] if lines else "no output")
+    broken = [line for line in lines if RULES.search(line)]
+    return done.returncode == 0 and not broken, f"{site} {row} {' | '.join(broken)[:MOST_TOLD]}"
+
+
+def main() -> int:
+    """The command."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("bench", help="the fleetbench program")
+    parser.add_argument("sites", nargs="+", help="site files")
+    parser.add_argument("--only", default="", help="days whose name holds this")
+    parser.add_argument("--jobs", type=int, default=2)
+    options = parser.parse_args()
+    days = [day for day in sorted(DAYS.glob("[0-9]*.toml")) if options.only in day.stem]
+    plays = [(options.bench, site, day) for site in options.sites for day in days]
+    failed = 0
+    with ThreadPoolExecutor(options.jobs) as pool:
+        for kept, line in pool.map(lambda arguments: play(*arguments), plays):
+            failed += not kept
+            print("kept  " if kept else "FAILED", line, flush=True)
+    print(f"{len(plays)} days, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
