A connection just accepted is not closed to make room before its first request can come

Cause: near the limit the longest idle go, those that brought nothing yet 1 s before others. Change: the newest connections that have brought nothing yet, as many as are closed at once and no more, go last for 0.25 s. A flood of silence is none of these, so proven ones still stay.

--- a/crowwing/transport/listener.py
+++ b/crowwing/transport/listener.py
@@ -14,6 +14,7 @@
 HEAD_START = 1.0  # seconds by which one that has brought something may be idle for longer
 AT_ONCE = 8  # connections accepted, at most, before others of the loop have their turn
 NEW = 0.05  # seconds in which one that was just accepted is not ended for its silence
+FIRST_REQUEST = 0.25  # seconds that one's first request may take before it is closed to make room for others
 RETRY = 0.02  # seconds before another try to accept
 BACKLOG = 4096  # beyond it callers would try again only after a second
 SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
@@ -103,10 +104,21 @@
         """
         if len(self.connections) - sum(c.closing for c in self.connections) > self.most - self.spare:
             idle = [c for c in self.connections if not c.busy and not c.closing]
-            idle.sort(key=lambda c: c.since + HEAD_START * c.proven)
+            newcomers = self._newcomers(idle)
+            idle.sort(key=lambda c: (c in newcomers, c.since + HEAD_START * c.proven))
             for connection in idle[: self.spare]:
                 connection.close()
 
+    def _newcomers(self, idle: list[Connection]) -> set[Connection]:
+        """Those whose first request may still be on its way, the newest and few: a flood of silence is none.
+
+        Where all others have brought something lately, the one just accepted would count as the longest idle.
+        """
+        now = self.loop.time()
+        new = [c for c in idle if not c.proven and now - (c.began or c.since) < FIRST_REQUEST]
+        new.sort(key=lambda c: c.since)
+        return set(new[-self.spare :])
+
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP, self._sweep)  # first: it goes on whatever becomes of one connection
         now = self.loop.time()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -331,6 +331,21 @@
     play_in(Town(sockets=64), scene)
 
 
+def test_one_just_accepted_is_not_closed_to_make_room_before_its_request_can_have_come() -> None:
+    async def scene(town: Town) -> None:
+        listener = town.backend.listener
+        sides = [await Sidecar(town).open() for _ in range(listener.most - listener.spare)]
+        for side in sides:  # all have brought something less than a second ago
+            assert (await side.ask(b"GET /ping HTTP/1.1\r\n\r\n"))[0] == 200
+        held = set(listener.connections)
+        late = await Sidecar(town).open()
+        await town.until(lambda: any(connection.closing for connection in held))  # room has been made
+        assert (await late.ask(b"GET /ping HTTP/1.1\r\n\r\n"))[0] == 200
+        town.check()
+
+    play_in(Town(sockets=64), scene)
+
+
 def test_a_ticket_that_lies_there_when_an_idle_connection_closes_is_answered() -> None:
     async def scene(town: Town) -> None:
         with socket.create_connection(town.address) as side:
