A front keeps few idle connections, and a reset before use is no run

Change: connections of our own over httpcore's. All fronts together keep 0.45 of what sidecars accept idle, by the count of now; a new connection rests for about a round trip, so that a reset by the cap is known to have sent nothing; no new ones to that sidecar for 0.1 s, doubled up to 1.6 s; a choice prefers kept connections.

--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -102,6 +102,8 @@
                 continue
             reason = outcome.reason
             if isinstance(outcome, NotRun):
+                if outcome.no_connection:
+                    continue
                 if outcome.status is None:
                     state.failed(time.monotonic())
                 elif outcome.status != 421:
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -8,6 +8,7 @@
 
 from crowwing.tier.configuration import RoutingTable
 from crowwing.tier.front.admission import Admission, Ticket
+from crowwing.tier.front.sidecar_connections import IdleConnections, connection_limits
 from crowwing.tier.front.sidecars import SidecarState, SidecarTable
 from crowwing.tier.front.upstream import Opened, SidecarClient
 from crowwing.tier.platform_list import SidecarList
@@ -19,9 +20,9 @@
 ERROR_STATUS = 500  # from which an answer counts as a failure of its sidecar
 WAIT_STEP_S = 0.02
 MOST_GIVE_WAY = 3  # items at a time that make room for live requests
-CONNECTIONS_LEAST = 8
 START_SHARE = 1.0  # of the even part of all slots, which the limit starts at
-CONNECTION_SHARE = 0.9  # of the connections that a sidecar accepts, shared by all fronts
+ACCEPTED_DEFAULT = 64  # connections of a sidecar whose service the configuration does not name
+LIMITS_S = 0.5  # between looks at how many connections there may be
 
 
 @dataclass
@@ -40,6 +41,8 @@
         self.table: RoutingTable | None = None
         self._clients: dict[str, SidecarClient] = {}
         self._admissions: dict[str, Admission] = {}
+        self._idle: dict[str, IdleConnections] = {}  # by service
+        self._limited_at = -1e9
         self._closing: set[asyncio.Task[None]] = set()
         self._asking: set[asyncio.Task[None]] = set()
         self.listed = False
@@ -79,12 +82,32 @@
         """The connections to a sidecar."""
         client = self._clients.get(state.entry.id)
         if client is None:
-            service = self.table.services.get(state.entry.service) if self.table else None
-            accepted = service.max_conns if service is not None else 64
-            most = max(CONNECTIONS_LEAST, int(CONNECTION_SHARE * accepted / max(1, self.sidecars.fronts)))
-            client = self._clients[state.entry.id] = SidecarClient(state.entry.address, most)
+            idle = self._idle.setdefault(state.entry.service, IdleConnections())
+            self._limit_connections(state.entry.service)
+            client = SidecarClient(state.entry.address, state.connections, idle)
+            self._clients[state.entry.id] = client
         return client
 
+    def _limit_connections(self, service: str) -> None:
+        """Bounds the connections to a service's sidecars by what is known now."""
+        configured = self.table.services.get(service) if self.table else None
+        accepted = configured.max_conns if configured is not None else ACCEPTED_DEFAULT
+        states = self.sidecars.of_service(service)
+        limits = connection_limits(accepted, len(states), self.sidecars.fronts)
+        self._idle[service].most = limits.idle_in_all
+        for state in states:
+            state.connections.most = limits.open_each
+
+    async def _look_after_connections(self, now: float) -> None:
+        """Follows the number of fronts and the configuration, and closes what need not be kept."""
+        if now - self._limited_at < LIMITS_S:
+            return
+        self._limited_at = now
+        for service, idle in list(self._idle.items()):
+            self._limit_connections(service)
+            await idle.trim()
+            await idle.close_expired()
+
     def admission(self, service: str) -> Admission:
         """The admission before a service."""
         admission = self._admissions.get(service)
@@ -165,6 +188,7 @@
             await asyncio.sleep(STEER_S)
             now = time.monotonic()
             self._ask_silent(now)
+            await self._look_after_connections(now)
             for service, admission in self._admissions.items():
                 if now - admission.stepped < IDLE_STEER_S and not admission.pressed(now):
                     continue
--- /dev/null
+++ b/crowwing/tier/front/sidecar_connections.py
@@ -0,0 +1,191 @@
+"""The connections of a front to its sidecars: which are kept, and how many there may be.
+
+A sidecar accepts a number of connections from all fronts together and resets what is over. So a front keeps
+no more idle ones, over all sidecars of a service, than its even part of a share of that number, and opens
+none to a sidecar that has just reset a new one. A reset before a byte was sent is told apart from one after
+it: a new connection rests for about a round trip before its first request.
+"""
+
+import asyncio
+import time
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import httpcore
+
+from crowwing.tier.front.sidecar_stream import SidecarNetwork, SidecarStream
+
+OPEN_SHARE = 0.9  # of the connections that a sidecar accepts, which all fronts together may open
+IDLE_SHARE = 0.45  # of them, which all fronts together may keep idle
+OPEN_LEAST = 2  # connections to one sidecar that a front may have open whatever its part is
+IDLE_LEAST = 2  # connections that a front may keep idle, over all sidecars of a service
+FULL_LEAST_S, FULL_MOST_S = 0.1, 1.6  # without new connections after a reset of a new one, doubled each time
+SETTLE_LEAST_S, SETTLE_MOST_S = 0.002, 0.01  # bounds of the rest before the first request
+
+
+class NoConnection(Exception):
+    """There is no connection for a request, and nothing of it was sent."""
+
+
+class ConnectionsFull(NoConnection):
+    """The sidecar takes no more connections, or this front may open no more there."""
+
+
+@dataclass
+class ConnectionState:
+    """What a front has and knows of the connections to one sidecar. Times are seconds of the steady clock."""
+
+    most: int = OPEN_LEAST  # that this front may have open
+    opened: int = 0
+    idle: int = 0
+    resets: int = 0  # of new connections, in a row
+    full_until: float = 0.0
+
+    def available(self, now: float) -> bool:
+        """Whether a request would find a connection."""
+        return self.idle > 0 or (self.opened < self.most and now >= self.full_until)
+
+    def was_reset(self, now: float) -> None:
+        """A new connection was reset before anything was sent on it."""
+        self.full_until = now + min(FULL_MOST_S, FULL_LEAST_S * 2**self.resets)
+        self.resets += 1
+
+    def was_accepted(self) -> None:
+        """A new connection was taken."""
+        self.resets, self.full_until = 0, 0.0
+
+
+@dataclass(frozen=True)
+class ConnectionLimits:
+    """How many connections a front may have to the sidecars of one service."""
+
+    open_each: int
+    idle_in_all: int
+
+
+def connection_limits(accepted: int, sidecars: int, fronts: int) -> ConnectionLimits:
+    """The part of one of `fronts` in what `sidecars` accept, each `accepted` from all fronts together."""
+    open_each = max(OPEN_LEAST, int(OPEN_SHARE * accepted / max(1, fronts)))
+    idle_in_all = max(IDLE_LEAST, int(IDLE_SHARE * accepted * sidecars / max(1, fronts)))
+    return ConnectionLimits(open_each, idle_in_all)
+
+
+class IdleConnections:
+    """The idle connections to all sidecars of a service, the one used last at the end."""
+
+    def __init__(self, most: int = 1_000_000) -> None:
+        self.most = most
+        self._idle: OrderedDict[httpcore.AsyncHTTP11Connection, SidecarConnections] = OrderedDict()
+
+    def add(self, connection: httpcore.AsyncHTTP11Connection, owner: "SidecarConnections") -> None:
+        """Keeps a connection; the one that rested for longest gives way where there are too many."""
+        self._idle[connection] = owner
+
+    def remove(self, connection: httpcore.AsyncHTTP11Connection) -> None:
+        """A connection is in use again, or gone."""
+        self._idle.pop(connection, None)
+
+    async def trim(self) -> None:
+        """Closes those that rested for longest, as far as they are over the number that may be kept."""
+        while len(self._idle) > self.most:
+            connection, owner = next(iter(self._idle.items()))
+            await owner.discard(connection)
+
+    async def close_expired(self) -> None:
+        """Closes what has rested for too long or was ended by its sidecar."""
+        for connection, owner in list(self._idle.items()):
+            if connection.has_expired():
+                await owner.discard(connection)
+
+
+class SidecarConnections:
+    """The connections to one sidecar."""
+
+    def __init__(
+        self, address: str, state: ConnectionState, idle: IdleConnections, keep_idle_s: float,
+        connect_limit_s: float,
+    ) -> None:  # fmt: skip
+        host, port = address.rsplit(":", 1)
+        self._host, self._port = host, int(port)
+        self.origin = httpcore.Origin(b"http", host.encode(), self._port)
+        self.state, self._all_idle = state, idle
+        self._keep_idle_s, self._connect_limit_s = keep_idle_s, connect_limit_s
+        self._network = SidecarNetwork()
+        self._idle: list[httpcore.AsyncHTTP11Connection] = []
+        self._open: set[httpcore.AsyncHTTP11Connection] = set()
+
+    async def acquire(self, options: tuple[tuple[int, int, int], ...]) -> httpcore.AsyncHTTP11Connection:
+        """A connection for one request, the one used last where some are idle.
+
+        Raises NoConnection, and httpcore.ConnectError or ConnectTimeout, with nothing sent.
+        """
+        while self._idle:
+            connection = self._idle[-1]
+            if not connection.has_expired():
+                self._forget_idle(connection)
+                return connection
+            await self.discard(connection)
+        return await self._connect(options)
+
+    async def _connect(self, options: tuple[tuple[int, int, int], ...]) -> httpcore.AsyncHTTP11Connection:
+        if self.state.opened >= self.state.most or time.monotonic() < self.state.full_until:
+            raise ConnectionsFull(f"{self.state.opened} of {self.state.most} are open")
+        self.state.opened += 1
+        try:
+            stream = await self._open_stream(options)
+        except BaseException:
+            self.state.opened -= 1
+            raise
+        connection = httpcore.AsyncHTTP11Connection(self.origin, stream, self._keep_idle_s)
+        self._open.add(connection)
+        return connection
+
+    async def _open_stream(self, options: tuple[tuple[int, int, int], ...]) -> SidecarStream:
+        """A new stream that has outlived the moment in which one too many would be reset."""
+        began = time.monotonic()
+        stream = await self._network.connect_tcp(
+            self._host, self._port, self._connect_limit_s, socket_options=options
+        )
+        took = time.monotonic() - began
+        try:
+            await asyncio.sleep(min(SETTLE_MOST_S, max(SETTLE_LEAST_S, took)))
+        except BaseException:
+            await stream.aclose()
+            raise
+        if stream.get_extra_info("is_readable"):  # nothing was asked, so this is its end
+            await stream.aclose()
+            self.state.was_reset(time.monotonic())
+            raise ConnectionsFull("a new connection was reset")
+        self.state.was_accepted()
+        return stream
+
+    async def release(self, connection: httpcore.AsyncHTTP11Connection) -> None:
+        """A request has ended; its connection is kept where it ended whole."""
+        if connection not in self._open or connection in self._idle:
+            return
+        if connection.is_idle() and not connection.has_expired():
+            self._idle.append(connection)
+            self.state.idle = len(self._idle)
+            self._all_idle.add(connection, self)
+            await self._all_idle.trim()
+        else:
+            await self.discard(connection)
+
+    def _forget_idle(self, connection: httpcore.AsyncHTTP11Connection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self.state.idle = len(self._idle)
+        self._all_idle.remove(connection)
+
+    async def discard(self, connection: httpcore.AsyncHTTP11Connection) -> None:
+        """Ends a connection."""
+        self._forget_idle(connection)
+        if connection in self._open:
+            self._open.remove(connection)
+            self.state.opened -= 1
+        await connection.aclose()
+
+    async def close(self) -> None:
+        """Ends all; open answers break."""
+        for connection in list(self._open):
+            await self.discard(connection)
--- a/crowwing/tier/front/sidecars.py
+++ b/crowwing/tier/front/sidecars.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from crowwing.tier.front.admission import Load, Places
+from crowwing.tier.front.sidecar_connections import ConnectionState
 from crowwing.tier.front.track_record import TrackRecord
 from crowwing.tier.platform_list import Sidecar
 
@@ -22,11 +23,13 @@
 BACKOFF_LEAST_S, BACKOFF_MOST_S = 0.5, 4.0
 LOAD_COST_MS = 120.0  # of a sidecar whose slots are all taken
 OTHER_ZONE_COST_MS = 4.0  # bytes between zones have a price
+CONNECTING_COST_MS = 10.0  # a new connection takes round trips and processor time, and has a price
 OVERFULL_COST_MS = 400.0  # more for each further slots' worth
 READ_TOKENS_PER_MS = 128.0
 SHARED_PART_LEAST = 1000  # tokens from which fronts agree on a home for a shared part
 FULL_SCAN_MOST = 16  # sidecars of a service that are all weighed for each request; of more, a sample is
 SAMPLED, SAMPLED_HOLDERS = 12, 3  # at random, and of those that hold the large shared part
+SAMPLED_RECENT = 16  # of those that answered lately, as far as a connection to them is kept
 HOMES_KEPT = 4000  # shared parts whose home is remembered
 LOAD_SHAPE = 2.0  # of the gamma distribution of loads among sidecars: they differ by 0.7 of the mean
 PLACES_FRESH_S = 0.02  # for how long places are counted on instead of counted, where all are not weighed
@@ -73,6 +76,7 @@
     leaving: bool = False  # its answers say so, before the list does
     cached: OrderedDict[str, None] = field(default_factory=OrderedDict)
     record: TrackRecord = field(default_factory=TrackRecord)
+    connections: ConnectionState = field(default_factory=ConnectionState)
 
     def estimate(self, now: float, fronts: int, mean: float) -> float:
         """Requests that it probably has now: as told, or later as if all fronts sent alike.
@@ -110,6 +114,10 @@
         """Whether new requests may go there."""
         return self.entry.ready and not self.leaving and not self.silent and now >= self.avoid_until
 
+    def reachable(self, now: float) -> bool:
+        """Whether new requests may go there and would find a connection."""
+        return self.usable(now) and self.connections.available(now)
+
     def notice_silence(self, now: float) -> bool:
         """Whether it has been silent for long while a request waits there; noted until it speaks again."""
         if not self.silent and self.unanswered:
@@ -168,6 +176,7 @@
         self._means: dict[str, tuple[float, float]] = {}  # when it was counted, and requests at a sidecar
         self._homes: OrderedDict[str, SidecarState] = OrderedDict()  # by shared part
         self._holders: OrderedDict[str, deque[SidecarState]] = OrderedDict()  # that read it lately
+        self._recent: dict[str, deque[SidecarState]] = {}  # by service, which answered lately
 
     def update(self, entries: Iterable[Sidecar]) -> list[str]:
         """Takes a list in; gives the ids that are gone."""
@@ -269,8 +278,10 @@
         shared = next((part.id for part in parts[:-1] if part.tokens >= SHARED_PART_LEAST), None)
         states = self.of_service(service)
         weighed = states if len(states) <= FULL_SCAN_MOST else self._sample(states, shared)
-        candidates = [state for state in weighed if state.usable(now) and state.entry.id not in tried]
+        candidates = [state for state in weighed if state.reachable(now) and state.entry.id not in tried]
         if not candidates and weighed is not states:
+            candidates = [state for state in states if state.reachable(now) and state.entry.id not in tried]
+        if not candidates:
             candidates = [state for state in states if state.usable(now) and state.entry.id not in tried]
         if not candidates:
             candidates = [  # better one in doubt than none
@@ -287,8 +298,13 @@
         return min(candidates, key=lambda state: self._cost_ms(state, parts, home, mean, now))
 
     def _sample(self, states: list[SidecarState], shared: str | None) -> list[SidecarState]:
-        """Some at random, and the home and some holders of a shared part."""
+        """Some at random, those with idle connections, and the home and some holders of a shared part."""
         chosen = self._random.sample(states, SAMPLED)
+        chosen += [
+            state
+            for state in self._recent.get(states[0].entry.service, ())
+            if state.connections.idle > 0 and self._states.get(state.entry.id) is state
+        ]
         if shared is not None:
             chosen.append(self._home(shared, states))
             held = self._holders.get(shared, ())
@@ -307,6 +323,9 @@
     def remember(self, state: SidecarState, parts: tuple[Part, ...]) -> None:
         """A sidecar has read these parts."""
         state.remember(parts)
+        recent = self._recent.setdefault(state.entry.service, deque(maxlen=SAMPLED_RECENT))
+        if state not in recent:
+            recent.append(state)
         for part in parts[:-1]:
             if part.tokens >= SHARED_PART_LEAST:
                 held = self._holders.setdefault(part.id, deque(maxlen=SAMPLED_HOLDERS))
@@ -327,4 +346,6 @@
             unread = int(unread * (1 - HOME_SHARE))
         if state.entry.zone != self.zone:
             cost += OTHER_ZONE_COST_MS
+        if state.connections.idle == 0:
+            cost += CONNECTING_COST_MS
         return cost + unread / READ_TOKENS_PER_MS
--- a/crowwing/tier/front/upstream.py
+++ b/crowwing/tier/front/upstream.py
@@ -10,11 +10,17 @@
 import socket
 from collections.abc import AsyncIterable, AsyncIterator
 from dataclasses import dataclass
+from functools import partial
 
 import h11
 import httpcore
 
-from crowwing.tier.front.sidecar_stream import SidecarNetwork
+from crowwing.tier.front.sidecar_connections import (
+    ConnectionState,
+    IdleConnections,
+    NoConnection,
+    SidecarConnections,
+)
 
 log = logging.getLogger("crowwing.upstream")
 
@@ -25,8 +31,8 @@
     "connect": CONNECT_TIMEOUT_S,
     "read": None,  # the request's own deadline holds
     "write": WRITE_TIMEOUT_S,
-    "pool": CONNECT_TIMEOUT_S,
 }
+RELEASE = "crowwing.release"  # among the extensions of a response: what is done once it has been closed
 DRAIN_LIMIT_S = 0.2
 NEXT_HEAD = b"HTTP/1."  # how a head begins; in the midst of one it is the next one's
 KEEP_IDLE_S = 4.0
@@ -40,7 +46,7 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
 )
 
-NOTHING_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+NOTHING_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout)
 HTTP_ERRORS = (
     httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, httpcore.UnsupportedProtocol,
 )  # fmt: skip
@@ -74,6 +80,7 @@
 
     status: int | None  # the sidecar's own, None where it was not reached
     reason: str
+    no_connection: bool = False  # it has no place for another connection, and may be well otherwise
 
 
 @dataclass(frozen=True)
@@ -101,29 +108,32 @@
 class SidecarClient:
     """Connections to one sidecar."""
 
-    def __init__(self, address: str, most_connections: int) -> None:
+    def __init__(
+        self, address: str, state: ConnectionState | None = None, idle: IdleConnections | None = None
+    ) -> None:
         self._address = address
-        host, port = address.rsplit(":", 1)
-        self._origin = (b"http", host.encode(), int(port))
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=most_connections,
-            max_keepalive_connections=most_connections,
-            keepalive_expiry=KEEP_IDLE_S,
-            socket_options=SOCKET_OPTIONS,
-            network_backend=SidecarNetwork(),
-        )
+        state = state if state is not None else ConnectionState()
+        idle = idle if idle is not None else IdleConnections()
+        self._connections = SidecarConnections(address, state, idle, KEEP_IDLE_S, CONNECT_TIMEOUT_S)
 
     async def close(self) -> None:
         """Closes all connections; open answers break."""
-        await self._pool.aclose()
+        await self._connections.close()
 
     async def _request(self, method: str, target: bytes, headers: Headers, body: bytes) -> httpcore.Response:
-        scheme, host, port = self._origin
-        url = httpcore.URL(scheme=scheme, host=host, port=port, target=target)
+        origin = self._connections.origin
+        url = httpcore.URL(scheme=origin.scheme, host=origin.host, port=origin.port, target=target)
         request = httpcore.Request(
             method, url, headers=headers, content=body, extensions={"timeout": TIMEOUTS}
         )
-        return await self._pool.handle_async_request(request)
+        connection = await self._connections.acquire(SOCKET_OPTIONS)
+        try:
+            response = await connection.handle_async_request(request)
+        except BaseException:
+            await self._connections.discard(connection)
+            raise
+        response.extensions[RELEASE] = partial(self._connections.release, connection)
+        return response
 
     async def report(self) -> Report | None:
         """What the sidecar says of its load; None where it says nothing in time."""
@@ -132,7 +142,7 @@
                 headers = [(b"Host", self._address.encode())]
                 response = await self._request("GET", b"/report", headers, b"")
                 return await _read_report(response)
-        except (*HTTP_ERRORS, TimeoutError) as error:
+        except (*HTTP_ERRORS, NoConnection, TimeoutError) as error:
             log.debug("no report from %s: %s", self._address, error)
             return None
 
@@ -142,11 +152,17 @@
         """Sends one request and waits for the head of its answer."""
         try:
             response = await self._request(method, target, headers, body)
+        except NoConnection as error:
+            return NotRun(None, str(error), no_connection=True)
         except NOTHING_SENT as error:
             return NotRun(None, f"{type(error).__name__}: {error}")
         except HTTP_ERRORS as error:
             return MayHaveRun(f"{type(error).__name__}: {error}")
-        return await self._opened(response, request_id)
+        try:
+            return await self._opened(response, request_id)
+        except BaseException:
+            await _give_up(response)
+            raise
 
     async def _opened(self, response: httpcore.Response, request_id: bytes) -> Outcome:
         headers: Headers = list(response.headers)
@@ -195,7 +211,15 @@
 async def _give_up(response: httpcore.Response) -> None:
     """Ends an answer with its connection."""
     await response.extensions["network_stream"].aclose()
+    await _close(response)
+
+
+async def _close(response: httpcore.Response) -> None:
+    """Closes a response and gives its connection back."""
     await response.aclose()
+    release = response.extensions.get(RELEASE)
+    if release is not None:
+        await release()
 
 
 async def close_after_answer(response: httpcore.Response) -> None:
@@ -203,12 +227,12 @@
     stream = response.extensions["network_stream"]
     if _has_surplus(response) or stream.get_extra_info("is_readable"):
         await stream.aclose()
-    await response.aclose()
+    await _close(response)
 
 
 def _has_surplus(response: httpcore.Response) -> bool:
     """Whether bytes behind the answer were read with it. httpcore shows its parser's buffer nowhere."""
-    connection = getattr(getattr(response.stream, "_stream", None), "_connection", None)
+    connection = getattr(response.stream, "_connection", None)
     state: h11.Connection | None = getattr(connection, "_h11_state", None)
     return state is None or bool(state.trailing_data[0])
 
--- /dev/null
+++ b/tests/tier/test_sidecar_connections.py
@@ -0,0 +1,164 @@
+"""The connections of a front to its sidecars: how many are kept, and what a reset of a new one means."""
+
+import asyncio
+import socket
+import time
+from random import Random
+
+import pytest
+import uvloop
+
+from crowwing.tier.front import sidecar_connections
+from crowwing.tier.front.sidecar_connections import (
+    FULL_LEAST_S,
+    FULL_MOST_S,
+    IDLE_SHARE,
+    OPEN_LEAST,
+    ConnectionState,
+    IdleConnections,
+    connection_limits,
+)
+from crowwing.tier.front.upstream import (
+    Headers,
+    NotRun,
+    Opened,
+    Outcome,
+    SidecarClient,
+    close_after_answer,
+    read_body,
+)
+from tests.tier.misbehaving_sidecar import LINGER_NOT
+
+ANSWER = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok"
+
+
+class CappedSidecar:
+    """Accepts so many connections and resets those that are over, before it reads anything."""
+
+    def __init__(self, cap: int) -> None:
+        self.cap, self.open, self.resets, self.requests = cap, 0, 0, 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Gives its address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def stop(self) -> None:
+        """Takes no more."""
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.open >= self.cap:
+            self.resets += 1
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+            writer.transport.abort()
+            return
+        self.open += 1
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                self.requests += 1
+                name = head.lower().split(b"request-id: ")[1].split(b"\r\n")[0]
+                writer.write(ANSWER % name)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.open -= 1
+            writer.close()
+
+
+async def ask(client: SidecarClient, name: str) -> Outcome:
+    headers: Headers = [(b"Host", b"h"), (b"Request-Id", name.encode()), (b"Content-Length", b"0")]
+    return await client.send("POST", b"/p", headers, b"", name.encode())
+
+
+async def finish(outcome: Outcome) -> bytes:
+    assert isinstance(outcome, Opened), outcome
+    body = b"".join([part async for part in read_body(outcome)])
+    await close_after_answer(outcome.response)
+    return body
+
+
+def test_a_new_connection_that_is_reset_before_its_request_says_that_nothing_ran(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(sidecar_connections, "SETTLE_LEAST_S", 0.05)  # this sidecar shares a busy machine
+    monkeypatch.setattr(sidecar_connections, "SETTLE_MOST_S", 0.05)
+
+    async def play() -> None:
+        sidecar = CappedSidecar(1)
+        address = await sidecar.start()
+        first, second = ConnectionState(4), ConnectionState(4)
+        holder, late = SidecarClient(address, first), SidecarClient(address, second)
+        assert await finish(await ask(holder, "r1")) == b"ok"
+        refused = await ask(late, "r2")
+        assert isinstance(refused, NotRun) and refused.no_connection
+        assert sidecar.requests == 1, "not a byte of the second one was read"
+        assert second.opened == 0 and not second.available(time.monotonic())
+        assert await finish(await ask(holder, "r3")) == b"ok", "the kept one is still used"
+        await holder.close()
+        await late.close()
+        sidecar.stop()
+
+    uvloop.run(play())
+
+
+def test_what_is_over_the_idle_ones_that_may_be_kept_is_closed_the_longest_rested_first() -> None:
+    async def play() -> None:
+        sidecars = [CappedSidecar(9) for _ in range(4)]
+        idle = IdleConnections(2)
+        states = [ConnectionState(4) for _ in sidecars]
+        clients = [
+            SidecarClient(await sidecar.start(), state, idle)
+            for sidecar, state in zip(sidecars, states, strict=True)
+        ]
+        for place, client in enumerate(clients):
+            assert await finish(await ask(client, f"r{place}")) == b"ok"
+        assert [state.idle for state in states] == [0, 0, 1, 1]
+        assert [state.opened for state in states] == [0, 0, 1, 1]
+        for client, sidecar in zip(clients, sidecars, strict=True):
+            await client.close()
+            sidecar.stop()
+
+    uvloop.run(play())
+
+
+def test_a_sidecar_that_resets_is_left_alone_for_longer_each_time_and_then_tried_again() -> None:
+    state = ConnectionState(4)
+    pauses = []
+    now = 0.0
+    for _ in range(8):
+        state.was_reset(now)
+        pauses.append(state.full_until - now)
+        assert not state.available(now)
+        now = state.full_until
+        assert state.available(now)
+    assert pauses == pytest.approx([0.1, 0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6])
+    assert (FULL_LEAST_S, FULL_MOST_S) == (0.1, 1.6)
+    state.was_accepted()
+    state.was_reset(now)
+    assert state.full_until - now == pytest.approx(FULL_LEAST_S)
+
+
+@pytest.mark.parametrize("fronts", [3, 72, 3000])
+@pytest.mark.parametrize(("accepted", "sidecars"), [(74, 36), (310, 5), (450, 30)])
+def test_what_all_fronts_keep_idle_is_a_part_of_what_a_sidecar_accepts(
+    fronts: int, accepted: int, sidecars: int
+) -> None:
+    limits = connection_limits(accepted, sidecars, fronts)
+    if limits.idle_in_all > OPEN_LEAST:
+        assert fronts * limits.idle_in_all <= IDLE_SHARE * accepted * sidecars
+    assert limits.open_each >= OPEN_LEAST and limits.idle_in_all >= OPEN_LEAST
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_idle_connections_of_72_fronts_stay_under_the_cap_of_each_sidecar(seed: int) -> None:
+    """Fronts that use sidecars at random: the idle ones are spread well enough to leave room for work."""
+    random = Random(seed)
+    limits = connection_limits(74, 36, 72)
+    kept = [0] * 36
+    for _ in range(72):
+        for sidecar in random.choices(range(36), k=limits.idle_in_all):
+            kept[sidecar] += 1
+    assert max(kept) <= 74 - 12, "the slots of a sidecar find connections beside them"
