The count of fronts outlives a change of primary, and without one a front starts small

Cause: a new primary counts 0 for 3 s, and each front fell back to the 16 peers of its view; one that had just started counted itself alone. Change: a count of 0 leaves the former one in force, the answer to an attaching backend carries it, and until there is one a front takes a part of 4 slots.

--- a/crowwing/tier/distribution/relay.py
+++ b/crowwing/tier/distribution/relay.py
@@ -41,11 +41,12 @@
 @message
 @dataclass(frozen=True)
 class Attached:
-    """It is a child now."""
+    """It is a child now; `fronts` as in Beat."""
 
     documents: tuple[Document, ...]
     beat: Order
     root: str | None
+    fronts: int = 0
 
 
 @message
@@ -116,7 +117,7 @@
         self.root_order: Callable[[], int | None] = lambda: None  # the ballot's round, at the root itself
         self.root_hint: Callable[[], str | None] = lambda: None
         self.count_fronts: Callable[[], int] = lambda: 0  # at the root itself
-        self.fronts = 0  # as the root counts them
+        self.fronts = 0  # as a root has counted them last; 0 before any has
         self._children: dict[str, Connection] = {}
         self._parent: Connection | None = None
         self._beat: Order = (-1, 0)
@@ -168,7 +169,7 @@
         if len(self._children) >= FANOUT and ask.host not in self._children:
             return Redirect(tuple(self._random.sample(list(self._children), FANOUT)))
         self._children[ask.host] = connection
-        return Attached(self.documents.newer_than(ask.orders), self._beat, self.root)
+        return Attached(self.documents.newer_than(ask.orders), self._beat, self.root, self.fronts)
 
     def _pass_on(self, document: Document) -> None:
         for child in self._children.values():
@@ -178,9 +179,14 @@
         if connection is not self._parent:
             return
         if self._advance(tuple(beat.beat), beat.root):
-            self.fronts = beat.fronts
+            self._note_fronts(beat.fronts)
             self._send_beats()
 
+    def _note_fronts(self, counted: int) -> None:
+        """Takes a count in; a root that does not know yet leaves the former one's in force."""
+        if counted > 0:
+            self.fronts = counted
+
     def _advance(self, beat: Order, root: str | None) -> bool:
         """Notes a beat of the root; False where it is no newer one."""
         if beat <= self._beat:
@@ -214,7 +220,7 @@
             if order is not None:
                 number = self._beat[1] + 1 if self._beat[0] == order else 1
                 self._advance((order, number), self.me.host)
-                self.fronts = self.count_fronts()
+                self._note_fronts(self.count_fronts())
                 self._send_beats()
 
     # Child
@@ -248,6 +254,7 @@
             for document in answer.documents:
                 self.documents.offer(document)
             self._parent = connection
+            self._note_fronts(answer.fronts)
             self._advance(tuple(answer.beat), answer.root)
             log.info("relay parent is %s", host)
             return self.in_touch
--- a/crowwing/tier/front/main.py
+++ b/crowwing/tier/front/main.py
@@ -95,6 +95,7 @@
         """As the root counts them, or at least those that shuffles have shown."""
         shown = 1 + len(self.relay.view.peers("front"))
         self.pool.sidecars.fronts = max(shown, self.relay.fronts)
+        self.pool.sidecars.fronts_counted = self.relay.fronts > 0
 
     async def run_count(self) -> None:
         """Keeps the number of fronts up to date."""
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -93,7 +93,7 @@
         configured = self.table.services.get(service) if self.table else None
         accepted = configured.max_conns if configured is not None else ACCEPTED_DEFAULT
         states = self.sidecars.of_service(service)
-        limits = connection_limits(accepted, len(states), self.sidecars.fronts)
+        limits = connection_limits(accepted, len(states), self.sidecars.presumed_fronts(service))
         self._idle[service].most = limits.idle_in_all
         for state in states:
             state.connections.most = limits.open_each
@@ -113,7 +113,8 @@
         admission = self._admissions.get(service)
         if admission is None:
             now = time.monotonic()
-            share = START_SHARE * self.sidecars.load(service, now).slots / max(1, self.sidecars.fronts)
+            slots = self.sidecars.load(service, now).slots
+            share = START_SHARE * slots / self.sidecars.presumed_fronts(service)
             admission = self._admissions[service] = Admission(now, share)
         return admission
 
--- a/crowwing/tier/front/sidecars.py
+++ b/crowwing/tier/front/sidecars.py
@@ -30,6 +30,7 @@
 FULL_SCAN_MOST = 16  # sidecars of a service that are all weighed for each request; of more, a sample is
 SAMPLED, SAMPLED_HOLDERS = 12, 3  # at random, and of those that hold the large shared part
 SAMPLED_RECENT = 16  # of those that answered lately, as far as a connection to them is kept
+SAFE_START = 4.0  # slots that a front takes for its part before the fronts have been counted
 HOMES_KEPT = 4000  # shared parts whose home is remembered
 LOAD_SHAPE = 2.0  # of the gamma distribution of loads among sidecars: they differ by 0.7 of the mean
 PLACES_FRESH_S = 0.02  # for how long places are counted on instead of counted, where all are not weighed
@@ -169,6 +170,7 @@
     def __init__(self, random: Random | None = None) -> None:
         self.zone = ""  # this front's own
         self.fronts = 1  # how many fronts there are, as far as is known
+        self.fronts_counted = False  # whether somebody has counted them, or only a few have been seen
         self._random = random or Random()
         self._states: dict[str, SidecarState] = {}
         self._by_service: dict[str, list[SidecarState]] = {}
@@ -210,6 +212,17 @@
         waiting = sum(max(0.0, estimate - count) for estimate, count in estimates)
         return Load(running, waiting, float(max(1, slots)))
 
+    def presumed_fronts(self, service: str) -> int:
+        """How many fronts to share a service's sidecars with.
+
+        Until they have been counted there may be many, all started at the same moment: so many that the part
+        of each is SAFE_START slots.
+        """
+        if self.fronts_counted:
+            return max(1, self.fronts)
+        slots = sum(state.entry.slots for state in self.of_service(service))
+        return max(1, self.fronts, int(slots / SAFE_START))
+
     def _mean_inflight(self, service: str, now: float) -> float:
         """This front's requests at a sidecar on average; of many sidecars as counted a moment ago."""
         states = self.of_service(service)
--- a/tests/tier/test_relay_steps.py
+++ b/tests/tier/test_relay_steps.py
@@ -39,3 +39,21 @@
     assert isinstance(relay._attach(child, Attach("g", {})), Attached)  # noqa: SLF001
     relay._beat_at -= 10  # noqa: SLF001
     assert relay._attach(child, Attach("h", {})) == Redirect(())  # noqa: SLF001
+
+
+def test_a_new_root_that_has_not_counted_the_fronts_yet_leaves_the_former_count_in_force() -> None:
+    async def play() -> None:
+        relay = relay_of("f")
+        parent = object.__new__(Connection)
+        relay._parent = parent  # noqa: SLF001
+        await relay.handle(parent, Beat((5, 1), "a", {}, 72))
+        await relay.handle(parent, Beat((6, 1), "c", {}, 0))
+        assert relay.fronts == 72, "a count of 0 is none"
+        await relay.handle(parent, Beat((6, 2), "c", {}, 60))
+        assert relay.fronts == 60
+        child = object.__new__(Connection)
+        child.closed = False
+        attached = relay._attach(child, Attach("g", {}))  # noqa: SLF001
+        assert isinstance(attached, Attached) and attached.fronts == 60, "told to one that has just started"
+
+    asyncio.run(play())
