The floor and the climb of the limit are a front's part of what there is for all

Cause: LIMIT_FLOOR = 4 in each of 72 fronts is 288 of 432 slots, and each climbed by four times all idle slots a second, so that 72 fronts took 72 times what idled. Change: the floor is a quarter of the even part, between 1 and 4; the climb counts the part of what idles, with a gain of 20 in place of 4, so that all fronts together take about what idles in one step of 50 ms.

--- a/crowwing/tier/front/admission.py
+++ b/crowwing/tier/front/admission.py
@@ -14,8 +14,9 @@
 
 BANDS = 6  # tiers t0 to t5, t0 the most important
 CUT_MOST = 1 - 1 / (4 * BANDS)  # a quarter of the highest band is never cut
-LIMIT_FLOOR = 4.0
-LIMIT_GAINS = 4.0, 0.05, 0.5, 0.0  # climb, proportional, integral and derivative, in limits
+LIMIT_FLOOR, LIMIT_FLOOR_LEAST = 4.0, 1.0  # bounds of the least limit, in requests
+LIMIT_FLOOR_SHARE = 0.25  # of a front's even part of the slots, which the limit never falls under
+LIMIT_GAINS = 20.0, 0.05, 0.5, 0.0  # climb in idle slots, proportional, integral and derivative in limits
 WAITING_AIM = 0.1  # of the slots, the requests that may wait at sidecars before the limit falls
 BUSY = 0.9  # part of the slots from which sidecars count as full
 TIMEOUT_AIM = 0.23  # part of the aim, the longest hold of a live request: a refusal in time for another try
@@ -80,17 +81,27 @@
     return (BANDS - 1 - tier + min(max(spread, 0.0), 0.999)) / BANDS
 
 
+def limit_floor(share: float) -> float:
+    """The least limit of a front whose even part of the slots is `share`.
+
+    What all fronts may send at least is a part of what there is, so that their loops can turn work away.
+    """
+    return min(LIMIT_FLOOR, max(LIMIT_FLOOR_LEAST, LIMIT_FLOOR_SHARE * share))
+
+
 class Admission:
     """Decides for the sidecars of one service."""
 
     def __init__(self, now: float, share: float) -> None:
-        self.limit = max(LIMIT_FLOOR, share)
+        """`share`: this front's even part of the slots."""
+        self.floor = limit_floor(share)
+        self.limit = max(self.floor, share)
         self._limit_loop = LimitLoop(*LIMIT_GAINS)
         self.cut = self._cut_base = 0.0
         self.inflight = 0
         self.refused, self.refused_at = 0, -1e9
         self.load = Load(0.0, 0.0, 1.0)
-        self.ceiling = max(LIMIT_FLOOR, share)
+        self.ceiling = max(self.floor, share)
         self._classes: dict[str, ClassQueue] = {}
         self.stepped = now
         self._outwait = 0.0
@@ -186,17 +197,21 @@
         """A started ticket has left its sidecar."""
         self.inflight -= 1
 
-    def steer(self, now: float, load: Load, survived: float) -> None:
-        """One step of the loops. `survived`: the most requests of this front that the sidecars bear."""
+    def steer(self, now: float, load: Load, survived: float, fronts: int = 1) -> None:
+        """One step of the loops.
+
+        `survived`: the most requests of this front that the sidecars bear; `fronts`: how many steer alike.
+        """
         dt = min(0.2, now - self.stepped)
         self.stepped, self.load = now, load
-        self.ceiling = max(LIMIT_FLOOR, survived)
+        self.floor = limit_floor(load.slots / fronts)
+        self.ceiling = max(self.floor, survived)
         waits = any(queue.held for queue in self._classes.values())
         idle = max(0.0, BUSY * load.slots - load.running - load.waiting)
         error = max(-1.0, 1.0 - load.waiting / (WAITING_AIM * max(1.0, load.slots)))
-        self.limit = self._limit_loop.step(self.limit, dt, idle, waits, error, self.limit)
+        self.limit = self._limit_loop.step(self.limit, dt, idle / fronts, waits, error, self.limit)
         stuck = self.limit >= self.ceiling or idle <= 0
-        self.limit = min(max(self.limit, LIMIT_FLOOR), self.ceiling)
+        self.limit = min(max(self.limit, self.floor), self.ceiling)
         outwait, self._outwait = self._outwait, 0.0
         for queue in self._classes.values():
             for ticket in queue.held:
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -194,7 +194,8 @@
                 if now - admission.stepped < IDLE_STEER_S and not admission.pressed(now):
                     continue
                 load = self.sidecars.load(service, now)
-                admission.steer(now, load, self.sidecars.survived(service, now))
+                fronts = self.sidecars.presumed_fronts(service)
+                admission.steer(now, load, self.sidecars.survived(service, now), fronts)
                 if admission.held:
                     self._start(service, admission)
                 if admission.pressed(now):
--- a/tests/tier/test_admission.py
+++ b/tests/tier/test_admission.py
@@ -100,3 +100,23 @@
     started = admission.start(0.0, Places(live=10, patient=0))
     assert [one.patient for one in started] == [False]
     assert admission.expire(1.0) == [], "an item has no queue timeout"
+
+
+@pytest.mark.parametrize("fronts", [3, 72, 3000])
+def test_what_all_fronts_may_send_at_least_is_a_part_of_the_slots(fronts: int) -> None:
+    slots = 432.0
+    admission = Admission(0.0, slots / fronts)
+    crowded = Load(slots, 3 * slots, slots)
+    for step in range(1, 400):
+        admission.steer(0.05 * step, crowded, slots, fronts)
+    assert fronts * admission.limit <= max(0.3 * slots, fronts * 1.0), "the loops can turn work away"
+    assert admission.limit >= 1.0, "and none of them is starved"
+
+
+def test_fronts_that_climb_together_take_what_idles_once_and_not_each() -> None:
+    slots, fronts = 432.0, 72
+    admission = Admission(0.0, 1.0)
+    admission.limit = 1.0
+    admission.arrive(0.0, Ticket("review", 0.5, 0.0, 9.0, False), 5.0)
+    admission.steer(0.05, Load(0.0, 0.0, slots), slots, fronts)
+    assert fronts * (admission.limit - 1.0) <= slots, "in one step"
