--- /dev/null
+++ b/benchmarks/worth.py
@@ -0,0 +1,180 @@
+"""Where a day's worth is lost: `python -m benchmarks.worth REPORT... [--log FILE] [--plot FILE]`.
+
+Reads reports of the users' bench (`run --report FILE`) and prints for each how much of the day's worth was
+lost, by kind of request, by clients' zone, by second, by how tries ended and price by price; with the bench's
+output beside it (`run --log`), also what the fronts refused in each second and why. `--plot` draws the loss
+by second.
+"""
+
+import argparse
+import json
+import re
+import sys
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+POOL_LINE = re.compile(
+    r"^\s*(?P<at>-?\d+\.\d+) (?P<front>\S+) .*refused (?P<refused>\d+), cut (?P<cut>[\d.]+), "
+    r"limit (?P<limit>\d+) of \d+, inflight (?P<inflight>\d+), held (?P<held>\d+), "
+    r"sidecars (?P<running>\d+)\+(?P<waiting>\d+) of (?P<slots>\d+)"
+)
+WORST_SECONDS = 8
+
+
+@dataclass(frozen=True)
+class Loss:
+    """The requests of one part of a day, and the share of all worth owed that was lost there."""
+
+    name: str
+    asked: int
+    late: int
+    refused: int
+    failed: int
+    share: float
+
+
+@dataclass(frozen=True)
+class DayLosses:
+    """All losses of one played day."""
+
+    title: str
+    worth: float
+    served: float
+    classes: list[Loss]
+    zones: list[Loss]
+    seconds: list[Loss]
+    prices: list[tuple[str, float, float]]  # name, amount, worth
+    ends: dict[str, int]
+    hints: list[str]
+
+
+def read_losses(entries: Iterable[dict[str, Any]]) -> list[Loss]:
+    """The losses of a list of parts, each weighed by its requests."""
+    parts = list(entries)
+    asked = sum(part["n"] for part in parts) or 1
+    return [
+        Loss(
+            str(part["name"]), part["n"], part["late"], part["refused"], part["failed"],
+            part["n"] / asked * (1 - (part["worth"] or 0.0)),
+        )
+        for part in parts
+    ]  # fmt: skip
+
+
+def read_report(path: Path) -> DayLosses:
+    """One report of the bench; raises OSError, ValueError or KeyError."""
+    report = json.loads(path.read_text())
+    return DayLosses(
+        path.stem, report["G"], report["served"], read_losses(report["classes"]),
+        read_losses(report["zones"]), read_losses(report["windows"]),
+        [(name, amount, worth) for name, amount, worth in report["prices"] if worth > 0],
+        report["ends"], report["hints"],
+    )  # fmt: skip
+
+
+@dataclass
+class FrontsSecond:
+    """What the fronts logged in one second."""
+
+    fronts: int = 0
+    refused: int = 0
+    held: int = 0
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+
+
+def read_front_log(text: str) -> dict[int, FrontsSecond]:
+    """The fronts' lines of refusals by second; loads are those of the front that saw most waiting."""
+    seconds: dict[int, FrontsSecond] = {}
+    for line in text.splitlines():
+        match = POOL_LINE.match(line)
+        if match is None:
+            continue
+        second = seconds.setdefault(int(float(match["at"])), FrontsSecond())
+        second.fronts += 1
+        second.refused += int(match["refused"])
+        second.held += int(match["held"])
+        if int(match["waiting"]) >= second.waiting:
+            second.running, second.waiting = int(match["running"]), int(match["waiting"])
+            second.slots = int(match["slots"])
+    return seconds
+
+
+def _table(head: str, losses: Iterable[Loss]) -> list[str]:
+    lines = [f"{head:<18} {'asked':>7} {'late':>6} {'refused':>7} {'failed':>6} {'lost':>7}"]
+    for loss in losses:
+        lines.append(
+            f"{loss.name:<18} {loss.asked:7} {loss.late:6} {loss.refused:7} {loss.failed:6} {loss.share:7.4f}"
+        )
+    return lines
+
+
+def describe(day: DayLosses) -> str:
+    """The tables of one day."""
+    lines = [f"{day.title}: worth {day.worth:.3f}, served {day.served:.3f}"]
+    lines += _table("kind", day.classes)
+    lines += _table("zone", day.zones)
+    worst = sorted(day.seconds, key=lambda loss: -loss.share)[:WORST_SECONDS]
+    lines += _table("worst seconds", worst)
+    ends = Counter(day.ends).most_common()
+    lines.append("tries: " + ", ".join(f"{name} {count}" for name, count in ends))
+    lines += [
+        f"price {name}: {worth:.4f} for {amount:g}"
+        for name, amount, worth in sorted(day.prices, key=lambda price: -price[2])
+    ]
+    return "\n".join(lines + [f"seen: {hint}" for hint in day.hints])
+
+
+def describe_fronts(seconds: dict[int, FrontsSecond]) -> str:
+    """What the fronts refused, second by second."""
+    lines = [f"{'second':>6} {'fronts':>6} {'refused':>7} {'held':>5}  at sidecars"]
+    for second, told in sorted(seconds.items()):
+        load = f"{told.running}+{told.waiting} of {told.slots}"
+        lines.append(f"{second:6} {told.fronts:6} {told.refused:7} {told.held:5}  {load}")
+    return "\n".join(lines)
+
+
+def plot(days: list[DayLosses], path: Path) -> None:
+    """Draws the share of the worth that is lost in each window of the days."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(9, 4))
+    for day in days:
+        axes.step([float(x.name) for x in day.seconds], [x.share for x in day.seconds], label=day.title)
+    axes.set_xlabel("second of traffic")
+    axes.set_ylabel("part of the day's worth that is lost")
+    axes.legend()
+    figure.savefig(path)
+
+
+def main() -> int:
+    """The command."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("reports", nargs="+", type=Path, help="reports of the bench, JSON")
+    parser.add_argument("--log", type=Path, help="the bench's output with the fronts' lines")
+    parser.add_argument("--plot", type=Path, help="a picture of the loss by second")
+    options = parser.parse_args()
+    try:
+        days = [read_report(path) for path in options.reports]
+    except (OSError, ValueError, KeyError) as error:
+        print(f"worth: {type(error).__name__}: {error}", file=sys.stderr)
+        return 1
+    print("\n\n".join(describe(day) for day in days))
+    if options.log is not None:
+        print(describe_fronts(read_front_log(options.log.read_text())))
+    if options.plot is not None:
+        plot(days, options.plot)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
