Load as the sidecars tell it, items by even parts, and no requests to a replaced sidecar

(2) After the dark sidecars came back, up to 11 of 22 tries a second of a front were answered 421, since the list lags and the kept connection made the replaced sidecar the first choice. Change: what sidecars tell stands for those that have told nothing, whatever the count of fronts; a front leases its even part of the slots for items; a rejection's Server-Load is heard; 421 keeps a front away for 1 s; each second's tries are logged by how they ended where one was not answered.

--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -27,6 +27,7 @@
 MOST_SENDS = 6  # of one try of a client, counting those that did not run
 SILENT_S = 0.6  # without a byte, after which a repeatable request is tried elsewhere
 EVENT_SILENT_S = 1.0  # between the events of one that can go on elsewhere
+EXPECT_VERSION = b"expect-version"
 DROPPED = {b"deadline-ms", b"target-instance", b"content-length", b"last-event-id"}
 
 
@@ -48,6 +49,11 @@
     retries_errors: bool = False  # an answer of 5xx is taken as a failed run where another is allowed
     tried: set[str] = field(default_factory=set)
 
+    @property
+    def expects_version(self) -> bool:
+        """Whether it is only for sidecars with certain weights."""
+        return any(name.lower() == EXPECT_VERSION for name, _ in self.headers)
+
 
 @dataclass(frozen=True)
 class NotServed:
@@ -92,6 +98,7 @@
                 break
             job.tried.add(state.entry.id)
             outcome = await self._send(job, state)
+            self._pool.count(job.service, outcome)
             if isinstance(outcome, Opened):
                 running = Running(outcome, state)
                 if not self._is_tried_again(job, outcome):
@@ -102,12 +109,10 @@
                 continue
             reason = outcome.reason
             if isinstance(outcome, NotRun):
-                if outcome.no_connection:
-                    continue
-                if outcome.status is None:
+                if outcome.status is not None:
+                    self._pool.rejected(state, outcome, job.expects_version)
+                elif not outcome.no_connection:
                     state.failed(time.monotonic())
-                elif outcome.status != 421:
-                    state.tell_load(time.monotonic(), state.entry.slots, 1, state.entry.slots)
                 continue
             state.failed(time.monotonic())
             may_have_run = True
--- a/crowwing/tier/front/lot_runner.py
+++ b/crowwing/tier/front/lot_runner.py
@@ -19,7 +19,6 @@
 
 log = logging.getLogger("crowwing.lots")
 
-MOST_RUNNING = 24
 LEASE_WAIT_MS = 600
 HOLD_S = 2.0  # in the front's hold, after which an item goes back
 RESUMED_HOLD_S = 10.0  # the same for one that has given way and keeps what it has
@@ -97,11 +96,16 @@
             for share in route.services
         }
         now = time.monotonic()
+        sidecars = self._pool.sidecars
         rooms = [
-            min(self._pool.admission(service).room, self._pool.sidecars.places(service, now).patient)
+            min(
+                self._pool.admission(service).room,
+                sidecars.places(service, now).patient,
+                sidecars.item_share(service) - len(self._running),
+            )
             for service in services
         ]
-        return max(0, min(max(rooms, default=0), MOST_RUNNING - len(self._running)))
+        return max(0, max(rooms, default=0))
 
     def _start(self, leased: c.LeasedItem) -> None:
         key = (leased.lot, leased.item.id)
--- a/crowwing/tier/front/service_pool.py
+++ b/crowwing/tier/front/service_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -10,13 +11,14 @@
 from crowwing.tier.front.admission import Admission, Ticket
 from crowwing.tier.front.sidecar_connections import IdleConnections, connection_limits
 from crowwing.tier.front.sidecars import SidecarState, SidecarTable
-from crowwing.tier.front.upstream import Opened, SidecarClient
+from crowwing.tier.front.upstream import MayHaveRun, NotRun, Opened, Outcome, SidecarClient
 from crowwing.tier.platform_list import SidecarList
 
 log = logging.getLogger("crowwing.pool")
 
 STEER_S, IDLE_STEER_S = 0.05, 0.2  # between steps of the loops; while nothing is held, refused or cut
 LOG_S = 1.0
+WRONG_SIDECAR = 421  # the status of a sidecar that a request was not meant for
 ERROR_STATUS = 500  # from which an answer counts as a failure of its sidecar
 WAIT_STEP_S = 0.02
 MOST_GIVE_WAY = 3  # items at a time that make room for live requests
@@ -50,6 +52,7 @@
         self._giving_way: dict[str, set[asyncio.Task[Any]]] = {}
         self._item_runs: dict[str, list[asyncio.Task[Any]]] = {}
         self._logged: dict[str, tuple[int, float]] = {}  # refused so far, and when that was said
+        self._ends: dict[str, Counter[str]] = {}  # how tries ended since that was last said
 
     # What is known
 
@@ -222,20 +225,24 @@
         report = await self.client(state).report()
         if report is not None:
             now = time.monotonic()
-            state.tell_load(now, report.running, report.waiting, state.entry.slots)
+            self.sidecars.tell_load(state, now, report.running, report.waiting, state.entry.slots)
             state.heard_at, state.silent = now, False
 
     def _log_changes(self, service: str, admission: Admission, now: float) -> None:
         """One line a second while anything is refused, cut or near its limit."""
         refused, at = self._logged.get(service, (0, 0.0))
-        if now - at < LOG_S or refused == admission.refused:
+        ends = self._ends.get(service, Counter())
+        if now - at < LOG_S or (refused == admission.refused and len(ends) <= ("answered" in ends)):
             return
+        self._ends[service] = Counter()
         self._logged[service] = (admission.refused, now)
         load = admission.load
         log.info(
-            "%s: refused %d, cut %.2f, limit %.0f of %.0f, inflight %d, held %d, sidecars %.0f+%.0f of %.0f",
+            "%s: refused %d, cut %.2f, limit %.0f of %.0f, inflight %d, held %d, sidecars %.0f+%.0f of %.0f; "
+            "tries: %s",
             *(service, admission.refused - refused, admission.cut, admission.limit, admission.ceiling),
             *(admission.inflight, admission.held, load.running, load.waiting, load.slots),
+            ", ".join(f"{count} {end}" for end, count in sorted(ends.items())) or "none",
         )
 
     # Sidecars
@@ -265,18 +272,52 @@
             state.record.failed(now)
         else:
             state.record.answered(now)
-        told = opened.header(b"server-load")
-        if told is not None:
-            self._tell_load(state, told)
+        self.take_load(state, opened.header(b"server-load"))
         if (opened.header(b"connection") or b"").lower() == b"close" and not state.entry.ready:
             state.leaving = True
 
-    @staticmethod
-    def _tell_load(state: SidecarState, told: bytes) -> None:
-        numbers = told.split(b",")
-        if len(numbers) == 3 and all(number.strip().isdigit() for number in numbers):
-            running, waiting, slots = (float(number) for number in numbers)
-            state.tell_load(time.monotonic(), running, waiting, slots)
+    def rejected(self, state: SidecarState, outcome: NotRun, expects_version: bool) -> None:
+        """A sidecar did not run a request, most often since it is full.
+
+        421 says that it is another one, or that it has other weights where the request expects some.
+        """
+        now = state.heard_at = time.monotonic()
+        if outcome.status == WRONG_SIDECAR:
+            if not expects_version:
+                state.replaced(now)
+        elif not self.take_load(state, outcome.load):
+            slots = state.entry.slots
+            self.sidecars.tell_load(state, now, slots, slots, slots)
+
+    def take_load(self, state: SidecarState, told: bytes | None) -> bool:
+        """Takes a `Server-Load` in; whether it could be read."""
+        numbers = told.split(b",") if told is not None else []
+        if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
+            return False
+        running, waiting, slots = (float(number) for number in numbers)
+        self.sidecars.tell_load(state, time.monotonic(), running, waiting, slots)
+        return True
+
+    def count(self, service: str, outcome: Outcome) -> None:
+        """Counts how a try ended, for the log."""
+        self._ends.setdefault(service, Counter())[end_of(outcome)] += 1
+
+
+def end_of(outcome: Outcome) -> str:
+    """How a try ended, in a word or two."""
+    match outcome:
+        case Opened(status):
+            return "answered" if status < ERROR_STATUS else f"error {status}"
+        case NotRun(status, _, no_connection):
+            return (
+                "no connection"
+                if no_connection
+                else "unreachable"
+                if status is None
+                else f"rejected {status}"
+            )
+        case MayHaveRun():
+            return "lost"
 
 
 def _answer(ticket: Ticket, started: bool) -> None:
--- a/crowwing/tier/front/sidecars.py
+++ b/crowwing/tier/front/sidecars.py
@@ -20,16 +20,19 @@
 ASK_AFTER_S = 0.4  # without news of its load, after which a sidecar is asked for its report
 REPORTS_PER_S = 20.0  # that a sidecar is asked for by all fronts together at most
 ASKED_AT_ONCE = 4  # sidecars that a front asks in one step at most
+REPLACED_S = 1.0  # without requests to a sidecar in whose place another one answers
 BACKOFF_LEAST_S, BACKOFF_MOST_S = 0.5, 4.0
 LOAD_COST_MS = 120.0  # of a sidecar whose slots are all taken
 OTHER_ZONE_COST_MS = 4.0  # bytes between zones have a price
-CONNECTING_COST_MS = 10.0  # a new connection takes round trips and processor time, and has a price
+CONNECTING_COST_MS = 30.0  # a new connection takes round trips and processor time, and has a price
 OVERFULL_COST_MS = 400.0  # more for each further slots' worth
 READ_TOKENS_PER_MS = 128.0
 SHARED_PART_LEAST = 1000  # tokens from which fronts agree on a home for a shared part
 FULL_SCAN_MOST = 16  # sidecars of a service that are all weighed for each request; of more, a sample is
 SAMPLED, SAMPLED_HOLDERS = 12, 3  # at random, and of those that hold the large shared part
 SAMPLED_RECENT = 16  # of those that answered lately, as far as a connection to them is kept
+TOLD_WEIGHT, TOLD_FRESH_S = 0.1, 1.0  # of the newest word on load in the mean, and how long that counts
+TOLD_MOST = 3.0  # in slots, the most that one word on load counts for
 SAFE_START = 4.0  # slots that a front takes for its part before the fronts have been counted
 HOMES_KEPT = 4000  # shared parts whose home is remembered
 LOAD_SHAPE = 2.0  # of the gamma distribution of loads among sidecars: they differ by 0.7 of the mean
@@ -55,6 +58,30 @@
     return tuple(parts)
 
 
+@dataclass(frozen=True)
+class Crowd:
+    """Requests at a sidecar of a service on average: this front's own, and those of all other fronts."""
+
+    own: float
+    others: float
+
+
+@dataclass
+class ToldLoad:
+    """What the sidecars of a service say of their load, as an average that forgets. Times are seconds."""
+
+    taken: float = 0.0  # part of the slots, more than 1 where requests wait
+    at: float = -1e9
+
+    def learn(self, now: float, taken: float) -> None:
+        """Takes in what one sidecar says; one that says too much counts as crowded, not more."""
+        bounded = min(TOLD_MOST, max(0.0, taken))
+        self.taken = (
+            bounded if now - self.at > TOLD_FRESH_S else self.taken + TOLD_WEIGHT * (bounded - self.taken)
+        )
+        self.at = now
+
+
 @dataclass(eq=False)
 class SidecarState:
     """What this front knows of one sidecar."""
@@ -79,26 +106,21 @@
     record: TrackRecord = field(default_factory=TrackRecord)
     connections: ConnectionState = field(default_factory=ConnectionState)
 
-    def estimate(self, now: float, fronts: int, mean: float) -> float:
-        """Requests that it probably has now: as told, or later as if all fronts sent alike.
-
-        `mean` is this front's requests at a sidecar of the service on average.
-        """
+    def estimate(self, now: float, crowd: "Crowd") -> float:
+        """Requests that it probably has now: as told, or later as all sidecars of the service have."""
         age = now - self.told_at
         weight = min(1.0, max(0.0, 1 - (age - LOAD_FRESH_S) / LOAD_FADES_S))
         told = self.running + self.waiting + self.sent_since
-        guessed = self.inflight + (fronts - 1) * self._expected_of_others(mean)
+        guessed = self.inflight + crowd.others * self._unlike_others(crowd.own)
         return max(float(self.inflight), weight * told + (1 - weight) * guessed)
 
-    def _expected_of_others(self, mean: float) -> float:
-        """What each other front probably has here: this front's own count, drawn towards the mean.
+    def _unlike_others(self, mean: float) -> float:
+        """By how much its load probably differs from the mean, as this front's own count there tells.
 
-        The mean of a gamma distribution of loads, given one Poisson count; a count of 1 where nearly all are
-        0 says little, a count of 20 where the mean is 10 says much.
+        The mean of a gamma distribution of loads, given one Poisson count where `mean` was to be expected; a
+        count of 1 where nearly all are 0 says little, a count of 20 where the mean is 10 says much.
         """
-        if mean <= 0:
-            return 0.0
-        return (self.inflight + LOAD_SHAPE) / (1 + LOAD_SHAPE / mean)
+        return (self.inflight + LOAD_SHAPE) / (mean + LOAD_SHAPE)
 
     def tell_load(self, now: float, running: float, waiting: float, slots: float) -> None:
         """Takes in what it says of itself."""
@@ -133,6 +155,10 @@
         pause = min(BACKOFF_MOST_S, BACKOFF_LEAST_S * 2 ** (self.failures - 1))
         self.avoid_until = now + pause
 
+    def replaced(self, now: float) -> None:
+        """Another one answers at its address: the list will say so."""
+        self.avoid_until = max(self.avoid_until, now + REPLACED_S)
+
     def succeeded(self) -> None:
         """It has answered."""
         self.silent = False
@@ -176,6 +202,7 @@
         self._by_service: dict[str, list[SidecarState]] = {}
         self._places: dict[str, tuple[float, Places]] = {}  # when they were counted, and how many
         self._means: dict[str, tuple[float, float]] = {}  # when it was counted, and requests at a sidecar
+        self._told: dict[str, ToldLoad] = {}  # by service
         self._homes: OrderedDict[str, SidecarState] = OrderedDict()  # by shared part
         self._holders: OrderedDict[str, deque[SidecarState]] = OrderedDict()  # that read it lately
         self._recent: dict[str, deque[SidecarState]] = {}  # by service, which answered lately
@@ -206,8 +233,8 @@
         """What is known of a service as a whole."""
         states = [state for state in self.of_service(service) if state.usable(now)]
         slots = sum(state.entry.slots for state in states)
-        mean = self._mean_inflight(service, now)
-        estimates = [(state.estimate(now, self.fronts, mean), state.entry.slots) for state in states]
+        crowd = self._crowd(service, now)
+        estimates = [(state.estimate(now, crowd), state.entry.slots) for state in states]
         running = sum(min(estimate, count) for estimate, count in estimates)
         waiting = sum(max(0.0, estimate - count) for estimate, count in estimates)
         return Load(running, waiting, float(max(1, slots)))
@@ -232,11 +259,33 @@
             self._means[service] = (now, mean)
         return mean
 
+    def tell_load(
+        self, state: SidecarState, now: float, running: float, waiting: float, slots: float
+    ) -> None:
+        """Takes in what a sidecar says of itself, which also tells of the others."""
+        state.tell_load(now, running, waiting, slots)
+        told = self._told.setdefault(state.entry.service, ToldLoad())
+        told.learn(now, (running + waiting) / max(1.0, slots))
+
+    def _crowd(self, service: str, now: float) -> Crowd:
+        """The requests at a sidecar on average, as the sidecars tell, or else as if all fronts sent alike."""
+        own = self._mean_inflight(service, now)
+        told = self._told.get(service)
+        states = self.of_service(service)
+        if told is None or now - told.at > TOLD_FRESH_S or not states:
+            return Crowd(own, (self.fronts - 1) * own)
+        return Crowd(own, max(0.0, told.taken * states[0].entry.slots - own))
+
     def survived(self, service: str, now: float) -> float:
         """The most requests of this front that the sidecars of a service may have at once."""
         states = [state for state in self.of_service(service) if state.usable(now)]
         return sum(max(state.entry.slots, state.most_survived) for state in states)
 
+    def item_share(self, service: str) -> int:
+        """How many items this front may run at once: its even part of the slots that items may take."""
+        slots = sum(state.entry.slots for state in self.of_service(service))
+        return math.ceil(PATIENT_FILL * slots / self.presumed_fronts(service))
+
     def places(self, service: str, now: float) -> Places:
         """How many more requests the sidecars of a service can take without waiting there."""
         counted_at, counted = self._places.get(service, (-1e9, Places(0, 0)))
@@ -254,10 +303,10 @@
 
     def _count_places(self, service: str, now: float) -> Places:
         live = patient = 0
-        mean = self._mean_inflight(service, now)
+        crowd = self._crowd(service, now)
         for state in self.of_service(service):
             if state.usable(now):
-                estimate = state.estimate(now, self.fronts, mean)
+                estimate = state.estimate(now, crowd)
                 slots = state.entry.slots * (1 - state.record.share_failing(now))
                 live += max(0, math.ceil(LIVE_FILL * slots - estimate))
                 patient += max(0, math.ceil(PATIENT_FILL * slots - estimate))
@@ -307,8 +356,8 @@
         home = None
         if shared is not None:
             home = home_of(shared, candidates) if weighed is states else self._home(shared, states).entry.id
-        mean = self._mean_inflight(service, now)
-        return min(candidates, key=lambda state: self._cost_ms(state, parts, home, mean, now))
+        crowd = self._crowd(service, now)
+        return min(candidates, key=lambda state: self._cost_ms(state, parts, home, crowd, now))
 
     def _sample(self, states: list[SidecarState], shared: str | None) -> list[SidecarState]:
         """Some at random, those with idle connections, and the home and some holders of a shared part."""
@@ -349,9 +398,9 @@
             self._holders.popitem(last=False)
 
     def _cost_ms(
-        self, state: SidecarState, parts: tuple[Part, ...], home: str | None, mean: float, now: float
+        self, state: SidecarState, parts: tuple[Part, ...], home: str | None, crowd: Crowd, now: float
     ) -> float:
-        part_taken = (state.estimate(now, self.fronts, mean) + 1) / max(1, state.entry.slots)
+        part_taken = (state.estimate(now, crowd) + 1) / max(1, state.entry.slots)
         cost = LOAD_COST_MS * part_taken + OVERFULL_COST_MS * max(0.0, part_taken - 1)
         cost += state.record.cost_ms(now)
         unread = state.unread_tokens(parts)
--- a/crowwing/tier/front/upstream.py
+++ b/crowwing/tier/front/upstream.py
@@ -81,6 +81,7 @@
     status: int | None  # the sidecar's own, None where it was not reached
     reason: str
     no_connection: bool = False  # it has no place for another connection, and may be well otherwise
+    load: bytes | None = None  # the `Server-Load` of its answer
 
 
 @dataclass(frozen=True)
@@ -172,7 +173,8 @@
             return MayHaveRun("an answer that is not this request's")
         if b"not-executed" in names or response.status == 421:
             await _drain(response)
-            return NotRun(response.status, "the sidecar did not run it")
+            load = names.get(b"server-load")
+            return NotRun(response.status, "the sidecar did not run it", load=load)
         return Opened(response.status, headers, response)
 
 
--- a/tests/tier/test_service_pool.py
+++ b/tests/tier/test_service_pool.py
@@ -4,7 +4,8 @@
 import time
 
 from crowwing.tier.front.admission import Ticket
-from crowwing.tier.front.service_pool import ServicePool
+from crowwing.tier.front.service_pool import ServicePool, end_of
+from crowwing.tier.front.upstream import MayHaveRun, NotRun, Opened
 from crowwing.tier.platform_list import Sidecar, SidecarList
 
 SERVICE, AIM_S = "advisor", 5.0
@@ -63,3 +64,33 @@
         assert pool.admission(SERVICE).held == 0 and pool.admission(SERVICE).inflight == 0
 
     asyncio.run(play())
+
+
+def test_a_sidecar_that_rejects_counts_as_full_unless_it_tells_its_load() -> None:
+    pool = full_pool()
+    state = pool.sidecars.of_service(SERVICE)[0]
+    pool.rejected(state, NotRun(503, "full", load=b"4,30,4"), False)
+    assert (state.running, state.waiting) == (4, 30)
+    pool.rejected(state, NotRun(503, "full"), False)
+    assert (state.running, state.waiting) == (4, 4)
+    told_at = state.told_at
+    pool.rejected(state, NotRun(421, "other weights"), True)
+    now = time.monotonic()
+    assert state.told_at == told_at, "that says nothing of its load"
+    assert state.usable(now), "it has other weights than this request wants, and is there"
+    pool.rejected(state, NotRun(421, "another sidecar"), False)
+    assert not state.usable(now) and state.usable(now + 2), (
+        "another one is in its place; the list will say so"
+    )
+
+
+def test_how_tries_end_is_counted_by_outcome() -> None:
+    answer = Opened(200, [], None)  # type: ignore[arg-type]
+    ends = [answer, NotRun(503, ""), NotRun(None, ""), NotRun(None, "", no_connection=True), MayHaveRun("")]
+    assert [end_of(end) for end in ends] == [
+        "answered",
+        "rejected 503",
+        "unreachable",
+        "no connection",
+        "lost",
+    ]
--- a/tests/tier/test_sidecars.py
+++ b/tests/tier/test_sidecars.py
@@ -6,9 +6,12 @@
 import pytest
 
 from crowwing.tier.front.sidecars import (
+    PATIENT_FILL,
+    SAFE_START,
     SAMPLED,
     SAMPLED_HOLDERS,
     SAMPLED_RECENT,
+    Crowd,
     Part,
     SidecarState,
     SidecarTable,
@@ -54,7 +57,7 @@
     assert sidecars.places("advisor", 0.1).live == 0
     assert sidecars.places("advisor", 2.0).live > 40
     state.inflight, sidecars.fronts = 3, 9
-    assert state.estimate(2.0, 9, 3.0) == pytest.approx(27), "as if all fronts sent alike"
+    assert state.estimate(2.0, Crowd(3.0, 24.0)) == pytest.approx(27), "as if all fronts sent alike"
 
 
 def test_items_leave_a_third_of_the_slots_to_live_requests() -> None:
@@ -229,8 +232,8 @@
     crowded.inflight = 12
     for state in others:
         state.inflight = 3
-    assert crowded.estimate(100.0, 9, 6.0) > 80
-    assert others[0].estimate(100.0, 9, 6.0) < 40
+    assert crowded.estimate(100.0, Crowd(6.0, 48.0)) > 80
+    assert others[0].estimate(100.0, Crowd(6.0, 48.0)) < 40
 
 
 def test_of_many_sidecars_not_all_are_counted_for_each_choice(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -260,3 +263,67 @@
     def __iter__(self) -> Any:  # noqa: ANN401
         self._note(len(self))
         return super().__iter__()
+
+
+def test_before_the_fronts_are_counted_each_takes_a_small_part_as_if_there_were_many() -> None:
+    sidecars = table(*(f"s{number}" for number in range(36)))
+    slots = 36 * 48
+    assert slots / sidecars.presumed_fronts("advisor") == pytest.approx(SAFE_START, rel=0.01)
+    sidecars.fronts, sidecars.fronts_counted = 9, True
+    assert sidecars.presumed_fronts("advisor") == 9
+
+
+def test_a_sidecar_with_a_kept_connection_is_taken_before_one_that_needs_a_new_one() -> None:
+    sidecars = table("a", "b")
+    first, second = sidecars.of_service("advisor")
+    second.connections.opened = second.connections.idle = 1
+    assert sidecars.choose("advisor", (), 0.0) is second
+    second.tell_load(0.0, 24, 0, 48)
+    assert sidecars.choose("advisor", (), 0.0) is first, "but not at any load"
+
+
+def test_a_sidecar_that_takes_no_more_connections_is_left_out_while_others_are_there() -> None:
+    sidecars = table("a", "b")
+    first, second = sidecars.of_service("advisor")
+    first.connections.was_reset(0.0)
+    assert {sidecars.choose("advisor", (), 0.05).entry.id for _ in range(5)} == {"b"}
+    first.connections.idle = 1
+    assert sidecars.choose("advisor", (), 0.05) is first, "a kept connection is as good as before"
+    second.connections.was_reset(0.0)
+    first.connections.idle = 0
+    assert sidecars.choose("advisor", (), 0.05) is not None, "one in doubt is better than none"
+
+
+def test_sidecars_that_tell_their_load_tell_of_the_others_whatever_the_count_of_fronts_is() -> None:
+    for fronts in (3, 72, 3000):
+        sidecars = table(*(f"s{number}" for number in range(10)))
+        sidecars.fronts = fronts
+        first = sidecars.of_service("advisor")[0]
+        first.inflight = 1
+        for step in range(60):
+            sidecars.tell_load(first, 0.01 * step, 12, 0, 48)
+        load = sidecars.load("advisor", 0.6)
+        assert load.running == pytest.approx(10 * 12, rel=0.2), "each of ten like the one that was heard"
+
+
+def test_a_lying_sidecar_moves_what_is_believed_of_the_others_by_little_and_not_for_long() -> None:
+    sidecars = table(*(f"s{number}" for number in range(10)))
+    honest, liar, *_ = sidecars.of_service("advisor")
+    for step in range(60):
+        now = 0.01 * step
+        sidecars.tell_load(honest, now, 12, 0, 48)
+        if step % 10 == 9:
+            sidecars.tell_load(liar, now, 1e9, 1e9, 1)
+    others = [state for state in sidecars.of_service("advisor") if state not in (honest, liar)]
+    crowd = sidecars._crowd("advisor", 0.6)  # noqa: SLF001
+    assert max(state.estimate(0.6, crowd) for state in others) < 48, "they still count as having places"
+    crowd = sidecars._crowd("advisor", 9.0)  # noqa: SLF001
+    assert crowd.others == 0, "what was told is forgotten, and this front sends nothing"
+
+
+@pytest.mark.parametrize("fronts", [1, 9, 72, 3000])
+def test_all_fronts_together_run_no_more_items_than_leave_room_for_live_requests(fronts: int) -> None:
+    sidecars = table(*(f"s{number}" for number in range(36)))
+    sidecars.fronts, sidecars.fronts_counted = fronts, True
+    assert fronts * (sidecars.item_share("advisor") - 1) <= PATIENT_FILL * 36 * 48
+    assert sidecars.item_share("advisor") >= 1, "and none is starved"
