A test of a failed rewriting holds the rewriting until the write beside it is done

Cause: on a busy machine the rewriting was done before the write that stands for one beside it, which then made the switch, before the test let the disk fail; what the disk held was right. Brought about by waiting for the rewriting first: the same failure each time. Change: the rewriting is held until that write is done, as in the test beside it; what is asserted is the same.

--- a/tests/tier/test_disk_troubles.py
+++ b/tests/tier/test_disk_troubles.py
@@ -280,9 +280,11 @@
         with monkeypatch.context() as patched:
             if fails == "while it is made":
                 patched.setattr(Replacement, "_sync", no_space)
-            disk.begin_rewriting(["all"])
+            compacted = SlowPreparation(["all"])
+            disk.begin_rewriting(compacted)
             await disk.write(["meanwhile"])
-            await wait_until(lambda: disk._preparing is None or disk._preparing.done())
+            compacted.may_go_on.set()
+            await wait_until(lambda: disk._preparing.done())
             patched.setattr(Replacement, "_sync", no_space)
             await disk.write(["later"])
         await disk.write(["last"])
