Frames of another form end their connection in order, as a message error

Cause: a frame that decoded to something other than three values ended Connection.run with ValueError or TypeError as its task's exception; deep nesting and an infinite time did the same with RecursionError and OverflowError. Change: decode_frame returns a typed Frame or raises MalformedFrameError, which run logs as connection_broken. Bytes on the wire stay as they were.

--- a/crowwing/tier/wire/codec.py
+++ b/crowwing/tier/wire/codec.py
@@ -109,5 +109,7 @@
     """
     try:
         return _from_plain(cbor2.loads(data))
-    except (cbor2.CBORDecodeError, TypeError, ValueError, IndexError) as error:
+    except (
+        cbor2.CBORDecodeError, TypeError, ValueError, IndexError, OverflowError, RecursionError,
+    ) as error:  # fmt: skip
         raise MessageError(str(error)) from error
--- a/crowwing/tier/wire/connection.py
+++ b/crowwing/tier/wire/connection.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from crowwing.tier.wire.codec import Decoded, decode
+from crowwing.tier.wire.codec import Decoded
 from crowwing.tier.wire.errors import (
     CallTimeoutError,
     ConnectError,
@@ -15,7 +15,15 @@
     MessageError,
     RemoteError,
 )
-from crowwing.tier.wire.frames import LENGTH, MAX_FRAME_BYTES, NO_CALL, FrameKind, encode_frame
+from crowwing.tier.wire.frames import (
+    LENGTH,
+    MAX_FRAME_BYTES,
+    NO_CALL,
+    Frame,
+    FrameKind,
+    decode_frame,
+    encode_frame,
+)
 from crowwing.tier.wire.network import TCP, Network
 from crowwing.tier.wire.socket_options import set_socket_options
 
@@ -77,32 +85,32 @@
         (length,) = LENGTH.unpack(await self._reader.readexactly(LENGTH.size))
         if length > MAX_FRAME_BYTES:
             raise FrameTooLongError(length, MAX_FRAME_BYTES)
-        kind, call_number, body = decode(await self._reader.readexactly(length))
-        if kind in (FrameKind.RESPONSE, FrameKind.FAILURE):
-            self._complete_call(kind, call_number, body)
+        frame = decode_frame(await self._reader.readexactly(length))
+        if frame.kind in (FrameKind.RESPONSE, FrameKind.FAILURE):
+            self._complete_call(frame)
         elif self._handler is not None:
-            task = asyncio.ensure_future(self._handle(self._handler, kind, call_number, body))
+            task = asyncio.ensure_future(self._handle(self._handler, frame))
             self._handler_tasks.add(task)
             task.add_done_callback(self._handler_tasks.discard)
 
-    def _complete_call(self, kind: int, call_number: int, body: Decoded) -> None:
-        future = self._pending_calls.pop(call_number, None)
+    def _complete_call(self, frame: Frame) -> None:
+        future = self._pending_calls.pop(frame.call_number, None)
         if future is None or future.done():
             return
-        if kind == FrameKind.RESPONSE:
-            future.set_result(body)
+        if frame.kind is FrameKind.RESPONSE:
+            future.set_result(frame.body)
         else:
-            future.set_exception(RemoteError(body))
+            future.set_exception(RemoteError(frame.body))
 
-    async def _handle(self, handler: Handler, kind: int, call_number: int, body: Decoded) -> None:
+    async def _handle(self, handler: Handler, frame: Frame) -> None:
         try:
-            result = await handler(self, body)
+            result = await handler(self, frame.body)
         except Exception as error:  # a defect in one handler ends neither the connection nor the process
-            log.exception("handler_failed message=%s peer=%s", type(body).__name__, self.remote)
-            self._write(FrameKind.FAILURE, call_number, str(error))
+            log.exception("handler_failed message=%s peer=%s", type(frame.body).__name__, self.remote)
+            self._write(FrameKind.FAILURE, frame.call_number, str(error))
             return
-        if kind == FrameKind.REQUEST:
-            self._write(FrameKind.RESPONSE, call_number, result)
+        if frame.kind is FrameKind.REQUEST:
+            self._write(FrameKind.RESPONSE, frame.call_number, result)
 
     def _write(self, kind: FrameKind, call_number: int, body: object) -> None:
         if not self.is_closed:
--- a/crowwing/tier/wire/errors.py
+++ b/crowwing/tier/wire/errors.py
@@ -46,6 +46,14 @@
         super().__init__(f"a frame of {length_bytes} bytes, more than {max_bytes}")
 
 
+class MalformedFrameError(MessageError):
+    """A frame whose content is valid CBOR, but not a kind, the number of a call and a body."""
+
+    def __init__(self) -> None:
+        """Describes the error."""
+        super().__init__("a frame that holds no kind, number and body")
+
+
 class CallError(WireError):
     """A call got no response.
 
--- a/crowwing/tier/wire/frames.py
+++ b/crowwing/tier/wire/frames.py
@@ -5,13 +5,16 @@
 """
 
 import struct
+from dataclasses import dataclass
 from enum import IntEnum
 
-from crowwing.tier.wire.codec import encode
+from crowwing.tier.wire.codec import Decoded, decode, encode
+from crowwing.tier.wire.errors import MalformedFrameError
 
 LENGTH = struct.Struct("<I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 NO_CALL = 0  # the number in notifications, which have no response
+FRAME_VALUES = 3
 
 
 class FrameKind(IntEnum):
@@ -23,6 +26,36 @@
     FAILURE = 3
 
 
+_KINDS = {int(kind): kind for kind in FrameKind}
+
+
+@dataclass(frozen=True)
+class Frame:
+    """One frame as it was received. Its fields are the parameters of `encode_frame`."""
+
+    kind: FrameKind
+    call_number: int
+    body: Decoded
+
+
+def decode_frame(content: bytes) -> Frame:
+    """Reads a frame.
+
+    Args:
+        content: what stands behind the length.
+
+    Raises:
+        MessageError: the content is no frame, or its body no message that this version knows.
+    """
+    values = decode(content)
+    if not isinstance(values, tuple) or len(values) != FRAME_VALUES:
+        raise MalformedFrameError
+    kind, call_number, body = values
+    if type(kind) is not int or kind not in _KINDS or type(call_number) is not int:
+        raise MalformedFrameError
+    return Frame(_KINDS[kind], call_number, body)
+
+
 def encode_frame(kind: FrameKind, call_number: int, body: object) -> bytes:
     """Encodes one frame as it goes over the wire.
 
