--- a/tests/tier/simulation/machines.py
+++ b/tests/tier/simulation/machines.py
@@ -176,8 +176,9 @@
 
     async def _read_list(self) -> SidecarList:
         self.world.list_reads.append((self.world.loop.time(), self.host))
-        await asyncio.sleep(0.002)
-        return SidecarList((Sidecar(f"s-{self.world.list_version}", "s", "10.9.9.9:1", "z", 8, True),))
+        version = self.world.list_version
+        await asyncio.sleep(self.world.list_read_s)
+        return SidecarList((Sidecar(f"s-{version}", "s", "10.9.9.9:1", "z", 8, True),))
 
 
 class Front(Machine):
--- a/tests/tier/simulation/world.py
+++ b/tests/tier/simulation/world.py
@@ -61,6 +61,7 @@
         self.violations: list[str] = []
         self.disk_mb = 0
         self.list_version = 1
+        self.list_read_s = 0.002  # how long the platform takes
         self.list_reads: list[tuple[float, str]] = []
         # Kept, so that no task of an ended incarnation is collected, and so closed, during the run.
         self.incarnations: list[Incarnation] = []
--- a/tests/tier/test_control_scenarios.py
+++ b/tests/tier/test_control_scenarios.py
@@ -5,9 +5,12 @@
 
 import pytest
 
+from crowwing.tier.distribution.documents import SIDECARS
 from crowwing.tier.state.events import BatchItem
 from crowwing.tier.store import commands, outcomes
+from crowwing.tier.wire.codec import decode
 from tests.tier.simulation.checkers.configuration import check_configuration
+from tests.tier.simulation.checkers.distribution import check_documents
 from tests.tier.simulation.clients import Operator
 from tests.tier.simulation.history import Call
 from tests.tier.simulation.machines import BATCH_HOST, BATCH_PREFIX
@@ -304,3 +307,29 @@
         world.start(lost)
         world.run_for(world.start_s[1] + CATCH_UP_S)
         assert world.members() == {"m2", "m3", "m4"}, f"seed {seed}"
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_list_that_was_read_under_a_lease_that_ended_meanwhile_is_not_published(seed: int) -> None:
+    """It stood still meanwhile: its list would get the term and number of the next primary's first one."""
+    world = World(seed, STORES, fronts=("f0", "f1"))
+    world.stabilize()
+    former = world.primary()
+    assert former is not None
+    world.list_read_s = 1.2
+    began = len(world.list_reads)
+    while all(host != former for _, host in world.list_reads[began:]):
+        world.run_for(0.02)
+    world.list_version += 1
+    world.list_read_s = 2.0  # of the next primary
+    world.freeze(former, 1.0)
+    world.run_for(5.0)
+    assert world.primary() not in (None, former)
+    violations = check_documents(world.recorded_documents)
+    assert not violations, violations
+    for host in STORES:
+        machine = world.stores[host].machine
+        assert machine is not None
+        document = machine.documents.get(SIDECARS)
+        assert document is not None
+        assert decode(document.body).sidecars[0].id == f"s-{world.list_version}", host
