Odd numbers, space around headers and clients that go early harm nobody

Cause: str.isdigit takes superscripts and digits of other scripts, on which int fails or reads otherwise, and int fails on thousands of digits: 500 for Prompt-Prefix, startAfter, Wait-Ms, Last-Event-Id. Proxy._relay sent the head outside of the try that releases the sidecar's response: a client that had gone left inflight one too high and the connection open. Change: whole_numbers.py reads every number from outside; headers lose the space around their values, two Hosts are a 400; batch_job_format.py checks items before they are taken; the head is sent inside the try, and closing a response twice does nothing.

--- a/crowwing/tier/front/batch_api.py
+++ b/crowwing/tier/front/batch_api.py
@@ -1,53 +1,25 @@
 """The batch interface of a front: batch jobs are submitted, read and ended."""
 
-import base64
-import binascii
-import json
 import logging
-from typing import Any
 from urllib.parse import parse_qs, unquote
 
 from litestar.types import Send
 
 from crowwing.tier.front.asgi import ClientRequest, respond, respond_json, respond_unavailable
+from crowwing.tier.front.batch_job_format import parse_batch_job
 from crowwing.tier.front.errors import MalformedBatchJobError
 from crowwing.tier.front.store_client import FrontOutcome, StoreClient
-from crowwing.tier.state.events import BatchItem
+from crowwing.tier.front.whole_numbers import parse_whole_number
 from crowwing.tier.store import commands, outcomes
 
 log = logging.getLogger("crowwing.batch")
 
-MAX_ITEMS = 200
 SUBMIT_LIMIT_S, READ_LIMIT_S = 2.5, 1.3
 BATCH_JOBS_PATH, ITEMS = "/lots/", "/items/"
 MAX_WAIT_MS = 1000
 RETRY_AFTER_S = 0.2
 
 
-def parse_batch_job(body: bytes) -> tuple[BatchItem, ...]:
-    """Reads the items of a batch job; raises MalformedBatchJobError."""
-    try:
-        requests = json.loads(body)["requests"]
-        items = tuple(parse_item(entry) for entry in requests)
-    except (ValueError, KeyError, TypeError, AttributeError, binascii.Error) as error:
-        reason = f"{type(error).__name__}: {error}"
-        raise MalformedBatchJobError(reason) from error
-    if not 0 < len(items) <= MAX_ITEMS:
-        reason = f"requests: 1 to {MAX_ITEMS} are taken, these are {len(items)}"
-        raise MalformedBatchJobError(reason)
-    if len({item.id for item in items}) < len(items):
-        reason = "requests: two have the same id"
-        raise MalformedBatchJobError(reason)
-    return items
-
-
-def parse_item(entry: dict[str, Any]) -> BatchItem:
-    """One item; raises KeyError, TypeError or ValueError."""
-    headers = tuple((str(name), str(value)) for name, value in (entry.get("headers") or {}).items())
-    body = base64.b64decode(entry.get("body") or "", validate=True)
-    return BatchItem(str(entry["id"]), str(entry["path"]), headers, body, int(entry.get("tokens") or 0))
-
-
 class BatchApi:
     """Batch jobs over HTTP. Owned by the front's process; the proxy calls it."""
 
@@ -93,18 +65,18 @@
         return False
 
     async def _read(self, job_id: str, request: ClientRequest, send: Send) -> None:
-        start = first_value(request.query, "startAfter") or "0"
-        wait = (request.header(b"wait-ms") or b"0").decode("latin-1")
-        if not start.isdigit() or not wait.isdigit():
+        start = parse_whole_number(first_value(request.query, "startAfter") or "0")
+        longest_wait_ms = parse_whole_number(request.header(b"wait-ms") or b"0")
+        if start is None or longest_wait_ms is None:
             await respond_json(send, 400, {"error": "startAfter and Wait-Ms: must be whole numbers"})
             return
-        wait_ms = min(int(wait), MAX_WAIT_MS)
-        command = commands.ReadBatchJob(job_id, int(start), wait_ms)
+        wait_ms = min(longest_wait_ms, MAX_WAIT_MS)
+        command = commands.ReadBatchJob(job_id, start, wait_ms)
         limit_s = wait_ms / 1000 + READ_LIMIT_S
         outcome = await self._store.call(command, limit_s, answer_s=wait_ms / 1000 + 0.6)
         if isinstance(outcome, outcomes.BatchJobPage):
             results = [{"id": x.item, "state": x.state, "text": x.text} for x in outcome.results]
-            page = {"total": outcome.total, "nextToken": int(start) + len(results), "results": results}
+            page = {"total": outcome.total, "nextToken": start + len(results), "results": results}
             await respond_json(send, 200, page)
         else:
             await self._respond(outcome, send, 200)
--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -85,6 +85,7 @@
 
     started: ResponseStarted
     state: SidecarState
+    is_closed: bool = False
 
 
 DispatchResult = OpenResponse | NotServed | Failed
@@ -189,7 +190,10 @@
         return outcome
 
     async def close(self, response: OpenResponse) -> None:
-        """Done with a response; one that has not ended is broken off."""
+        """Done with a response; one that has not ended is broken off. A second call does nothing."""
+        if response.is_closed:
+            return
+        response.is_closed = True
         self._pool.attempts.ended(response.state)
         await close_after_answer(response.started.response)
 
--- a/crowwing/tier/front/events.py
+++ b/crowwing/tier/front/events.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from crowwing.tier.front.whole_numbers import parse_whole_number
+
 
 @dataclass(frozen=True)
 class StreamEvent:
@@ -52,8 +54,9 @@
     for text in raw.decode("utf-8", "replace").splitlines():
         name, _, value = text.partition(":")
         value = value.removeprefix(" ")
-        if name == "id" and value.isdigit():
-            event_id = int(value)
+        if name == "id":
+            number = parse_whole_number(value)
+            event_id = event_id if number is None else number
         elif name == "data":
             data.append(value)
     return StreamEvent(raw, event_id, "\n".join(data))
--- a/crowwing/tier/front/load_reports.py
+++ b/crowwing/tier/front/load_reports.py
@@ -1,8 +1,11 @@
 """Loads as sidecars report them: the `Server-Load` header, the body of a report, and their average."""
 
 import json
+import math
 from dataclasses import dataclass
 
+from crowwing.tier.front.whole_numbers import parse_whole_number
+
 REPORT_WEIGHT = 0.1  # of the newest report in the average
 REPORT_FRESH_S = 1.0  # for how long the average counts after the last report
 MAX_REPORTED_FILL = 3.0  # in slots, the most that one report counts for
@@ -21,9 +24,11 @@
 def parse_load_header(value: bytes | None) -> LoadReport | None:
     """Reads a `Server-Load` header, `running,waiting,slots`; None where it is missing or can't be read."""
     fields = value.split(b",") if value is not None else []
-    if len(fields) != LOAD_HEADER_FIELDS or not all(field.strip().isdigit() for field in fields):
+    numbers = [parse_whole_number(field.strip()) for field in fields]
+    counts = [float(number) for number in numbers if number is not None]
+    if len(fields) != LOAD_HEADER_FIELDS or len(counts) != LOAD_HEADER_FIELDS:
         return None
-    running, waiting, slots = (float(field) for field in fields)
+    running, waiting, slots = counts
     return LoadReport(running, waiting, slots)
 
 
@@ -31,9 +36,12 @@
     """Reads the body of `GET /report`; None where it can't be read."""
     try:
         fields = json.loads(body)
-        return LoadReport(float(fields["running"]), float(fields["waiting"]))
-    except (ValueError, KeyError, TypeError):
+        running, waiting = float(fields["running"]), float(fields["waiting"])
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
+        return None
+    if not (0 <= running < math.inf and 0 <= waiting < math.inf):
         return None
+    return LoadReport(running, waiting)
 
 
 @dataclass(frozen=True)
--- a/crowwing/tier/front/prefix_cache.py
+++ b/crowwing/tier/front/prefix_cache.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from crowwing.tier.front.whole_numbers import parse_whole_number
+
 MAX_CACHED_BLOCKS = 4000  # remembered for each sidecar
 
 
@@ -19,9 +21,10 @@
     """Reads a `Prompt-Prefix` header, `id:tokens,id:tokens,...`; entries that can't be read are left out."""
     blocks: list[PromptBlock] = []
     for entry in header.split(","):
-        name, _, tokens = entry.strip().partition(":")
-        if name and tokens.isdigit():
-            blocks.append(PromptBlock(name, int(tokens)))
+        name, _, count = entry.strip().partition(":")
+        tokens = parse_whole_number(count)
+        if name and tokens is not None:
+            blocks.append(PromptBlock(name, tokens))
     return tuple(blocks)
 
 
--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -42,6 +42,7 @@
 from crowwing.tier.front.service_pool import ServicePool
 from crowwing.tier.front.upstream import Headers, hop_by_hop
 from crowwing.tier.front.upstream import read_body as read_response_body
+from crowwing.tier.front.whole_numbers import parse_whole_number
 
 log = logging.getLogger("crowwing.proxy")
 
@@ -54,6 +55,7 @@
 MAX_BODY_BYTES_UNCONFIGURED = 64 * 1024 * 1024
 RESPONSE_MARGIN_S = 0.2  # beyond the deadline, after which a response is broken off
 WITHOUT_CONFIGURATION = RequestLimits.model_validate({"maxBodyBytes": MAX_BODY_BYTES_UNCONFIGURED})
+OPTIONAL_WHITESPACE = b" \t"  # around the value of a header, and no part of it (RFC 9110, 5.5)
 CLOSE_CONNECTION = [(b"connection", b"close")]
 
 
@@ -65,6 +67,12 @@
         self._send = send
         self.is_client_blocked = False  # it reads too slowly
 
+    async def start(self, status: int, headers: Headers) -> None:
+        """Sends the head that the body belongs to."""
+        self.is_client_blocked = True
+        await self._send(response_start(status, headers))
+        self.is_client_blocked = False
+
     async def forward(self, chunk: bytes) -> None:
         """Sends a chunk."""
         self.is_client_blocked = True
@@ -197,11 +205,11 @@
         route = sidecar_request.route
         is_resumable = route.kind == "stream" and started.status == OK_STATUS and route.resumable
         headers = forwarded_headers(started.headers, keeps_length=not is_resumable)
-        await send(response_start(started.status, headers))
         body = ResponseBody(send)
         timeout_s = max(0.0, sidecar_request.deadline + RESPONSE_MARGIN_S - time.monotonic())
         try:  # also a client that does not read keeps its slot at a sidecar no longer
             async with asyncio.timeout(timeout_s):
+                await body.start(started.status, headers)
                 if is_resumable:
                     await self._relay_events(sidecar_request, response, body)
                 else:
@@ -211,6 +219,8 @@
                 response.state.record_failure(time.monotonic())
             log.info("response_broken sidecar=%s reason=%s", response.state.entry.id, error)
             return  # the server closes the connection, so that the response does not look complete
+        finally:  # also where the client has gone before it got the head
+            await self._dispatcher.close(response)
         await send(response_body(b""))
 
     async def _relay_events(
@@ -222,11 +232,8 @@
 
     async def _relay_body(self, response: OpenResponse, body: ResponseBody) -> None:
         """Passes the body on as it comes."""
-        try:
-            async for chunk in read_response_body(response.started):
-                await body.forward(chunk)
-        finally:
-            await self._dispatcher.close(response)
+        async for chunk in read_response_body(response.started):
+            await body.forward(chunk)
 
 
 async def _read_request(
@@ -242,8 +249,12 @@
     except BodyTimeoutError:
         await respond_json(send, 408, {"error": "the body did not come in time"}, CLOSE_CONNECTION)
         return None
+    headers = [(name, value.strip(OPTIONAL_WHITESPACE)) for name, value in scope["headers"]]
+    if sum(name == b"host" for name, _ in headers) > 1:
+        await respond_json(send, 400, {"error": "Host: there are several"}, CLOSE_CONNECTION)
+        return None
     path = scope["raw_path"].decode("latin-1")
-    return ClientRequest(scope["method"], path, scope["query_string"], list(scope["headers"]), body)
+    return ClientRequest(scope["method"], path, scope["query_string"], headers, body)
 
 
 def _make_sidecar_request(routed: RoutedRequest) -> SidecarRequest:
@@ -261,7 +272,7 @@
         blocks=parse_prompt_prefix(prompt_prefix),
         deadline=routed.deadline,
         attempts_left=routed.route.max_attempts,
-        last_event=int(resumed_at) if resumed_at is not None and resumed_at.isdigit() else None,
+        last_event=parse_whole_number(resumed_at) if resumed_at is not None else None,
         retries_errors=routed.route.is_idempotent,
     )
 
--- a/crowwing/tier/platform_list.py
+++ b/crowwing/tier/platform_list.py
@@ -10,6 +10,16 @@
 
 READ_TIMEOUT_S = 0.8
 MAX_PAGES = 400
+MAX_PORT = 65535
+MALFORMED_PAGE = (AttributeError, KeyError, OverflowError, RecursionError, TypeError, ValueError)
+
+
+class AddressError(ValueError):
+    """A sidecar whose address is not `host:port`."""
+
+    def __init__(self, address: str) -> None:
+        """Describes the error by the address."""
+        super().__init__(f"the address of a sidecar: {address!r}")
 
 
 @message("Sidecar")
@@ -53,14 +63,20 @@
     """Reads one entry of the list.
 
     Raises:
+        AttributeError: it is no JSON object.
         KeyError: a field is missing.
+        OverflowError: a number is infinite.
         TypeError: a field has another type.
-        ValueError: a number can't be read.
+        ValueError: a number or the address can't be read.
     """
+    address = str(entry["address"])
+    host, _, port = address.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise AddressError(address)
     return Sidecar(
         str(entry["id"]),
         str(entry["service"]),
-        str(entry["address"]),
+        address,
         str(entry.get("zone", "")),
         int(entry.get("slots") or 1),
         entry.get("state") == "ready",
@@ -89,7 +105,7 @@
                 return ListUnreadable(f"status {response.status_code}")
             page = response.json()
             sidecars.extend(parse_entry(entry) for entry in page["instances"])
-        except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
+        except (httpx.HTTPError, *MALFORMED_PAGE) as error:
             return ListUnreadable(f"{type(error).__name__}: {error}")
         token = page.get("nextToken")
         if not token:
--- a/tests/tier/test_request_path.py
+++ b/tests/tier/test_request_path.py
@@ -58,7 +58,7 @@
         request: Request | None = None
         try:
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
                 fields = (line.partition(":") for line in head[1:] if line)
                 headers = {name.lower(): value.strip() for name, _, value in fields}
                 request = Request(headers, time.monotonic())
@@ -99,7 +99,7 @@
     common = {"host": HOST, "timeoutMs": 400, "sloMs": 20_000, "service": "s", "maxAttempts": 2, **changes}
     kinds = {"/safe/": "safe", "/unsafe/": "unsafe", "/stream/": "stream"}
     listed = [{**common, "name": p, "pathPrefix": p, "kind": k, "resumable": True} for p, k in kinds.items()]
-    whole = {"version": 1, "routes": listed, "services": [{"name": "s", "maxConns": 400}]}
+    whole = {"version": 1, "routes": listed, "services": [{"name": common["service"], "maxConns": 400}]}
     return RoutingTable(Configuration.model_validate(whole))
 
 
