--- a/crowwing/tier/front/asgi.py
+++ b/crowwing/tier/front/asgi.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass
-
-from litestar.types import HTTPResponseBodyEvent, HTTPResponseStartEvent, Message, Receive, Send
+from typing import Any, TypeAlias
 
 from crowwing.tier.front.errors import BodyTimeoutError, BodyTooLargeError, ClientDisconnectedError
 
+# As the ASGI specification, 3.0, has them.
+Scope: TypeAlias = MutableMapping[str, Any]
+Message: TypeAlias = MutableMapping[str, Any]
+Receive: TypeAlias = Callable[[], Awaitable[Message]]
+Send: TypeAlias = Callable[[Message], Awaitable[None]]
+HTTP_SCOPE = "http"  # the type of a scope that is a request
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -76,12 +83,12 @@
 
 def response_start(status: int, headers: Headers) -> Message:
     """The message that begins a response."""
-    return HTTPResponseStartEvent(type="http.response.start", status=status, headers=headers)
+    return {"type": "http.response.start", "status": status, "headers": headers}
 
 
 def response_body(body: bytes, more_body: bool = False) -> Message:
     """The message with a chunk of a response's body, by default the last one."""
-    return HTTPResponseBodyEvent(type="http.response.body", body=body, more_body=more_body)
+    return {"type": "http.response.body", "body": body, "more_body": more_body}
 
 
 async def respond(send: Send, status: int, body: bytes, headers: Headers | None = None) -> None:
--- a/crowwing/tier/front/batch_api.py
+++ b/crowwing/tier/front/batch_api.py
@@ -3,9 +3,7 @@
 import logging
 from urllib.parse import parse_qs, unquote
 
-from litestar.types import Send
-
-from crowwing.tier.front.asgi import ClientRequest, respond, respond_json, respond_unavailable
+from crowwing.tier.front.asgi import ClientRequest, Send, respond, respond_json, respond_unavailable
 from crowwing.tier.front.batch_job_format import parse_batch_job
 from crowwing.tier.front.errors import MalformedBatchJobError
 from crowwing.tier.front.store_client import FrontOutcome, StoreClient
--- a/crowwing/tier/front/main.py
+++ b/crowwing/tier/front/main.py
@@ -6,26 +6,21 @@
 from functools import partial
 from random import Random
 
-import httpx
-from litestar import Litestar, asgi
-from litestar.types import Receive, Scope, Send
-
 from crowwing.tier.configuration import Configuration, RoutingTable, parse_configuration
 from crowwing.tier.distribution.documents import CONFIGURATION, SIDECARS, Document, Documents
 from crowwing.tier.distribution.environment import RelayEnvironment
 from crowwing.tier.distribution.messages import RELAY_MESSAGES
 from crowwing.tier.distribution.relay import Relay
 from crowwing.tier.distribution.sampling import Peer
-from crowwing.tier.front.asgi import respond
+from crowwing.tier.front.asgi import Receive, Scope, Send, respond
 from crowwing.tier.front.batch_api import BatchApi
 from crowwing.tier.front.batch_job_runner import BatchJobRunner
 from crowwing.tier.front.client_connection import ClientConnection, ClientLimits
 from crowwing.tier.front.proxy import Proxy
 from crowwing.tier.front.service_pool import ServicePool
 from crowwing.tier.front.store_client import StoreClient
-from crowwing.tier.http_client import NO_CERTIFICATES
 from crowwing.tier.http_server import make_server, serve_until
-from crowwing.tier.platform_list import SidecarList, read_list
+from crowwing.tier.platform_list import SidecarList, make_list_reader
 from crowwing.tier.process import Tasks, watch_signals
 from crowwing.tier.settings import Settings
 from crowwing.tier.settings_watch import watch_settings
@@ -40,6 +35,7 @@
 END_MARGIN_S = 0.7  # before the platform kills the process
 LIST_READ_AFTER_S = 1.2  # without the root, after which a front reads the endpoint list by itself
 LIST_READ_INTERVAL_S = 0.9
+FIRST_LIST_READ_S = 0.3  # after a start, drawn evenly up to it
 IDLE_DEFAULT_S = 75.0
 FRONT_COUNT_INTERVAL_S = 1.0
 
@@ -125,10 +121,11 @@
     async def run_own_reader(self) -> None:
         """Reads the platform's endpoint list where the root does not send it; never returns."""
         assert self.settings.cloud is not None
-        client = httpx.AsyncClient(trust_env=False, verify=NO_CERTIFICATES)
+        await asyncio.sleep(FIRST_LIST_READ_S * self.random.random())  # the root mostly sends it meanwhile
+        read_list = make_list_reader(self.settings.cloud.address)
         while True:
             if self.relay.tracker.seconds_disconnected >= LIST_READ_AFTER_S or not self.pool.listed:
-                listed = await read_list(client, self.settings.cloud.address)
+                listed = await read_list()
                 if isinstance(listed, SidecarList):
                     self.pool.apply_endpoint_list(listed)
                 else:
@@ -160,25 +157,17 @@
 
     def _start_servers(self, tasks: Tasks, end: asyncio.Event) -> list[asyncio.Task[None]]:
         """Serves clients and the platform's health checks until `end`, where the settings name an address."""
-
-        @asgi("/", is_mount=True, copy_scope=False)
-        async def proxied(scope: Scope, receive: Receive, send: Send) -> None:
-            await self.proxy(scope, receive, send)
-
-        @asgi("/", is_mount=True, copy_scope=False)
-        async def ready(scope: Scope, receive: Receive, send: Send) -> None:
-            del scope, receive  # parameters that litestar asks for
+        async def ready(_scope: Scope, _receive: Receive, send: Send) -> None:
             await self.report_readiness(send)
 
         settings = self.settings
         clients = partial(ClientConnection, self.client_limits)
         serving: list[asyncio.Task[None]] = []
-        for address, handler, connection in (
-            (settings.listen.front, proxied, clients),
+        for address, app, connection in (
+            (settings.listen.front, self.proxy, clients),
             (settings.listen.ready, ready, None),
         ):
             if address:
-                app = Litestar([handler], openapi_config=None, logging_config=None)
                 server = make_server(app, address, settings.bounds.grace_s, IDLE_DEFAULT_S, connection)
                 serving.append(tasks.start(serve_until(server, end)))
                 log.info("listening address=%s", address)
--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -9,13 +9,15 @@
 import time
 from dataclasses import dataclass
 
-from litestar.enums import ScopeType
-from litestar.types import HTTPScope, Message, Receive, Scope, Send
-
 from crowwing.tier.configuration import RequestLimits, Route, choose_service
 from crowwing.tier.front.admission import AdmissionRequest, rank_of
 from crowwing.tier.front.asgi import (
+    HTTP_SCOPE,
     ClientRequest,
+    Message,
+    Receive,
+    Scope,
+    Send,
     read_body,
     respond_json,
     respond_unavailable,
@@ -118,7 +120,7 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serves one request."""
-        if scope["type"] != ScopeType.HTTP:
+        if scope["type"] != HTTP_SCOPE:
             return
         self.open += 1
         try:
@@ -128,7 +130,7 @@
         finally:
             self.open -= 1
 
-    async def _serve(self, scope: HTTPScope, receive: Receive, send: Send) -> None:
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         arrived = time.monotonic()
         table = await self._pool.wait_until_known(START_WAIT_S)
         limits = table.configuration.limits if table is not None else WITHOUT_CONFIGURATION
@@ -237,7 +239,7 @@
 
 
 async def _read_request(
-    scope: HTTPScope, receive: Receive, send: Send, limits: RequestLimits
+    scope: Scope, receive: Receive, send: Send, limits: RequestLimits
 ) -> ClientRequest | None:
     """The complete request; None where it was answered since its body is too large or too slow."""
     max_bytes = limits.max_body_bytes
--- a/crowwing/tier/http_server.py
+++ b/crowwing/tier/http_server.py
@@ -29,7 +29,7 @@
     """Makes a server that does not listen yet.
 
     Args:
-        app: the ASGI application.
+        app: the application, of ASGI's third version.
         address: `host:port`.
         grace_s: how long its end waits for open requests, in seconds; at least 1.
         keep_alive_s: how long an idle connection stays open, in seconds.
@@ -38,6 +38,7 @@
     host, port = address.rsplit(":", 1)
     config = uvicorn.Config(
         app,
+        interface="asgi3",
         host=host,
         port=int(port),
         http=connection or "httptools",  # type: ignore[arg-type]  # uvicorn types a class, and takes any factory
--- a/crowwing/tier/platform_list.py
+++ b/crowwing/tier/platform_list.py
@@ -1,15 +1,11 @@
 """The platform's list of sidecars: its entries, and how they are read."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from http import HTTPStatus
 from typing import Any
 
-import httpx
-
 from crowwing.tier.wire.codec import message
 
-READ_TIMEOUT_S = 0.8
-MAX_PAGES = 400
 MAX_PORT = 65535
 MALFORMED_PAGE = (AttributeError, KeyError, OverflowError, RecursionError, TypeError, ValueError)
 
@@ -83,31 +79,20 @@
     )
 
 
-async def read_list(client: httpx.AsyncClient, address: str) -> SidecarList | ListUnreadable:
-    """Reads all pages of the list.
+ReadList = Callable[[], Awaitable[SidecarList | ListUnreadable]]
+
+
+def make_list_reader(address: str) -> ReadList:
+    """Makes a reader of the list, which loads its HTTP library when it reads for the first time.
 
     Args:
-        client: the HTTP client.
         address: `host:port` of the platform.
-
-    Returns:
-        The sidecars by id, or why the list could not be read.
     """
-    sidecars: list[Sidecar] = []
-    token: str | None = None
-    for _ in range(MAX_PAGES):
-        parameters = {} if token is None else {"pageToken": token}
-        try:
-            response = await client.get(
-                f"http://{address}/instances", params=parameters, timeout=READ_TIMEOUT_S
-            )
-            if response.status_code != HTTPStatus.OK:
-                return ListUnreadable(f"status {response.status_code}")
-            page = response.json()
-            sidecars.extend(parse_entry(entry) for entry in page["instances"])
-        except (httpx.HTTPError, *MALFORMED_PAGE) as error:
-            return ListUnreadable(f"{type(error).__name__}: {error}")
-        token = page.get("nextToken")
-        if not token:
-            return SidecarList(tuple(sorted(sidecars, key=lambda sidecar: sidecar.id)))
-    return ListUnreadable(f"more than {MAX_PAGES} pages")
+
+    async def read() -> SidecarList | ListUnreadable:
+        # A start does not wait for it: most processes hear of the list from the root.
+        from crowwing.tier import platform_list_client
+
+        return await platform_list_client.read_list(address)
+
+    return read
--- a/crowwing/tier/store/list_reader.py
+++ b/crowwing/tier/store/list_reader.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
 from random import Random
 
 from crowwing.tier.distribution.documents import SIDECARS, Document, Documents
-from crowwing.tier.platform_list import ListUnreadable, SidecarList
+from crowwing.tier.platform_list import ListUnreadable, ReadList, SidecarList
 from crowwing.tier.store.node import ReplicaNode
 from crowwing.tier.wire.codec import encode
 
@@ -16,8 +15,6 @@
 MIN_JITTER, JITTER_SPREAD = 0.9, 0.2  # factors of the interval
 ROLE_POLL_INTERVAL_S = 0.05
 
-ReadList = Callable[[], Awaitable[SidecarList | ListUnreadable]]
-
 
 class ListReader:
     """The one reader of the platform's list: a singleton role that goes with the primary's lease.
--- a/crowwing/tier/store/machine.py
+++ b/crowwing/tier/store/machine.py
@@ -11,6 +11,7 @@
 from crowwing.tier.distribution.relay import Relay
 from crowwing.tier.distribution.root_tracker import RootRole
 from crowwing.tier.distribution.sampling import Peer
+from crowwing.tier.platform_list import ReadList
 from crowwing.tier.replication.core import Role
 from crowwing.tier.settings import Settings
 from crowwing.tier.storage.errors import StorageError
@@ -18,7 +19,7 @@
 from crowwing.tier.store.disk import Disk
 from crowwing.tier.store.disk_writer import DISK_RETRY_INTERVAL_S
 from crowwing.tier.store.environment import Environment
-from crowwing.tier.store.list_reader import ListReader, ReadList
+from crowwing.tier.store.list_reader import ListReader
 from crowwing.tier.store.message_sender import ReplicaConnections
 from crowwing.tier.store.node import ReplicaIdentity, ReplicaNode
 from crowwing.tier.store.service import StoreService, unknown_command
--- a/tests/tier/exchanges.py
+++ b/tests/tier/exchanges.py
@@ -15,8 +15,6 @@
 from typing import Any
 
 import uvloop
-from litestar import Litestar, asgi
-from litestar.types import Receive, Scope, Send
 
 from crowwing.tier.configuration import Configuration, RoutingTable
 from crowwing.tier.front.batch_api import BatchApi
@@ -77,13 +75,7 @@
 async def serve_front(pool: ServicePool, stop: asyncio.Event) -> tuple[int, "asyncio.Future[None]"]:
     """Serves a front's request path on loopback until `stop`; gives its port."""
     proxy = Proxy(pool, BatchApi(None))  # type: ignore[arg-type]
-
-    @asgi("/", is_mount=True, copy_scope=False)
-    async def proxied(scope: Scope, receive: Receive, send: Send) -> None:
-        await proxy(scope, receive, send)
-
-    app = Litestar([proxied], openapi_config=None, logging_config=None)
-    server = make_server(app, "127.0.0.1:0", 1.0, 30.0, partial(ClientConnection, ClientLimits()))
+    server = make_server(proxy, "127.0.0.1:0", 1.0, 30.0, partial(ClientConnection, ClientLimits()))
     serving = asyncio.ensure_future(serve_until(server, stop))
     while not server.started:
         await asyncio.sleep(0.01)
--- a/tests/tier/test_request_head.py
+++ b/tests/tier/test_request_head.py
@@ -7,9 +7,8 @@
 
 import httpcore
 import pytest
-from litestar.types import Message
 
-from crowwing.tier.front.asgi import ClientRequest
+from crowwing.tier.front.asgi import ClientRequest, Message
 from crowwing.tier.front.batch_api import BatchApi
 from crowwing.tier.front.proxy import Proxy
 from crowwing.tier.front.upstream import ResponseStarted
