Fronts load the shared feedback loops without the rest of the decision module

Cause: crowwing.logic imported its manager, so a front paid for the whole decision module to use three loops. Change: the package's __init__ imports nothing; importers name the module they need.

--- a/crowwing/drill/adapter.py
+++ b/crowwing/drill/adapter.py
@@ -6,7 +6,8 @@
 
 from crowwing.contract import Outcome, Result, Step
 from crowwing.drill import frames
-from crowwing.logic import LoadManager, Ticket
+from crowwing.logic.manager import LoadManager
+from crowwing.logic.ticket import Ticket
 from crowwing.premises import BadPremises, decode, us
 
 _OUTCOMES = {
--- a/crowwing/logic/__init__.py
+++ b/crowwing/logic/__init__.py
@@ -5,10 +5,6 @@
 news is a call), that news, wake() for the timer asked for, leave() for the notice to stop, and last turn(),
 which decides. All but take() return the list of (step, ticket, figure) to carry out, in order. Times are in
 microseconds. Drop a ticket once it is `closed`. Nothing here knows a wire or another instance.
-"""
-
-from crowwing.logic.feedback import ENOUGH
-from crowwing.logic.manager import LoadManager
-from crowwing.logic.ticket import NEW, Ticket
 
-__all__ = ["ENOUGH", "NEW", "LoadManager", "Ticket"]
+This module imports nothing, since the fronts of the serving tier load feedback.py alone.
+"""
--- a/crowwing/program/together.py
+++ b/crowwing/program/together.py
@@ -17,7 +17,8 @@
 from crowwing.fleet.uses import lesson, quota
 from crowwing.fleet.uses.loans import wanted
 from crowwing.fleet.uses.turned import Turned
-from crowwing.logic import ENOUGH, LoadManager
+from crowwing.logic.feedback import ENOUGH
+from crowwing.logic.manager import LoadManager
 from crowwing.routing.book import Book
 from crowwing.routing.desk import Desk
 
--- a/crowwing/routing/admit.py
+++ b/crowwing/routing/admit.py
@@ -1,6 +1,6 @@
 """Admit: hands a ticket to the module, which keeps its handle's news from then on."""
 
-from crowwing.logic import LoadManager
+from crowwing.logic.manager import LoadManager
 from crowwing.protocol.arrival import Arrival
 from crowwing.routing.slip import Slip
 
--- a/crowwing/routing/desk.py
+++ b/crowwing/routing/desk.py
@@ -13,7 +13,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 from crowwing.contract import Names, Outcome, Premises, Repeat, Step
-from crowwing.logic import NEW, LoadManager
+from crowwing.logic.manager import LoadManager
+from crowwing.logic.ticket import NEW
 from crowwing.protocol import agent
 from crowwing.protocol.arrival import Arrival
 from crowwing.routing.admit import admit
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -12,7 +12,8 @@
 import uvloop
 
 from crowwing.contract import Halt, Outcome, Premises, Repeat, Result, Signal, Step, TrafficType
-from crowwing.logic import LoadManager, Ticket
+from crowwing.logic.manager import LoadManager
+from crowwing.logic.ticket import Ticket
 from crowwing.premises import decode
 from crowwing.program.backend import Backend
 from crowwing.program.configuration import Configuration
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -13,7 +13,8 @@
 import pytest
 
 from crowwing.contract import Outcome, Repeat, Result, Step
-from crowwing.logic import LoadManager, Ticket
+from crowwing.logic.manager import LoadManager
+from crowwing.logic.ticket import Ticket
 from tests.rig import MS, World, facts
 
 HEEDED, FALL, LISTED = (
