--- a/crowwing/tier/front/main.py
+++ b/crowwing/tier/front/main.py
@@ -157,6 +157,7 @@
 
     def _start_servers(self, tasks: Tasks, end: asyncio.Event) -> list[asyncio.Task[None]]:
         """Serves clients and the platform's health checks until `end`, where the settings name an address."""
+
         async def ready(_scope: Scope, _receive: Receive, send: Send) -> None:
             await self.report_readiness(send)
 
