Packages that a clean build needs are listed; make clean-build builds with those alone

Cause: the users' machines have nothing that packages does not list, and the list was empty. Change: python3 with python3-pip (the tier) and python3-venv (the backend); make clean-build clones the tree into a fresh folder, builds both with the distribution's interpreter on the path, no cache and wheels only, and starts each role; a test holds the lists against the commands, and policy against logic/.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,15 @@
 PYTHON = .venv/bin/python
 CONFIGURATION ?= deploy/example.json
 
-.PHONY: build demo demo-tier test lint run
+.PHONY: build clean-build demo demo-tier test lint run
 
 build:
 	test -d .venv || python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements-tools.txt
 
+clean-build: # the builds of deploy/*.toml with the distribution's interpreter alone, into a fresh folder
+	python3 -m tools.clean_build
+
 demo: build
 	$(PYTHON) -m crowwing emulate deploy/demo.json --out runs/demo
 
--- /dev/null
+++ b/tests/test_deploy_files.py
@@ -0,0 +1,33 @@
+"""What the deploy files name is there, and what their builds take is listed as a package."""
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+ROOT = Path(__file__).parents[1]
+# Programs and modules that a build uses, with the Debian package that has each.
+PACKAGES = {r"\bpython3\b": "python3", r"-m pip\b": "python3-pip", r"-m venv\b": "python3-venv"}
+
+
+def deploy_file(name: str) -> dict[str, Any]:
+    """One of the two deploy files."""
+    return tomllib.loads((ROOT / "deploy" / name).read_text())
+
+
+@pytest.mark.parametrize("name", ["system.toml", "balancer.toml"])
+def test_a_build_uses_no_package_that_is_not_listed(name: str) -> None:
+    deploy = deploy_file(name)
+    commands = deploy["build"].split(".venv/bin/pip")[0]  # pip of the venv comes with it
+    needed = {package for pattern, package in PACKAGES.items() if re.search(pattern, commands)}
+    assert needed == set(deploy["packages"])
+
+
+def test_the_files_of_the_backend_are_there_and_its_decisions_are_all_named() -> None:
+    deploy = deploy_file("balancer.toml")
+    assert all((ROOT / path).exists() for path in deploy["policy"] + deploy["node"])
+    assert {str(path.relative_to(ROOT)) for path in (ROOT / "crowwing" / "logic").glob("*.py")} == set(
+        deploy["policy"]
+    )
