--- /dev/null
+++ b/tests/decision_recording.py
@@ -0,0 +1,118 @@
+"""Plays the decision module by seed and digests each step that it takes: the same steps give the same digest.
+
+`python -m tests.decision_recording` writes tests/recorded/decisions.json, of the version that is checked out.
+"""
+
+import hashlib
+import json
+import random
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from crowwing.contract import Halt, Outcome, Result, Signal, Step
+from crowwing.logic.manager import LoadManager
+from tests.rig import MS, facts
+
+FILE = Path(__file__).parent / "recorded" / "decisions.json"
+SEEDS = range(12)
+MOMENTS = 700
+VARIANTS: dict[str, dict[str, Any]] = {
+    "plain": {},
+    "without halts and signals": {"halt": Halt.NONE, "signal": Signal.NONE, "shares": ()},
+    "freezing, by weight": {"halt": Halt.FREEZE, "signal": Signal.WEIGHT, "fresh_for": 900 * MS},
+    "cold, by floor": {"cold": True, "signal": Signal.FLOOR, "fleet": 5},
+    "few cores, no calls below": {"cores": 1, "calls_share": 0.0, "memory_kb": 6000.0},
+    "short of memory": {"memory_kb": 1200.0, "fresh_for": 500 * MS},
+}
+
+
+class Play:
+    """One life of one backend, with news drawn by chance."""
+
+    def __init__(self, variant: str, seed: int) -> None:
+        self._random = random.Random(f"{variant}/{seed}")
+        self._now = 10_000_000
+        self._facts = facts(**VARIANTS[variant])
+        self.manager = LoadManager(self._facts, self._now, random.Random(seed))
+        self._requests: dict[int, Any] = {}
+        self._next_id = 0
+        self._wake_at = 0
+        self.lines: list[str] = []
+
+    def run(self) -> None:
+        """Plays all moments."""
+        self._note(self.manager.begin(self._now))
+        for number in range(MOMENTS):
+            self._now += self._random.randint(1, 30 if number % 200 < 120 else 90) * MS
+            for results in self._news(number):
+                self._note(results)
+            self._note(self.manager.turn(self._now))
+            self._requests = {key: held for key, held in self._requests.items() if not held.closed}
+            manager = self.manager
+            self.lines.append(f"{manager.limit!r} {manager.cut!r} {manager.timeout} {manager.call_room!r}")
+
+    def _note(self, results: list[Result]) -> None:
+        for step, request, figure in results:
+            if step is Step.WAKE:
+                self._wake_at = self._now + round(figure)
+            self.lines.append(f"{step.name} {request.id if request else '-'} {figure!r}")
+
+    def _news(self, number: int) -> Iterator[list[Result]]:
+        draw = self._random
+        for _ in range(draw.randint(0, 6 if number % 200 < 120 else 1)):
+            self._take()
+        for request in list(self._requests.values()):
+            yield from self._news_of(request)
+        if self._now >= self._wake_at:
+            gauges = (
+                {"on_cores": draw.uniform(0, 8), "core_use": draw.random()} if draw.random() < 0.9 else {}
+            )
+            yield self.manager.wake(self._now, gauges)
+        if number == 20:
+            self.manager.taught(self._now, ((300 * MS, 200 * MS),) * 3, 6.0, 40 * MS)
+        if number % 150 == 149:
+            self.manager.allot(draw.uniform(0.5, 1.5), [draw.uniform(0.5, 1.5) for _ in self._facts.shares])
+        if number == MOMENTS - 60:
+            yield self.manager.leave(self._now, self._now + 3000 * MS)
+
+    def _take(self) -> None:
+        draw = self._random
+        self._next_id += 1
+        arrived = self._now - draw.choice((0, 0, 0, 20, 700)) * MS
+        repeats = draw.choice(list(self._requests)) if self._requests and draw.random() < 0.2 else 0
+        due = arrived + draw.choice((5000, 5000, 2500, 900)) * MS if draw.random() < 0.8 else 0
+        team = draw.randrange(len(self._facts.shares)) if self._facts.shares else 0
+        self._requests[self._next_id] = self.manager.take(
+            self._now, self._next_id, draw.randrange(3), team, draw.random(), draw.uniform(5, 60), arrived,
+            due, draw.randrange(7), repeats, draw.choice((0, 0, 5, 6)), draw.random() < 0.3,
+            draw.random() < 0.05,
+        )  # fmt: skip
+
+    def _news_of(self, request: Any) -> Iterator[list[Result]]:  # noqa: ANN401
+        draw, now = self._random, self._now
+        took = draw.choice((60, 200, 300, 900, 2500)) * MS
+        if draw.random() < 0.12:
+            yield request.ended(now, took, draw.choice((*[Outcome.GOOD] * 6, *Outcome)))
+        if draw.random() < 0.06:
+            yield request.needs_call(now)
+        if draw.random() < 0.25:
+            yield request.called(now, took // 4, draw.choice((*[Outcome.GOOD] * 4, *Outcome)))
+        if draw.random() < 0.02:
+            yield request.gone(now)
+
+
+def digest(variant: str, seed: int) -> str:
+    """What all steps of one play come to."""
+    play = Play(variant, seed)
+    play.run()
+    return hashlib.sha256("\n".join(play.lines).encode()).hexdigest()
+
+
+def digests() -> dict[str, list[str]]:
+    """All plays."""
+    return {variant: [digest(variant, seed) for seed in SEEDS] for variant in VARIANTS}
+
+
+if __name__ == "__main__":
+    FILE.write_text(json.dumps(digests(), indent=1) + "\n")
