--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -17,8 +17,8 @@
 from crowwing.program.front import Front
 from crowwing.program.log import Log
 from crowwing.program.reporter import Reporter
-from crowwing.routing.book import Book
-from crowwing.routing.desk import Desk
+from crowwing.routing.dispatcher import Dispatcher
+from crowwing.routing.event_recorder import EventRecorder
 from crowwing.transport.budget import DescriptorBudget
 from crowwing.transport.listener import Listener
 from crowwing.transport.pool import BufferPool
@@ -26,7 +26,8 @@
 if TYPE_CHECKING:
     from types import SimpleNamespace
 
-    from crowwing.routing.lookout import Lookout
+    from crowwing.routing.storm_monitor import StormMonitor
+
 
 FIGURES = 5.0  # seconds between lines of figures
 READ_AGAIN = 0.25  # seconds to the next reading of a configuration that could not be read
@@ -55,25 +56,30 @@
         self.figures_every = records.figures_every_ms / 1000 if records else FIGURES
         self.unread: tuple[str, asyncio.TimerHandle] | None = None  # why, and the next try
         facts = configuration.facts
-        self.book, self.pool = Book(log.write), BufferPool()
+        self.recorder, self.pool = EventRecorder(log.write), BufferPool()
         budget = DescriptorBudget(configuration.sockets)
         shortest = min(kind.expected_time for kind in facts.types) / 1e6
-        self.front = Front(loop, self.book, configuration.names.deep_checks, shortest / 2)
+        self.front = Front(loop, self.recorder, configuration.names.deep_checks, shortest / 2)
         self.listener = Listener(loop, self.pool, budget.incoming, self.front.window)
         self.listener.idle = facts.idle_most / 1e6 or None
-        self.reporter = Reporter(loop, configuration.control, self.pool, configuration.name, self.book)
-        self.desk = self.front.desk = Desk(
+        self.reporter = Reporter(loop, configuration.control, self.pool, configuration.name, self.recorder)
+        self.dispatcher = self.front.dispatcher = Dispatcher(
             loop, facts, configuration.names, configuration.seed, configuration.agent, configuration.below,
-            budget.below, self.pool, self.book, self,
+            budget.below, self.pool, self.recorder, self,
         )  # fmt: skip
         if operator is not None and operator.storm is not None:
-            self.desk.lookout = self._lookout(operator.storm)
+            self.dispatcher.storm_monitor = self._make_storm_monitor(operator.storm)
         self.fleet = None
         if operator is not None and getattr(operator, "fleet", None):  # UNSET and None alike are off
             from crowwing.fleet.wires.link import Link  # only where a fleet is switched on
 
             self.fleet = Link(
-                loop, operator.fleet, configuration.name, configuration.seed, self.book.event, self.caught_up
+                loop,
+                operator.fleet,
+                configuration.name,
+                configuration.seed,
+                self.recorder.event,
+                self.caught_up,
             )
         self.together = None
         if self.fleet is not None and (
@@ -85,7 +91,7 @@
             from crowwing.program.together import Together
 
             self.together = Together(
-                self.fleet, self.desk, configuration.names, operator.fleet, log.life, self.book
+                self.fleet, self.dispatcher, configuration.names, operator.fleet, log.life, self.recorder
             )
         self.wants_in: bool | None = None  # the module's word, once it has spoken
         self.behind = self.fleet is not None  # the fleet's: not caught up
@@ -93,18 +99,21 @@
         self.lag = 0.0
         self.duties: list[asyncio.Task] = []
 
-    def _lookout(self, storm: "SimpleNamespace") -> "Lookout":
-        from crowwing.routing.lookout import Lookout  # its libraries only where it is switched on
+    def _make_storm_monitor(self, storm: "SimpleNamespace") -> "StormMonitor":
+        # Its libraries are loaded only where it is switched on.
+        from crowwing.routing.storm_monitor import StormMonitor
         from crowwing.storm.returns import Returns
 
         facts, span = self.configuration.facts, round(storm.window_s * 1e6)
-        now, types, most = self.desk.now, len(facts.types), storm.prints_most
-        lookout = Lookout(now, self.book, types, storm.prints, span, most, storm.lowers_repeats)
+        now, types, most = self.dispatcher.now, len(facts.types), storm.prints_most
+        storm_monitor = StormMonitor(
+            now, self.recorder, types, storm.prints, span, most, storm.lowers_repeats
+        )
         if storm.paces_returns:
             chance = random.Random(f"{self.configuration.seed}/returns")
-            lookout.returns = Returns(now(), facts.stay_away_most, chance)
+            storm_monitor.returns = Returns(now(), facts.stay_away_most, chance)
         self.front.retry_after = storm.retry_after
-        return lookout
+        return storm_monitor
 
     # What the module sets
 
@@ -122,7 +131,7 @@
         good = bool(self.wants_in) and not self.behind
         self.front.good = good
         self.reporter.tell(good)
-        self.book.event("ready" if good else "unready")
+        self.recorder.event("ready" if good else "unready")
 
     def free_value(self, value: float) -> None:
         self.front.free_value = value
@@ -144,7 +153,7 @@
         if self.fleet is not None:
             await self.fleet.open()
         self.reload()  # a SIGHUP that came before went unheard
-        duties = (self.listener.accept, self.desk.send.link.run, self.reporter.run, self._beat)
+        duties = (self.listener.accept, self.dispatcher.send.link.run, self.reporter.run, self._beat)
         if self.together is not None:
             duties = (*duties, self.together.run)
         self.duties += [self.loop.create_task(self._keep(duty)) for duty in duties]
@@ -186,13 +195,13 @@
                 await duty()
                 return
             except Exception:
-                self.book.defect(duty.__qualname__, None)
+                self.recorder.defect(duty.__qualname__, None)
                 await asyncio.sleep(0.1)
 
     def _stray(self, _: asyncio.AbstractEventLoop, context: dict) -> None:
         wrong = context.get("exception")
         trace = "".join(traceback.format_exception(wrong)) if wrong else ""
-        self.book.event("stray_defect", message=str(context.get("message")), trace=trace)
+        self.recorder.event("stray_defect", message=str(context.get("message")), trace=trace)
 
     def reload(self) -> None:
         """Reads the configuration again. What cannot be read changes nothing, and is tried until it can."""
@@ -209,7 +218,7 @@
         self.configuration = configuration
         if changed or fixed:
             self.log.write("reloaded", changed=changed, cannot_change=fixed)
-        self.desk.move(self.configuration.agent, self.configuration.below)
+        self.dispatcher.move(self.configuration.agent, self.configuration.below)
         self.reporter.move(self.configuration.control)
 
     def leave(self) -> None:
@@ -221,8 +230,8 @@
         self.duties.append(
             self.loop.create_task(self._drain(self.loop.time(), self.configuration.stop / 1e6))
         )
-        self._tried(lambda: self.log.write("leaving", open=len(self.desk.slips)))
-        self._tried(lambda: self.desk.leave(self.desk.now() + self.configuration.stop))
+        self._tried(lambda: self.log.write("leaving", open=len(self.dispatcher.open_requests)))
+        self._tried(lambda: self.dispatcher.leave(self.dispatcher.now() + self.configuration.stop))
         self._tried(self.listener.close_idle)
         if self.fleet is not None:
             self._tried(self.fleet.leave)
@@ -233,13 +242,13 @@
             step()
         except Exception:
             with suppress(Exception):  # the log itself may be what fails
-                self.book.defect("leaving", None)
+                self.recorder.defect("leaving", None)
 
     async def _drain(self, began: float, stop: float) -> None:
         """Stays for what callers still send, until they have all gone or the end is near."""
         grace, end = self.configuration.facts.grace / 1e6, began + stop
-        while self.desk.manager is not None and self.loop.time() < end - LAST_CALL:
-            answered = all(slip.answered for slip in self.desk.slips.values())
+        while self.dispatcher.manager is not None and self.loop.time() < end - LAST_CALL:
+            answered = all(request.answered for request in self.dispatcher.open_requests.values())
             if answered and self.loop.time() > began + grace and not self.listener.connections:
                 break
             await asyncio.sleep(0.01)
@@ -248,11 +257,11 @@
             await self.listener.finish(end - LAST_WORDS)
         except Exception:
             with suppress(Exception):
-                self.book.defect("leaving", None)
+                self.recorder.defect("leaving", None)
         self.front.ending = True
         for _ in range(2):  # what the readers have taken is handed on, and answered at once
             await asyncio.sleep(0)
-        self._tried(self.desk.end)
+        self._tried(self.dispatcher.end)
         for connection in list(self.listener.connections):
             self._tried(connection.end)
         self.over.set()
@@ -269,17 +278,17 @@
                 self.figures()
 
     def figures(self) -> None:
-        manager, counts = self.desk.manager, self.book.counts
+        manager, counts = self.dispatcher.manager, self.recorder.counts
         running = {
-            "open": len(self.desk.slips), "connections": len(self.listener.connections),
-            "buffers": self.pool.lent, "unproven": len(self.desk.send.unproven),
-            "calls": self.desk.call.exchanges.open, "waits_to_accept": self.listener.waits,
+            "open": len(self.dispatcher.open_requests), "connections": len(self.listener.connections),
+            "buffers": self.pool.lent, "unproven": len(self.dispatcher.send.unproven),
+            "calls": self.dispatcher.call.exchanges.open, "waits_to_accept": self.listener.waits,
             "lag_ms": round(self.lag * 1000, 1),
         }  # fmt: skip
         if manager is not None:
             running |= _decision_figures(manager.state)
-        if self.desk.lookout is not None:
-            view = self.desk.lookout.look()
+        if self.dispatcher.storm_monitor is not None:
+            view = self.dispatcher.storm_monitor.look()
             running |= {
                 "repeats": round(view.repeats, 3), "tries": round(view.tries, 2), "storm": view.storm,
                 "sure": round(view.sure, 2),
--- a/crowwing/program/front.py
+++ b/crowwing/program/front.py
@@ -5,10 +5,10 @@
 
 from crowwing.protocol import sidecar
 from crowwing.protocol.arrival import Arrival
-from crowwing.routing.book import Book
-from crowwing.routing.desk import Desk
-from crowwing.routing.slip import Slip
-from crowwing.routing.take_in import NoTicket
+from crowwing.routing.dispatcher import Dispatcher
+from crowwing.routing.event_recorder import EventRecorder
+from crowwing.routing.open_request import OpenRequest
+from crowwing.routing.request_resolver import InvalidRequestError
 from crowwing.transport.connection import Connection
 
 # Seconds before one that was turned down is read again: more each time, and at most.
@@ -18,9 +18,11 @@
 class Front:
     """What every answer carries, and the answer to health checks."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, book: Book, deep_checks: bool, bound: float) -> None:
-        self.loop, self.book, self.deep_checks, self.bound = loop, book, deep_checks, bound
-        self.desk: Desk
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, recorder: EventRecorder, deep_checks: bool, bound: float
+    ) -> None:
+        self.loop, self.recorder, self.deep_checks, self.bound = loop, recorder, deep_checks, bound
+        self.dispatcher: Dispatcher
         self.free_value: float | None = None
         self.retry_after = False  # advice also goes out in this standard field
         self.good = False  # until the module says so
@@ -36,13 +38,13 @@
 class Window:
     """One sidecar connection: one ticket or check at a time, answered in order."""
 
-    __slots__ = ("front", "connection", "reader", "waiting", "slip", "last")
+    __slots__ = ("front", "connection", "reader", "waiting", "request", "last")
 
     def __init__(self, front: Front, connection: Connection) -> None:
         self.front, self.connection = front, connection
         self.reader = sidecar.SidecarReader()
         self.waiting: deque[Arrival | sidecar.Check | sidecar.Bad] = deque()  # emptied by answers
-        self.slip: Slip | None = None
+        self.request: OpenRequest | None = None
         self.last = False  # the one being answered is the last here
 
     # From the connection
@@ -51,10 +53,10 @@
         try:
             self._received(view)
         except Exception:  # a defect costs this connection, not the others
-            self.front.book.defect("window", self.slip.id if self.slip else None)
+            self.front.recorder.defect("window", self.request.id if self.request else None)
             self.reader.dead = self.connection.deaf = self.last = True
             self.waiting.clear()
-            if self.slip is None and self.connection.busy:
+            if self.request is None and self.connection.busy:
                 self.forfeited()
             self.connection.close()
 
@@ -76,8 +78,8 @@
 
     def ended(self, broken: bool) -> None:
         """The far side's end, or ours behind what is there."""
-        if broken and self.slip is not None:
-            self.front.desk.gone(self.slip, self)
+        if broken and self.request is not None:
+            self.front.dispatcher.gone(self.request, self)
             self._free()
         elif not broken and self.connection.began and not (self.connection.busy or self.reader.dead):
             self.connection.busy = self.reader.dead = self.connection.deaf = True
@@ -87,7 +89,7 @@
     def _next(self) -> None:
         while self.waiting and not self.connection.busy:
             asked = self.waiting.popleft()
-            self.front.book.holds(self.slip is None, "one ticket a connection")
+            self.front.recorder.holds(self.request is None, "one ticket a connection")
             self.connection.busy = True
             self.last = self.reader.dead and not self.waiting
             if isinstance(asked, Arrival):
@@ -103,17 +105,17 @@
 
     def _arrive(self, arrival: Arrival) -> None:
         if self.front.ending:  # read with the last bytes of all: it never runs
-            self.front.book.count("dismissed_at_the_end")
+            self.front.recorder.count("dismissed_at_the_end")
             self.dismissed(0, False)
             return
         try:
-            self.slip = self.front.desk.arrive(arrival, self)
+            self.request = self.front.dispatcher.arrive(arrival, self)
             self.connection.proven = True
-        except NoTicket as wrong:
+        except InvalidRequestError as wrong:
             self._turn_down(sidecar.Bad(400, str(wrong)))
 
     async def _exercise(self) -> None:
-        self._checked(await self.front.desk.check.exercise(self.front.bound))
+        self._checked(await self.front.dispatcher.check.exercise(self.front.bound))
 
     # Answers
 
@@ -129,11 +131,11 @@
 
     def _checked(self, good: bool) -> None:
         self.connection.proven = True
-        self.front.book.count("checks_good" if good else "checks_bad")
+        self.front.recorder.count("checks_good" if good else "checks_bad")
         self._send(sidecar.checked(good, self.front.free_value, self._closes()))
 
     def _turn_down(self, bad: sidecar.Bad) -> None:
-        self.front.book.count("bad_requests")
+        self.front.recorder.count("bad_requests")
         self.front.turned_down[f"{bad.status} {bad.why}"] += 1
         self.last |= bad.fatal
         # Guards against the same again at full speed. Delays no answer, only the reading of what comes after.
@@ -157,5 +159,5 @@
                 self._next()
 
     def _free(self) -> None:
-        self.slip = None
+        self.request = None
         self.connection.free()
--- a/crowwing/program/reporter.py
+++ b/crowwing/program/reporter.py
@@ -4,7 +4,7 @@
 
 from crowwing.protocol import control
 from crowwing.protocol.reply import ReplyReader
-from crowwing.routing.book import Book
+from crowwing.routing.event_recorder import EventRecorder
 from crowwing.transport.exchange import Broken, Exchanges, NeverSent
 from crowwing.transport.pool import BufferPool
 
@@ -21,9 +21,9 @@
         address: tuple[str, int],
         pool: BufferPool,
         name: str,
-        book: Book,
+        recorder: EventRecorder,
     ) -> None:
-        self.loop, self.name, self.book = loop, name, book
+        self.loop, self.name, self.recorder = loop, name, recorder
         # Idle connections are looked at by halves of their time: kept for longer than two reports are apart.
         self.exchanges = Exchanges(loop, address, pool, ReplyReader, 4 * EVERY, 2)
         self.good = self.told = False
@@ -51,7 +51,7 @@
                 last = self.loop.time()
             if lost != (self.loop.time() - last > control.LAPSE):
                 lost = not lost
-                self.book.event("control_lost" if lost else "control_back")
+                self.recorder.event("control_lost" if lost else "control_back")
             try:
                 async with asyncio.timeout(EVERY if counted else AGAIN):
                     await self.changed.wait()
--- a/crowwing/program/together.py
+++ b/crowwing/program/together.py
@@ -19,8 +19,8 @@
 from crowwing.fleet.uses.turned import Turned
 from crowwing.logic.feedback import ENOUGH
 from crowwing.logic.manager import LoadManager
-from crowwing.routing.book import Book
-from crowwing.routing.desk import Desk
+from crowwing.routing.dispatcher import Dispatcher
+from crowwing.routing.event_recorder import EventRecorder
 
 if TYPE_CHECKING:
     from crowwing.fleet.wires.link import Link
@@ -33,9 +33,21 @@
 
 class Together:
     def __init__(
-        self, link: "Link", desk: Desk, names: Names, fleet: SimpleNamespace, life: str, book: Book
+        self,
+        link: "Link",
+        dispatcher: Dispatcher,
+        names: Names,
+        fleet: SimpleNamespace,
+        life: str,
+        recorder: EventRecorder,
     ) -> None:
-        self.link, self.member, self.desk, self.names, self.book = link, link.member, desk, names, book
+        self.link, self.member, self.dispatcher, self.names, self.recorder = (
+            link,
+            link.member,
+            dispatcher,
+            names,
+            recorder,
+        )
         self.lends, self.shares, self.teaches = fleet.lends_calls, fleet.shares_quota, fleet.teaches
         self.life, self.window = life, fleet.quota_window_ms * 1000
         self.used, self.spent = 0.0, (0, 0.0)  # of late, in even parts of the pace; when and how much in all
@@ -43,17 +55,17 @@
         self.parts = [1.0] * len(names.customers)
         self.counted_to = quota.window_of(link.wall(), self.window)
         self.turned: Turned | None = None
-        if fleet.shares_prints and desk.lookout is not None:
+        if fleet.shares_prints and dispatcher.storm_monitor is not None:
             self.turned = Turned(self.member.me, random.Random(f"{life}/turned"))
-            desk.lookout.tells = self.turned.add
+            dispatcher.storm_monitor.tells = self.turned.add
         if self.shares:
-            desk.came = Counter()  # by customer's place; emptied by each window
+            dispatcher.came = Counter()  # by customer's place; emptied by each window
 
     async def run(self) -> None:
         while True:
             await asyncio.sleep(EVERY)
-            if self.desk.manager is not None:
-                self.look(self.desk.manager)
+            if self.dispatcher.manager is not None:
+                self.look(self.dispatcher.manager)
 
     def look(self, manager: LoadManager) -> None:
         self.looks += 1
@@ -63,7 +75,7 @@
             self._teach(manager)
         if self.shares:
             self._share()
-        if self.turned is not None and self.desk.lookout is not None:
+        if self.turned is not None and self.dispatcher.storm_monitor is not None:
             self._tell_turned(self.turned)
         manager.allot(self._borrow(manager) if self.lends else 1.0, self.parts)
         self.link.turn()
@@ -84,7 +96,7 @@
         wall = self.link.wall()
         window = quota.window_of(wall, self.window)
         if window > self.counted_to:
-            came, self.desk.came = self.desk.came, Counter()
+            came, self.dispatcher.came = self.dispatcher.came, Counter()
             for team, count in came.items():
                 key = quota.key(self.names.customers[team], self.counted_to, self.member.me, self.life)
                 self._put(wall, key, count, (quota.WINDOWS + 2) * self.window)
@@ -102,8 +114,8 @@
         if (told := turned.tell()) is not None:
             self._put(self.link.wall(), *told, TURNED_LIFE)
         if prints := turned.heard(self.member.copies.under("turned/")):
-            self.desk.lookout.elsewhere(prints)
-            self.book.count("prints_heard", len(prints))
+            self.dispatcher.storm_monitor.elsewhere(prints)
+            self.recorder.count("prints_heard", len(prints))
 
     def _teach(self, manager: LoadManager) -> None:
         """Only what was measured here."""
@@ -123,16 +135,16 @@
         lessons = (entry.value for _, entry in self.member.copies.under("lesson/"))
         start = lesson.taken(lessons, len(manager.state.facts.types))
         if start is not None:
-            manager.adopt(self.desk.now(), start.kinds, start.limit, start.call)
-            self.book.event("taught", call_ms=start.call / 1000, limit=round(start.limit, 2))
+            manager.adopt(self.dispatcher.now(), start.kinds, start.limit, start.call)
+            self.recorder.event("taught", call_ms=start.call / 1000, limit=round(start.limit, 2))
 
     def _put(self, wall: int, key: str, value: object, life: int) -> None:
         try:
             self.member.spread.put(wall, key, value, life)
         except NotKept as wrong:
-            self.book.count("not_kept")
-            if self.book.counts["not_kept"] == 1:  # said once; counted from then on
-                self.book.event("fleet_full", why=str(wrong))
+            self.recorder.count("not_kept")
+            if self.recorder.counts["not_kept"] == 1:  # said once; counted from then on
+                self.recorder.event("fleet_full", why=str(wrong))
 
     def figures(self) -> dict:
         """For the line of figures."""
--- a/crowwing/routing/__init__.py
+++ b/crowwing/routing/__init__.py
@@ -1,1 +1,1 @@
-"""The desk and the stages that a ticket passes. Knows no HTTP, and decides nothing."""
+"""The dispatcher and the stages that a request passes. Knows no HTTP, and decides nothing."""
--- a/crowwing/routing/book.py
+++ b/crowwing/routing/event_recorder.py
@@ -1,11 +1,11 @@
-"""Book: counts what became of tickets, and writes events where the program says."""
+"""Counts what became of requests, and writes events where the program says."""
 
 import traceback
 from collections import Counter
 from collections.abc import Callable
 
 
-class Book:
+class EventRecorder:
     """`counts` has one entry a kind of event, whatever the number of tickets."""
 
     def __init__(self, write: Callable[..., None]) -> None:
--- a/crowwing/routing/check.py
+++ b/crowwing/routing/health_probe.py
@@ -1,12 +1,12 @@
-"""Check: deep health checks, which ask the farm agent whether work gets done."""
+"""Deep health checks, which ask the worker agent whether work gets done."""
 
 import asyncio
 
-from crowwing.routing.send import Send
+from crowwing.routing.worker_commands import WorkerCommands
 
 
-class Check:
-    def __init__(self, loop: asyncio.AbstractEventLoop, send: Send) -> None:
+class HealthProbe:
+    def __init__(self, loop: asyncio.AbstractEventLoop, send: WorkerCommands) -> None:
         self.loop, self.send = loop, send
         self.tag = 0
         self.out: dict[str, asyncio.Future[bool]] = {}  # emptied by answers and bounds
--- a/crowwing/routing/slip.py
+++ b/crowwing/routing/open_request.py
@@ -1,4 +1,4 @@
-"""What the desk keeps of an open ticket, beside the module's handle."""
+"""What the dispatcher knows of an open request, beside the module's handle."""
 
 import asyncio
 from typing import Protocol
@@ -21,7 +21,7 @@
     return hash((arrival.type, arrival.customer, arrival.sidecar, arrival.kb, arrival.rank, arrival.body))
 
 
-class Slip:
+class OpenRequest:
     """One open ticket: who waits for it, what the farm agent was told, and the call that is out."""
 
     __slots__ = (
--- a/crowwing/routing/admit.py
+++ b/crowwing/routing/request_admission.py
@@ -1,15 +1,15 @@
-"""Admit: hands a ticket to the module, which keeps its handle's news from then on."""
+"""Hands a request to the decision module, whose handle takes its news from then on."""
 
 from crowwing.contract import IncomingRequest
 from crowwing.logic.manager import LoadManager
 from crowwing.protocol.arrival import Arrival
-from crowwing.routing.slip import Slip
+from crowwing.routing.open_request import OpenRequest
 
 
 def admit(
     manager: LoadManager,
     now: int,
-    slip: Slip,
+    request: OpenRequest,
     arrival: Arrival,
     kind: int,
     team: int,
@@ -19,7 +19,7 @@
     # A stamp ahead of our clock counts as now: the machine's clock may have stepped between the two readings.
     arrived = min(now, arrival.arrived)
     incoming = IncomingRequest(
-        id=slip.id,
+        id=request.id,
         class_index=kind,
         tenant=team,
         rank=arrival.rank,
@@ -32,4 +32,4 @@
         write=False,
         is_likely_retry=again,
     )
-    slip.handle = manager.take(now, incoming)
+    request.handle = manager.take(now, incoming)
--- a/crowwing/routing/take_in.py
+++ b/crowwing/routing/request_resolver.py
@@ -1,4 +1,4 @@
-"""Take in: what came becomes a ticket of a known traffic type and customer, or is turned down by name."""
+"""Finds the class and the tenant of a request that came, or rejects it by name."""
 
 from urllib.parse import unquote
 
@@ -8,11 +8,11 @@
 FAR = 4  # outer limits of its traffic type that a ticket's times may lie from now
 
 
-class NoTicket(ValueError):
+class InvalidRequestError(ValueError):
     """What came names something that is not served here."""
 
 
-class TakeIn:
+class RequestResolver:
     def __init__(self, names: Names, facts: Premises) -> None:
         self.limits = [kind.outer_limit for kind in facts.types]
         self.types = {name: n for n, name in enumerate(names.types)}
@@ -25,17 +25,17 @@
         if kind is None:  # in a path, letters that are not plain come encoded
             kind = self.types.get(unquote(arrival.type))
         if kind is None:
-            raise NoTicket("unknown traffic type")
+            raise InvalidRequestError("unknown traffic type")
         if self.tells_patience and not arrival.due:
-            raise NoTicket("it does not say how long its caller waits")
+            raise InvalidRequestError("it does not say how long its caller waits")
         # Guards against made-up times, which the module would take for a reading jam or for endless patience.
         # Could do harm after a pause of the machine of several outer limits: nobody waits for those any more.
         far = FAR * self.limits[kind]
         if abs(now - arrival.arrived) > far or arrival.due - arrival.arrived > far:
-            raise NoTicket("times far from now")
+            raise InvalidRequestError("times far from now")
         if not self.customers:
             return kind, 0
         team = self.customers.get(arrival.customer)
         if team is None:
-            raise NoTicket("unknown customer")
+            raise InvalidRequestError("unknown customer")
         return kind, team
--- a/crowwing/routing/repeats.py
+++ b/crowwing/routing/retry_table.py
@@ -1,4 +1,4 @@
-"""Repeats: which tickets, open or ended, ask for the same piece of work, and the result that its repeats get.
+"""Which requests, open or ended, ask for the same piece of work, and the result that its repeats get.
 
 A piece of work is known by its traffic type, its customer and its idempotency key, so no customer's result
 reaches another; a ticket without a key stands for itself. What a repeat gets is the module's to decide.
@@ -10,8 +10,8 @@
 
 from crowwing.contract import Repeat
 from crowwing.protocol.arrival import Arrival
-from crowwing.routing.slip import Slip
-from crowwing.routing.take_in import NoTicket
+from crowwing.routing.open_request import OpenRequest
+from crowwing.routing.request_resolver import InvalidRequestError
 
 OPEN_AGAIN = 1_000_000  # microseconds until an entry whose ticket is still open is looked at again
 
@@ -25,44 +25,44 @@
 class Entry:
     """One piece of work that may be running, or has run."""
 
-    __slots__ = ("work", "id", "content", "until", "lag", "slip", "ran", "result", "followers")
+    __slots__ = ("work", "id", "content", "until", "lag", "request", "ran", "result", "followers")
 
-    def __init__(self, slip: Slip, until: int) -> None:
-        self.work, self.id, self.content = slip.work, slip.id, slip.content
+    def __init__(self, request: OpenRequest, until: int) -> None:
+        self.work, self.id, self.content = request.work, request.id, request.content
         self.until, self.lag = (
             until,
-            slip.handle.request_class.outer_limit,
+            request.handle.request_class.outer_limit,
         )  # lag: what came in time may be read so late
-        self.slip: Slip | None = slip  # until its ticket is closed
+        self.request: OpenRequest | None = request  # until its ticket is closed
         self.ran = False
         self.result: bytes | None = None  # of the run that ended well
-        self.followers: list[Slip] = []  # wait for its end, which empties them
+        self.followers: list[OpenRequest] = []  # wait for its end, which empties them
 
 
-class Repeats:
+class RetryTable:
     """`tell` takes each ticket that shared a run, with its result or None where the run failed."""
 
-    def __init__(self, tell: Callable[[Slip, bytes | None], None]) -> None:
+    def __init__(self, tell: Callable[[OpenRequest, bytes | None], None]) -> None:
         self.tell = tell
         self.entries: dict[Work, Entry] = {}  # emptied in the order of their ends by expire()
         self.ids: dict[str, Entry] = {}  # those that ran, by the id of their try; emptied with them
         self.ends: list[tuple[int, int, Entry]] = []  # a heap, one item an entry
         self.numbers = count()
-        self.batch: dict[Work, Slip] = {}  # the last try read before this turn, whose end empties it
+        self.batch: dict[Work, OpenRequest] = {}  # the last try read before this turn, whose end empties it
 
-    def first(self, slip: Slip, arrived: int) -> str:
+    def first(self, request: OpenRequest, arrived: int) -> str:
         """The try that this one repeats, or ''. One that came while an entry stood repeats it, however late
         it is read; so does one that finds the first still open, though the window may be over.
 
         Raises NoTicket for another body under the same key: it would get the result of what it did not ask.
         """
-        entry = self.entries.get(slip.work)
-        if entry is not None and entry.slip is None and arrived > entry.until:
+        entry = self.entries.get(request.work)
+        if entry is not None and entry.request is None and arrived > entry.until:
             entry = None
-        first = self.batch.get(slip.work, entry)
-        if first is not None and first.content != slip.content:
-            raise NoTicket("the key of another request")
-        self.batch[slip.work] = slip
+        first = self.batch.get(request.work, entry)
+        if first is not None and first.content != request.content:
+            raise InvalidRequestError("the key of another request")
+        self.batch[request.work] = request
         return first.id if first is not None else ""
 
     def again(self, arrival: Arrival, work: Work) -> Entry | None:
@@ -71,71 +71,71 @@
         Raises NoTicket for anything else under its id, which the farm agent would take for that try.
         """
         entry = self.ids.get(arrival.id)
-        if entry is None or entry.slip is not None:
+        if entry is None or entry.request is not None:
             return None
         if entry.work != work or entry.content != hash(arrival.body):
-            raise NoTicket("the id of another ticket")
+            raise InvalidRequestError("the id of another ticket")
         return entry
 
-    def keep(self, slip: Slip, until: int) -> None:
-        entry = self.entries.get(slip.work)
-        if entry is not None and entry.id == slip.id:
+    def keep(self, request: OpenRequest, until: int) -> None:
+        entry = self.entries.get(request.work)
+        if entry is not None and entry.id == request.id:
             entry.until = max(entry.until, until)
             return
-        entry = self.entries[slip.work] = Entry(slip, until)
+        entry = self.entries[request.work] = Entry(request, until)
         heapq.heappush(self.ends, (until + entry.lag, next(self.numbers), entry))
 
-    def forget(self, slip: Slip) -> None:
-        entry = self.entries.get(slip.work)
-        if entry is not None and entry.id == slip.id and not entry.ran:
-            del self.entries[slip.work]
+    def forget(self, request: OpenRequest) -> None:
+        entry = self.entries.get(request.work)
+        if entry is not None and entry.id == request.id and not entry.ran:
+            del self.entries[request.work]
             self._over(entry, None)
 
-    def began(self, slip: Slip, now: int) -> None:
+    def began(self, request: OpenRequest, now: int) -> None:
         """It runs: from now on it is known, also where the module had no entry to keep it by."""
-        kind = slip.handle.request_class
+        kind = request.handle.request_class
         if kind.repeat is Repeat.REDOABLE:
             return
         labelled = kind.repeat is Repeat.LABELLED
-        self.keep(slip, slip.handle.arrived + kind.window if labelled else now + kind.outer_limit)
-        self.ids[slip.id] = self.entries[slip.work]
-        self.ids[slip.id].ran = True
-
-    def share(self, slip: Slip) -> None:
-        entry = self.entries.get(slip.work)
-        if entry is not None and entry.slip is not None and entry.result is None:
-            entry.followers.append(slip)
+        self.keep(request, request.handle.arrived + kind.window if labelled else now + kind.outer_limit)
+        self.ids[request.id] = self.entries[request.work]
+        self.ids[request.id].ran = True
+
+    def share(self, request: OpenRequest) -> None:
+        entry = self.entries.get(request.work)
+        if entry is not None and entry.request is not None and entry.result is None:
+            entry.followers.append(request)
         else:
-            self.tell(slip, entry.result if entry is not None else None)
+            self.tell(request, entry.result if entry is not None else None)
 
-    def ended(self, slip: Slip, good: bool, ran: bool, result: bytes) -> None:
+    def ended(self, request: OpenRequest, good: bool, ran: bool, result: bytes) -> None:
         """The run is over; `ran` is False where nothing was started."""
-        entry = self.ids.get(slip.id)
+        entry = self.ids.get(request.id)
         if entry is None:
             return
         if not ran:
-            if self.entries.get(slip.work) is entry:
-                del self.entries[slip.work]
-            del self.ids[slip.id]
+            if self.entries.get(request.work) is entry:
+                del self.entries[request.work]
+            del self.ids[request.id]
             self._over(entry, None)
-        elif good and slip.handle.request_class.repeat is Repeat.LABELLED:
+        elif good and request.handle.request_class.repeat is Repeat.LABELLED:
             entry.result = result
             self._over(entry, result)
 
-    def closed(self, slip: Slip) -> None:
-        entry = self.ids.get(slip.id) or self.entries.get(slip.work)
-        if entry is None or entry.slip is not slip:
+    def closed(self, request: OpenRequest) -> None:
+        entry = self.ids.get(request.id) or self.entries.get(request.work)
+        if entry is None or entry.request is not request:
             return
-        entry.slip = None
+        entry.request = None
         if not entry.ran:
-            del self.entries[slip.work]
+            del self.entries[request.work]
         if entry.result is None:
             self._over(entry, None)
 
     def _over(self, entry: Entry, result: bytes | None) -> None:
         followers, entry.followers = entry.followers, []
-        for slip in followers:
-            self.tell(slip, result)
+        for request in followers:
+            self.tell(request, result)
 
     def expire(self, now: int) -> None:
         """Once a turn: what has run out goes, at constant work for each."""
@@ -145,8 +145,8 @@
             stands, ran = self.entries.get(entry.work) is entry, self.ids.get(entry.id) is entry
             if not stands and not ran:
                 continue
-            if entry.slip is not None or entry.until + entry.lag > now:
-                later = max(entry.until + entry.lag, now + OPEN_AGAIN if entry.slip is not None else now)
+            if entry.request is not None or entry.until + entry.lag > now:
+                later = max(entry.until + entry.lag, now + OPEN_AGAIN if entry.request is not None else now)
                 heapq.heappush(self.ends, (later, number, entry))
                 continue
             if stands:
--- /dev/null
+++ b/crowwing/routing/step_router.py
@@ -0,0 +1,34 @@
+"""Gives each step that the decision module asks for to the stage that carries it out."""
+
+from collections.abc import Callable
+
+from crowwing.contract import Result, Step
+from crowwing.routing.event_recorder import EventRecorder
+from crowwing.routing.open_request import OpenRequest
+
+
+class StepRouter:
+    def __init__(
+        self,
+        open_requests: dict[str, OpenRequest],
+        by_ticket: dict[Step, Callable[[OpenRequest, float], None]],
+        outward: dict[Step, Callable[[float], None]],
+        recorder: EventRecorder,
+        abandon: Callable[[OpenRequest], None],
+    ) -> None:
+        self.open_requests, self.by_ticket, self.outward = open_requests, by_ticket, outward
+        self.recorder, self.abandon = recorder, abandon
+
+    def carry_out(self, results: list[Result]) -> None:
+        """In order; a step that fails costs its own ticket and no other."""
+        for step, handle, figure in results:
+            request = self.open_requests.get(handle.id) if handle is not None else None
+            try:
+                if handle is None:
+                    self.outward[step](figure)
+                elif request is not None and request.handle is handle:
+                    self.by_ticket[step](request, figure)
+            except Exception:
+                self.recorder.defect(step.name.lower(), request.id if request else None)
+                if request is not None:
+                    self.abandon(request)
--- a/crowwing/routing/lookout.py
+++ b/crowwing/routing/storm_monitor.py
@@ -1,4 +1,4 @@
-"""Lookout: shows the sight of storms what comes and goes, and tells the module what follows from it.
+"""Shows the storm detector what comes and goes, and tells the decision module what follows from it.
 
 Only where the operator file has a `storm` section; without one nothing here is loaded.
 """
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from crowwing.protocol.arrival import Arrival
-from crowwing.routing.book import Book
+from crowwing.routing.event_recorder import EventRecorder
 from crowwing.storm import fingerprint
 from crowwing.storm.returns import Returns
 from crowwing.storm.sight import Sight, View
@@ -15,13 +15,19 @@
 LIKELY = 0.5  # from which an arrival counts as a repeat
 
 
-class Lookout:
+class StormMonitor:
     def __init__(
-        self, now: Callable[[], int], book: Book, types: int, fields: Sequence[str], span: int, most: int,
+        self,
+        now: Callable[[], int],
+        recorder: EventRecorder,
+        types: int,
+        fields: Sequence[str],
+        span: int,
+        most: int,
         lowers: bool,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`span` in microseconds and `most` prints: of the sight's windows; `lowers`: the module is told."""
-        self.now, self.book, self.fields, self.lowers = now, book, fields, lowers
+        self.now, self.recorder, self.fields, self.lowers = now, recorder, fields, lowers
         self.sight = Sight(now(), types, span, most)
         self.returns: Returns | None = None  # where returns are paced
         self.last = now()
@@ -33,7 +39,7 @@
         left = arrival.due - arrival.arrived if arrival.due else 0
         likely = self.sight.arrived(now, kind, print_, left) >= LIKELY
         if likely:
-            self.book.count("likely_repeats")
+            self.recorder.count("likely_repeats")
         view = self.look()
         return print_, likely and view.storm and self.lowers
 
@@ -66,7 +72,7 @@
         view = self.sight.step(now)
         if view.storm != before.storm:
             what = "storm" if view.storm else "storm_over"
-            self.book.event(
+            self.recorder.event(
                 what, tries=round(view.tries, 2), repeats=round(view.repeats, 3), sure=round(view.sure, 2)
             )
         return view
--- a/crowwing/routing/wake.py
+++ b/crowwing/routing/wake_timer.py
@@ -1,26 +1,26 @@
-"""Wake: the module's timer. It wants gauges, but the watch over outer limits goes on without them."""
+"""The decision module's timer. It wants gauges, but the watch over deadlines goes on without them."""
 
 import asyncio
 from collections.abc import Callable
 
-from crowwing.routing.book import Book
-from crowwing.routing.send import Send
+from crowwing.routing.event_recorder import EventRecorder
+from crowwing.routing.worker_commands import WorkerCommands
 
 TIMER = 0.001  # seconds that the loop's timers round to
 
 
-class Wake:
+class WakeTimer:
     """`turn` has the module take a turn without news."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         now: Callable[[], int],
-        send: Send,
-        book: Book,
+        send: WorkerCommands,
+        recorder: EventRecorder,
         turn: Callable[[], None],
     ) -> None:
-        self.loop, self.now, self.send, self.book, self.turn = loop, now, send, book, turn
+        self.loop, self.now, self.send, self.recorder, self.turn = loop, now, send, recorder, turn
         self.sampled_at = 0  # the last sample that came back
 
     def ask(self, span: float) -> None:
@@ -41,7 +41,7 @@
         # Guards against the loop's timers, which round to milliseconds and fire early: the module would hold
         # its timer to be still out and ask for no other, and outer limits would pass unseen until other news.
         if self.now() < due:
-            self.book.count("woken_early")
+            self.recorder.count("woken_early")
             self._at(due, span)
         elif self.send.sample():
             self.loop.call_later(span / 2, self._unsampled, self.send.tag)
@@ -50,5 +50,5 @@
 
     def _unsampled(self, asked: int) -> None:
         if self.sampled_at < asked:
-            self.book.count("samples_late")
+            self.recorder.count("samples_late")
             self.turn()
--- a/crowwing/routing/send.py
+++ b/crowwing/routing/worker_commands.py
@@ -1,4 +1,4 @@
-"""Send: the farm agent's side of a ticket. Commands survive a broken link, and none is done twice by it.
+"""Commands to the worker agent. They survive a broken link, and none is done twice by it.
 
 A command is unproven until a sample asked for after it has come back. A new link first reads back all notices
 since the last one known; the fence, a sample, says when they are all in. Only then are those unproven
@@ -13,8 +13,8 @@
 
 from crowwing.contract import Repeat
 from crowwing.protocol import agent
-from crowwing.routing.book import Book
-from crowwing.routing.slip import Slip
+from crowwing.routing.event_recorder import EventRecorder
+from crowwing.routing.open_request import OpenRequest
 from crowwing.transport.link import Link
 from crowwing.transport.pool import BufferPool
 
@@ -25,21 +25,21 @@
     number: int
     data: bytes
     still: Callable[[], bool]  # whether it has a point
-    once: Slip | None  # the ticket, where it launches one that must not run twice
+    once: OpenRequest | None  # the ticket, where it launches one that must not run twice
     sent: bool  # it went out, on whatever link
 
 
-class Send:
+class WorkerCommands:
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         address: tuple[str, int],
         pool: BufferPool,
-        book: Book,
+        recorder: EventRecorder,
         hear: Callable[[agent.Notice], None],
         patience: float,
     ) -> None:
-        self.loop, self.book, self.hear, self.patience = loop, book, hear, patience
+        self.loop, self.recorder, self.hear, self.patience = loop, recorder, hear, patience
         self.link = Link(loop, address, pool, self._opened, self._received, self._closed)
         self.reader = agent.AgentReader()
         self.last = 0  # the last notice read
@@ -53,21 +53,23 @@
 
     # Commands
 
-    def launch(self, slip: Slip, _: float = 0) -> None:
-        self.book.holds(not slip.launched, "launched while its run is on")
-        slip.launched = True
-        slip.runs += 1
-        once = slip if slip.handle.request_class.repeat is not Repeat.REDOABLE else None
-        self._issue(agent.launch(slip.id, slip.type, slip.body), self._still_runs(slip), once)
+    def launch(self, request: OpenRequest, _: float = 0) -> None:
+        self.recorder.holds(not request.launched, "launched while its run is on")
+        request.launched = True
+        request.runs += 1
+        once = request if request.handle.request_class.repeat is not Repeat.REDOABLE else None
+        self._issue(agent.launch(request.id, request.type, request.body), self._still_runs(request), once)
 
-    def freeze(self, slip: Slip, _: float = 0) -> None:
-        if self.fenced or slip.frozen != slip.runs:  # asked again and again, it waits for the link but once
-            slip.frozen = slip.runs
-            self._issue(agent.freeze(slip.id), self._still_runs(slip))
+    def freeze(self, request: OpenRequest, _: float = 0) -> None:
+        if (
+            self.fenced or request.frozen != request.runs
+        ):  # asked again and again, it waits for the link but once
+            request.frozen = request.runs
+            self._issue(agent.freeze(request.id), self._still_runs(request))
 
-    def deliver(self, slip: Slip, reply: bytes) -> None:
-        asks = slip.asks
-        self._issue(agent.deliver(slip.id, reply), lambda: slip.launched and slip.asks == asks)
+    def deliver(self, request: OpenRequest, reply: bytes) -> None:
+        asks = request.asks
+        self._issue(agent.deliver(request.id, reply), lambda: request.launched and request.asks == asks)
 
     def sample(self) -> bool:
         """Asks for the gauges; whether it could. One is out at a time."""
@@ -77,7 +79,7 @@
             # Guards against a far side that is gone without a word; one that only paused loses nothing by it.
             self.tags.clear()
             self.asked = self.loop.time()
-            self.book.event("agent_silent", seconds=patience)
+            self.recorder.event("agent_silent", seconds=patience)
             self.link.drop()
         if not self.fenced or self.tags:
             return False
@@ -90,11 +92,11 @@
         return self.fenced
 
     @staticmethod
-    def _still_runs(slip: Slip) -> Callable[[], bool]:
-        runs = slip.runs
-        return lambda: slip.launched and slip.runs == runs
+    def _still_runs(request: OpenRequest) -> Callable[[], bool]:
+        runs = request.runs
+        return lambda: request.launched and request.runs == runs
 
-    def _issue(self, data: bytes, still: Callable[[], bool], once: Slip | None = None) -> None:
+    def _issue(self, data: bytes, still: Callable[[], bool], once: OpenRequest | None = None) -> None:
         self.issued += 1
         self.unproven.append(Command(self.issued, data, still, once, self.fenced))
         if self.fenced:
@@ -116,7 +118,7 @@
     def _closed(self, why: str) -> None:
         self.greeted = self.fenced = False
         self.tags.clear()
-        self.book.event("agent_lost", why=why, last=self.last)
+        self.recorder.event("agent_lost", why=why, last=self.last)
 
     def _received(self, view: memoryview) -> None:
         for notice in self.reader.feed(view):
@@ -125,7 +127,7 @@
                 if number <= self.last:
                     continue  # it was read on an earlier link
                 if number > self.last + 1:
-                    self.book.count("notices_missed", number - self.last - 1)
+                    self.recorder.count("notices_missed", number - self.last - 1)
                 self.last = number
             self.hear(notice)
 
@@ -156,6 +158,6 @@
             self.unproven.append(command._replace(sent=True))
             self.link.send(command.data)
         if commands:
-            self.book.event(
+            self.recorder.event(
                 "agent_resent", commands=len(self.unproven), pointless=len(commands) - len(self.unproven)
             )
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -293,7 +293,7 @@
             self.operator,
         )
         self.life = loop.create_task(self.backend.run())
-        await self.until(lambda: self.backend.desk.send.fenced or not self.farm.greet)
+        await self.until(lambda: self.backend.dispatcher.send.fenced or not self.farm.greet)
         await self.until(lambda: self.backend.listener.sock is not None)
         self.address = self.backend.listener.sock.getsockname()
         return self
@@ -326,7 +326,7 @@
 
     @property
     def counts(self) -> Counter:
-        return self.backend.book.counts
+        return self.backend.recorder.counts
 
     async def until(self, so: Callable[[], bool]) -> None:
         async with asyncio.timeout(30):
@@ -336,7 +336,10 @@
     def check(self) -> None:
         """What must hold once nothing is open: no defect, nothing left in a table, every ticket run once."""
         assert not self.counts["defects"] and not self.counts["stray_defect"], self.lines
-        assert not self.backend.desk.slips and not self.backend.desk.manager.state.table.by_id
+        assert (
+            not self.backend.dispatcher.open_requests
+            and not self.backend.dispatcher.manager.state.table.by_id
+        )
         once = (
             times
             for ident, times in self.farm.begun.items()
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -16,7 +16,7 @@
 import crowwing
 from crowwing.contract import Halt, Outcome, Signal
 from crowwing.premises import decode
-from crowwing.routing.take_in import TakeIn
+from crowwing.routing.request_resolver import RequestResolver
 from tests.rig import MS, SETTINGS, World
 
 LOADED = ("logic", "drill", "program", "protocol", "routing", "transport")  # in every backend, or simulated
@@ -123,11 +123,11 @@
     told["realms"] = [{"name": names[n], "quota_per_s": shares[n]} for n in order]
     told["lanes"] = [told["lanes"][n] | {"promise": 1000.0 * (n + 1)} for n in (2, 0, 1)]
     facts, known = decode(told)
-    take_in = TakeIn(known, facts)
-    assert [facts.shares[take_in.customers[names[n]]] for n in order] == [shares[n] for n in order]
-    assert len(facts.shares) == len(order) == len(take_in.customers)
+    resolver = RequestResolver(known, facts)
+    assert [facts.shares[resolver.customers[names[n]]] for n in order] == [shares[n] for n in order]
+    assert len(facts.shares) == len(order) == len(resolver.customers)
     for n, lane in enumerate(SETTINGS["lanes"]):
-        assert facts.types[take_in.types[lane["name"]]].expected_time == 1000 * MS * (n + 1)
+        assert facts.types[resolver.types[lane["name"]]].expected_time == 1000 * MS * (n + 1)
 
 
 def test_settings_read_twice_share_nothing_that_can_change() -> None:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -10,9 +10,9 @@
 import pytest
 
 from crowwing.contract import IncomingRequest, Repeat
-from crowwing.routing.repeats import Repeats, work_of
-from crowwing.routing.slip import Slip
-from crowwing.routing.take_in import NoTicket
+from crowwing.routing.open_request import OpenRequest
+from crowwing.routing.request_resolver import InvalidRequestError
+from crowwing.routing.retry_table import RetryTable, work_of
 from tests.parties import reply
 from tests.rig import MS, SETTINGS, Sidecar, Town, play_in
 from tests.street import Street, live_in
@@ -85,13 +85,13 @@
 def test_a_repeat_takes_the_place_of_a_first_try_that_still_waits_to_run() -> None:
     async def scene(town: Town) -> None:
         town.farm.hold = True
-        town.backend.desk.manager.state.limiter.limit = 0.0
-        town.backend.desk.manager.step_loops = lambda now: None
+        town.backend.dispatcher.manager.state.limiter.limit = 0.0
+        town.backend.dispatcher.manager.step_loops = lambda now: None
         first = again(town, 1)
-        await town.until(lambda: town.backend.desk.manager.state.table.counts[1] == 1)
+        await town.until(lambda: town.backend.dispatcher.manager.state.table.counts[1] == 1)
         second = again(town, 2)
         assert (await first)[0] == 503
-        town.backend.desk.manager.state.limiter.limit = 4.0
+        town.backend.dispatcher.manager.state.limiter.limit = 4.0
         await running(town, 2)
         town.farm.go_on(ident(2))
         assert (await second)[0] == 200 and town.farm.begun == {ident(2): 1}
@@ -103,11 +103,11 @@
 @pytest.mark.parametrize(("after", "begun"), [(-20, 1), (0, 1), (1, 2)])
 def test_the_window_counts_from_the_arrival_of_the_try_that_ran(after: int, begun: int) -> None:
     async def scene(town: Town) -> None:
-        stamp = town.backend.desk.now() // MS - 300
+        stamp = town.backend.dispatcher.now() // MS - 300
         assert (await again(town, 1, X_Ingress_Time=str(stamp)))[0] == 200
-        entry = town.backend.desk.repeats.ids[ident(1)]
+        entry = town.backend.dispatcher.repeats.ids[ident(1)]
         end = max(stamp + 600, -(-entry.until // MS)) + after if after > 0 else stamp + 600 + after
-        await town.until(lambda: town.backend.desk.now() // MS > end)
+        await town.until(lambda: town.backend.dispatcher.now() // MS > end)
         assert (await again(town, 2, X_Ingress_Time=str(end)))[0] == 200
         assert runs(town) == begun
         town.check()
@@ -118,7 +118,7 @@
 def test_a_stamp_ahead_of_our_clock_takes_no_repeat_out_of_its_window() -> None:
     async def scene(town: Town) -> None:
         assert (await again(town, 1))[0] == 200
-        ahead = str(town.backend.desk.now() // MS + 60_000)
+        ahead = str(town.backend.dispatcher.now() // MS + 60_000)
         assert (await again(town, 2, X_Ingress_Time=ahead, left=500))[0] == 200 and runs(town) == 1
         town.check()
 
@@ -128,11 +128,11 @@
 def test_a_window_that_ends_while_the_run_is_on_starts_no_second_run_beside_it() -> None:
     async def scene(town: Town) -> None:
         first = await begun(town, 1)
-        over = town.backend.desk.repeats.ids[ident(1)].until
+        over = town.backend.dispatcher.repeats.ids[ident(1)].until
         await town.until(
             lambda: (
-                town.backend.desk.now() > over + 100 * MS
-                and not town.backend.desk.manager.state.entries.expires_at
+                town.backend.dispatcher.now() > over + 100 * MS
+                and not town.backend.dispatcher.manager.state.entries.expires_at
             )
         )
         second = again(town, 2)
@@ -216,7 +216,7 @@
         town.farm.mute = town.farm.hold = True  # nothing proves that a command arrived
         first = again(town, 1)
         await running(town, 1)
-        assert town.backend.desk.send.unproven
+        assert town.backend.dispatcher.send.unproven
         town.farm.cut()
         town.farm.mute = False
         assert (await first)[0] == 500 and town.farm.begun == {ident(1): 1}
@@ -258,14 +258,14 @@
 # The table by itself
 
 
-def slip_of(n: int, window: int = 1000, outer: int = 5000, arrived: int = 0) -> Slip:
+def slip_of(n: int, window: int = 1000, outer: int = 5000, arrived: int = 0) -> OpenRequest:
     arrival = SimpleNamespace(
         id=ident(n), type="book", body=b"b", customer="", sidecar=1, kb=1.0, rank=0.5, key=f"k{n}"
     )
-    slip = Slip(arrival, None, work_of(arrival, 1, 0))
+    request = OpenRequest(arrival, None, work_of(arrival, 1, 0))
     kind = SimpleNamespace(repeat=Repeat.LABELLED, window=window, outer_limit=outer)
-    slip.handle = SimpleNamespace(type=kind, arrived=arrived)
-    return slip
+    request.handle = SimpleNamespace(type=kind, arrived=arrived)
+    return request
 
 
 class Counted(dict):
@@ -279,12 +279,12 @@
 
 
 def test_entries_go_as_their_time_ends_at_constant_work_for_each() -> None:
-    table = Repeats(lambda slip, result: None)
+    table = RetryTable(lambda request, result: None)
     for n in range(3000):
-        slip = slip_of(n, arrived=n)
-        table.began(slip, n)
-        table.ended(slip, True, True, b"r" * 100)
-        table.closed(slip)
+        request = slip_of(n, arrived=n)
+        table.began(request, n)
+        table.ended(request, True, True, b"r" * 100)
+        table.closed(request)
     table.entries, Counted.looked = Counted(table.entries), 0
     for now in range(1000, 6000):
         table.expire(now)
@@ -296,7 +296,7 @@
 
 
 def test_an_entry_whose_ticket_is_open_outlives_its_window_and_goes_with_it() -> None:
-    table, first = Repeats(lambda slip, result: None), slip_of(1)
+    table, first = RetryTable(lambda request, result: None), slip_of(1)
     table.keep(first, 1000)
     table.began(first, 0)
     for now in range(0, 30_000_000, 500_000):
@@ -309,23 +309,23 @@
 
 def test_forgetting_and_keeping_again_leaves_one_entry_that_ends() -> None:
     told: list = []
-    table = Repeats(lambda slip, result: told.append((slip.id, result)))
+    table = RetryTable(lambda request, result: told.append((request.id, result)))
     for n in range(50):
-        slip = slip_of(1, arrived=n)
-        slip.id = ident(n)
-        table.keep(slip, 1000)
-        table.forget(slip)
-        table.closed(slip)
+        request = slip_of(1, arrived=n)
+        request.id = ident(n)
+        table.keep(request, 1000)
+        table.forget(request)
+        table.closed(request)
     assert not table.entries
     table.expire(7000)
     assert not table.ends and not told
 
 
 def test_two_bodies_under_one_key_in_one_moment_are_told_apart() -> None:
-    table, one, two = Repeats(lambda slip, result: None), slip_of(1), slip_of(1)
+    table, one, two = RetryTable(lambda request, result: None), slip_of(1), slip_of(1)
     two.content = hash(b"other")
     assert table.first(one, 0) == ""
-    with pytest.raises(NoTicket):
+    with pytest.raises(InvalidRequestError):
         table.first(two, 0)
     table.expire(0)
     assert table.first(two, 0) == ""  # the other was of another moment, and nothing of it is kept
@@ -361,13 +361,13 @@
     changed["lanes"][1]["name"] = "réserve 1"
 
     async def scene(town: Town) -> None:
-        taken, take = [], town.backend.desk.manager.take
+        taken, take = [], town.backend.dispatcher.manager.take
 
         def seen(now: int, incoming: IncomingRequest) -> object:
             taken.append((incoming.class_index, incoming.tenant))
             return take(now, incoming)
 
-        town.backend.desk.manager.take = seen
+        town.backend.dispatcher.manager.take = seen
         for n, name in enumerate(names):
             assert (await ask_one(town, n, "pay", X_Merchant=name))[0] == 200
         latin = Sidecar.ticket(ident(8), "pay", X_Merchant="ümlaut-line").decode().encode("latin-1")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -72,10 +72,12 @@
     async def scene(town: Town) -> None:
         sides = [await Sidecar(town).open() for _ in range(8)]
         await asyncio.gather(*(one(town, side, 1000 * n) for n, side in enumerate(sides)))
-        await town.until(lambda: town.farm.links > 1 and not town.backend.desk.slips)
+        await town.until(lambda: town.farm.links > 1 and not town.backend.dispatcher.open_requests)
         town.check()
         assert town.counts["had"] == 200
-        assert town.backend.desk.send.last == len(town.farm.notices) and not town.counts["notices_missed"]
+        assert (
+            town.backend.dispatcher.send.last == len(town.farm.notices) and not town.counts["notices_missed"]
+        )
 
     play_in(Town(), scene)
 
@@ -93,7 +95,7 @@
         town.farm.go_on(ident(2))
         assert (await second)[0] == 200
         assert town.farm.begun == {ident(1): 1, ident(2): 1}
-        await town.until(lambda: not town.backend.desk.send.unproven)  # emptied by a sample
+        await town.until(lambda: not town.backend.dispatcher.send.unproven)  # emptied by a sample
         town.check()
 
     play_in(Town(), scene)
@@ -117,10 +119,10 @@
     """A timer fired early is, for the module, still out: it would ask for no other and watch no more."""
 
     async def scene(town: Town) -> None:
-        desk, turns = town.backend.desk, []
-        turn = desk.manager.turn
-        desk.manager.turn = lambda now: turns.append(now) or turn(now)
-        desk.send.sample = lambda: False
+        dispatcher, turns = town.backend.dispatcher, []
+        turn = dispatcher.manager.turn
+        dispatcher.manager.turn = lambda now: turns.append(now) or turn(now)
+        dispatcher.send.sample = lambda: False
         town.farm.hold = True
         asked = asyncio.create_task(ask_one(town, 1, left=2500))
         assert (await asked)[0] == 500 and len(turns) > 10
@@ -152,12 +154,12 @@
         town.farm.greet = b"greeting COLD 1000\r\n"
         town.farm.writer.write(town.farm.greet)
         await town.until(lambda: town.backend.front.good)
-        manager = town.backend.desk.manager
+        manager = town.backend.dispatcher.manager
         assert (
             manager.state.facts.cold
-            and 900_000 < town.backend.desk.now() - manager.state.limiter.started_at < 30_000_000
+            and 900_000 < town.backend.dispatcher.now() - manager.state.limiter.started_at < 30_000_000
         )
-        await town.until(lambda: town.backend.desk.send.fenced)
+        await town.until(lambda: town.backend.dispatcher.send.fenced)
         assert (await ask_one(town, 2))[0] == 200
 
     town = Town()
@@ -214,7 +216,7 @@
         town.below.answers += ["break"]  # after the request was read: it proves nothing
         assert (await ask_one(town, 4, "look"))[0] == 200 and town.counts["call_unsure"] == 1
         town.servers[1].close()
-        town.backend.desk.call.exchanges.close()
+        town.backend.dispatcher.call.exchanges.close()
         assert (await ask_one(town, 5, "look", left=900))[0] == 500
         assert town.counts["call_never_ran"] > 1 and town.counts["call_unsure"] == 1
 
@@ -228,7 +230,7 @@
         await town.until(lambda: len(town.below.heard) == 1)
         town.farm.end(ident(1), "ERROR")
         assert (await asked)[0] == 500
-        await town.until(lambda: town.backend.desk.call.exchanges.open == 0)
+        await town.until(lambda: town.backend.dispatcher.call.exchanges.open == 0)
         town.check()
 
     play_in(Town(), scene)
@@ -287,7 +289,7 @@
             socket.SOL_SOCKET, socket.SO_LINGER, bytes([1] + [0] * 7)
         )
         side.writer.transport.abort()  # with a reset
-        await town.until(lambda: town.counts["gone"] == 1 and not town.backend.desk.slips)
+        await town.until(lambda: town.counts["gone"] == 1 and not town.backend.dispatcher.open_requests)
         town.check()
 
     play_in(Town(), scene)
--- a/tests/test_program_life.py
+++ b/tests/test_program_life.py
@@ -19,21 +19,21 @@
 
 def test_a_defect_in_one_ticket_costs_no_other() -> None:
     async def scene(town: Town) -> None:
-        launch = town.backend.desk.send.launch
+        launch = town.backend.dispatcher.send.launch
 
-        def failing(slip: object, figure: float = 0) -> None:
-            if slip.id == ident(1):
+        def failing(request: object, figure: float = 0) -> None:
+            if request.id == ident(1):
                 raise RuntimeError("made up")
-            launch(slip, figure)
+            launch(request, figure)
 
-        town.backend.desk.route.by_ticket[Step.RUN] = failing
+        town.backend.dispatcher.route.by_ticket[Step.RUN] = failing
         answers = await asyncio.gather(*(ask_one(town, n) for n in range(4)))
         assert [status for status, _, _ in answers] == [200, 500, 200, 200]
-        assert town.counts["defects"] == 1 and not town.backend.desk.manager.state.table.by_id
+        assert town.counts["defects"] == 1 and not town.backend.dispatcher.manager.state.table.by_id
         assert "made up" in next(line["trace"] for line in town.lines if line["event"] == "defect")
-        turn, town.backend.desk.manager.turn = town.backend.desk.manager.turn, lambda now: 1 / 0
+        turn, town.backend.dispatcher.manager.turn = town.backend.dispatcher.manager.turn, lambda now: 1 / 0
         assert (await ask_one(town, 5))[0] == 500
-        town.backend.desk.manager.turn = turn
+        town.backend.dispatcher.manager.turn = turn
         assert (await ask_one(town, 6))[0] == 200
 
     play_in(Town(), scene)
@@ -75,12 +75,12 @@
         sides = [await Sidecar(town).open() for _ in range(2)]
         first = asyncio.create_task(sides[0].ask(Sidecar.ticket(ident(1))))
         await town.until(lambda: ident(1) in town.farm.running)
-        notice = town.backend.desk.now()
+        notice = town.backend.dispatcher.now()
         town.backend.leave()
         stamp = str(notice // 1000)
         within = asyncio.create_task(sides[1].ask(Sidecar.ticket(ident(2), X_Ingress_Time=stamp)))
         await town.until(lambda: ident(2) in town.farm.running)
-        await town.until(lambda: town.backend.desk.now() > notice + 1_100_000)
+        await town.until(lambda: town.backend.dispatcher.now() > notice + 1_100_000)
         status, head, _ = await ask_one(town, 4)
         assert status == 503 and "Connection: close" in head and ident(4) not in town.farm.begun
         town.farm.go_on(ident(1))
@@ -151,7 +151,7 @@
         assert (await asked)[0] == 200 and town.farm.begun == {ident(1): 1}
         line = next(line for line in town.lines if line["event"] == "reloaded")
         assert set(line["changed"]) == {"agent", "below", "control"} and not line["cannot_change"]
-        assert town.backend.desk.call.exchanges.address not in old
+        assert town.backend.dispatcher.call.exchanges.address not in old
         town.check()
 
     play_in(Town(), scene)
@@ -194,7 +194,7 @@
         await town.until(lambda: ident(2) in town.farm.running)
         town.farm.running.clear()
         town.farm.writer.write(f"refusal launch {ident(2)}\r\n".encode())
-        assert (await unknown)[0] == 500 and not town.backend.desk.manager.state.health.error_rate
+        assert (await unknown)[0] == 500 and not town.backend.dispatcher.manager.state.health.error_rate
         town.check()
 
     play_in(Town(), scene)
--- a/tests/test_storm_returns.py
+++ b/tests/test_storm_returns.py
@@ -65,7 +65,7 @@
 
 def storm_seen(town: Town) -> None:
     """The sight is made to see a storm, and to go on seeing it."""
-    sight = town.backend.desk.lookout.sight
+    sight = town.backend.dispatcher.storm_monitor.sight
     sight.view = View(0.5, 2.0, True, 0.9)
     sight.step = lambda now: sight.view
 
@@ -79,8 +79,8 @@
         storm_seen(town)
         paced = await asked_while_sick(town, 100, 12)
         assert all(0 < away <= 1000 for away, _ in paced) and all(after == 1 for _, after in paced)
-        town.backend.desk.lookout.sight.good_rate = 20.0
-        manager = town.backend.desk.manager
+        town.backend.dispatcher.storm_monitor.sight.good_rate = 20.0
+        manager = town.backend.dispatcher.manager
         manager.state.facts = dataclasses.replace(manager.state.facts, stay_away_most=100_000)
         spread = await asked_while_sick(town, 200, 12)
         assert len({away for away, _ in spread}) > 6 and max(away for away, _ in spread) > 150
@@ -92,7 +92,7 @@
 async def asked_while_sick(town: Town, first: int, count: int) -> list[tuple[int, int]]:
     """What so many sidecars are told when all is dismissed: milliseconds to stay away, and Retry-After."""
     told = []
-    town.backend.desk.manager.state.health.is_stalled = lambda now: True
+    town.backend.dispatcher.manager.state.health.is_stalled = lambda now: True
     for n in range(first, first + count):
         side = await Sidecar(town).open()
         status, head, _ = await side.ask(Sidecar.ticket(f"{n:016x}", X_Router=str(n)))
@@ -109,10 +109,12 @@
     async def scene(town: Town) -> None:
         storm_seen(town)
         town.farm.hold = True
-        desk, taken = town.backend.desk, []
-        take = desk.manager.take
-        desk.manager.take = lambda now, given: (taken.append(given.is_likely_retry), take(now, given))[1]
-        desk.manager.state.health.is_stalled = lambda now: True
+        dispatcher, taken = town.backend.dispatcher, []
+        take = dispatcher.manager.take
+        dispatcher.manager.take = lambda now, given: (taken.append(given.is_likely_retry), take(now, given))[
+            1
+        ]
+        dispatcher.manager.state.health.is_stalled = lambda now: True
         for n in range(3):
             side = await Sidecar(town).open()
             assert (await side.ask(Sidecar.ticket(f"{n:016x}", "book", b"the same")))[0] == 503
@@ -128,13 +130,13 @@
         def fails(*_: object) -> None:
             raise ArithmeticError("made to fail")
 
-        setattr(town.backend.desk.lookout, part, fails)
+        setattr(town.backend.dispatcher.storm_monitor, part, fails)
         if part == "away":
-            town.backend.desk.manager.state.health.is_stalled = lambda now: True
+            town.backend.dispatcher.manager.state.health.is_stalled = lambda now: True
         for n in range(3):
             status, _, _ = await (await Sidecar(town).open()).ask(Sidecar.ticket(f"{n:016x}"))
             assert status == (503 if part == "away" else 200)
-        assert town.counts["defects"] == 1 and town.backend.desk.lookout is None
-        await town.until(lambda: not town.backend.desk.slips)
+        assert town.counts["defects"] == 1 and town.backend.dispatcher.storm_monitor is None
+        await town.until(lambda: not town.backend.dispatcher.open_requests)
 
     play_in(Town(operator=Operator(storm=Storm(paces_returns=True))), scene)
