routing/: every public item has a doc comment, and its lint exceptions shrink

The test of the emulator's machine is as it was: the renaming had caught a method of another class there.

--- a/crowwing/routing/backend_calls.py
+++ b/crowwing/routing/backend_calls.py
@@ -15,6 +15,8 @@
 
 
 class BackendCalls:
+    """The calls that are out. Owned by `Dispatcher`."""
+
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
@@ -24,10 +26,12 @@
         recorder: EventRecorder,
         hear: Callable[[OpenRequest, int, Outcome, bytes], None],
     ) -> None:
+        """Calls `address`, at most `most` at once; `hear` gets how long each took and how it ended."""
         self.loop, self.recorder, self.hear = loop, recorder, hear
         self.exchanges = Exchanges(loop, address, pool, ReplyReader, IDLE, most)
 
     def begin(self, request: OpenRequest, span: float) -> None:
+        """Sends the call that a run waits for; `span` microseconds is its time limit."""
         self.recorder.holds(
             request.wanted is not None and request.call is None, "a call that no run waits for"
         )
--- a/crowwing/routing/dispatcher.py
+++ b/crowwing/routing/dispatcher.py
@@ -40,14 +40,22 @@
 class Outward(Protocol):
     """What the module sets beyond single tickets."""
 
-    def ready(self, good: bool) -> None: ...
+    def ready(self, good: bool) -> None:
+        """Health checks are answered good or bad from now on."""
+        ...
 
-    def free_value(self, value: float) -> None: ...
+    def free_value(self, value: float) -> None:
+        """What callers are told of the spare capacity."""
+        ...
 
-    def idle(self, span: float) -> None: ...
+    def idle(self, span: float) -> None:
+        """Connections that carry nothing are closed after `span` microseconds."""
+        ...
 
 
 class Dispatcher:
+    """Owner of the open requests and of the decision module. Made by the program; its front calls it."""
+
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
@@ -61,6 +69,7 @@
         recorder: EventRecorder,
         outward: Outward,
     ) -> None:
+        """Nothing is open; the module is made once the worker agent greets."""
         self.loop, self.facts, self.names, self.seed, self.recorder = loop, facts, names, seed, recorder
         self.manager: LoadManager | None = None  # from the farm agent's greeting on
         self.open_requests: dict[
--- a/crowwing/routing/event_recorder.py
+++ b/crowwing/routing/event_recorder.py
@@ -9,13 +9,16 @@
     """`counts` has one entry a kind of event, whatever the number of tickets."""
 
     def __init__(self, write: Callable[..., None]) -> None:
+        """Writes events by `write`."""
         self.write = write
         self.counts: Counter[str] = Counter()
 
     def count(self, what: str, by: int = 1) -> None:
+        """Counts something without a line in the log."""
         self.counts[what] += by
 
     def event(self, what: str, **facts: object) -> None:
+        """Counts something and writes it."""
         self.counts[what] += 1
         self.write(what, **facts)
 
--- a/crowwing/routing/health_probe.py
+++ b/crowwing/routing/health_probe.py
@@ -6,7 +6,10 @@
 
 
 class HealthProbe:
+    """The probes that are under way. Owned by `Dispatcher`."""
+
     def __init__(self, loop: asyncio.AbstractEventLoop, send: WorkerCommands) -> None:
+        """No probe is under way."""
         self.loop, self.send = loop, send
         self.tag = 0
         self.out: dict[str, asyncio.Future[bool]] = {}  # emptied by answers and bounds
@@ -27,6 +30,7 @@
             del self.out[tag]
 
     def answered(self, tag: str, good: bool) -> None:
+        """The worker agent has answered a probe."""
         future = self.out.get(tag)
         if future is not None and not future.done():
             future.set_result(good)
--- a/crowwing/routing/open_request.py
+++ b/crowwing/routing/open_request.py
@@ -10,14 +10,21 @@
 class Caller(Protocol):
     """The way back to whoever waits for a ticket."""
 
-    def settled(self, result: bytes) -> None: ...
+    def settled(self, result: bytes) -> None:
+        """It has run: its result."""
+        ...
 
-    def dismissed(self, away: int, nowhere_else: bool) -> None: ...
+    def dismissed(self, away: int, nowhere_else: bool) -> None:
+        """It was rejected: for how many microseconds to stay away, and whether from all backends."""
+        ...
 
-    def forfeited(self) -> None: ...
+    def forfeited(self) -> None:
+        """It has failed."""
+        ...
 
 
 def print_of(arrival: Arrival) -> int:
+    """What tells a request from others without its body."""
     return hash((arrival.type, arrival.customer, arrival.sidecar, arrival.kb, arrival.rank, arrival.body))
 
 
@@ -25,26 +32,27 @@
     """One open ticket: who waits for it, what the farm agent was told, and the call that is out."""
 
     __slots__ = (
-        "id",
-        "print",
-        "type",
+        "answered",
+        "asks",
         "body",
+        "by",
+        "call",
         "callers",
+        "content",
+        "frozen",
         "handle",
-        "answered",
+        "id",
         "launched",
+        "likeness",
+        "print",
         "runs",
-        "frozen",
-        "asks",
+        "type",
         "wanted",
-        "call",
-        "likeness",
         "work",
-        "content",
-        "by",
     )
 
     def __init__(self, arrival: Arrival, caller: Caller, work: tuple[int, int, str]) -> None:
+        """A request that `caller` waits for."""
         self.id, self.type, self.body = arrival.id, arrival.type, arrival.body
         self.print = print_of(arrival)  # tells its like without its body
         self.callers = [caller]  # more than one where the same try came again over another connection
--- a/crowwing/routing/request_admission.py
+++ b/crowwing/routing/request_admission.py
@@ -16,6 +16,7 @@
     repeats: str,
     again: bool,
 ) -> None:
+    """Makes the module take a request, and keeps its handle."""
     # A stamp ahead of our clock counts as now: the machine's clock may have stepped between the two readings.
     arrived = min(now, arrival.arrived)
     incoming = IncomingRequest(
--- a/crowwing/routing/request_resolver.py
+++ b/crowwing/routing/request_resolver.py
@@ -13,7 +13,10 @@
 
 
 class RequestResolver:
+    """The classes and tenants of the settings by name. Owned by `Dispatcher`."""
+
     def __init__(self, names: Names, facts: Premises) -> None:
+        """Resolves by what the settings say."""
         self.limits = [kind.outer_limit for kind in facts.types]
         self.types = {name: n for n, name in enumerate(names.types)}
         self.customers = {name: n for n, name in enumerate(names.customers)}
--- a/crowwing/routing/response_relay.py
+++ b/crowwing/routing/response_relay.py
@@ -8,19 +8,26 @@
 
 
 class ResponseRelay:
+    """Sends final answers. Owned by `Dispatcher`."""
+
     def __init__(self, recorder: EventRecorder, answered: Callable[[OpenRequest, bool], None]) -> None:
+        """`answered` hears of each answer, and whether it is a result."""
         self.recorder, self.answered = recorder, answered
 
     def settle(self, request: OpenRequest, result: bytes) -> None:
+        """The result of its run."""
         self._tell(request, "settled", lambda caller: caller.settled(result))
 
     def dismiss(self, request: OpenRequest, away: float) -> None:
+        """Rejected here; another backend may be tried."""
         self._tell(request, "dismissed", lambda caller: caller.dismissed(round(away), False))
 
     def dismiss_all(self, request: OpenRequest, away: float) -> None:
+        """Rejected, and no other backend should be tried."""
         self._tell(request, "dismissed", lambda caller: caller.dismissed(round(away), True))
 
     def forfeit(self, request: OpenRequest, _: float = 0) -> None:
+        """Failed: it may have run."""
         self._tell(request, "forfeited", lambda caller: caller.forfeited())
 
     def _tell(self, request: OpenRequest, answer: str, say: Callable[[Caller], None]) -> None:
--- a/crowwing/routing/retry_table.py
+++ b/crowwing/routing/retry_table.py
@@ -19,20 +19,20 @@
 
 
 def work_of(arrival: Arrival, kind: int, team: int) -> Work:
+    """What a request asks for: the same in its retries."""
     return kind, team, arrival.key or "\0" + arrival.id  # no header holds a 0: it stands for itself alone
 
 
 class Entry:
     """One piece of work that may be running, or has run."""
 
-    __slots__ = ("work", "id", "content", "until", "lag", "request", "ran", "result", "followers")
+    __slots__ = ("content", "followers", "id", "lag", "ran", "request", "result", "until", "work")
 
     def __init__(self, request: OpenRequest, until: int) -> None:
+        """The work of a request, kept until `until` microseconds."""
         self.work, self.id, self.content = request.work, request.id, request.content
-        self.until, self.lag = (
-            until,
-            request.handle.request_class.outer_limit,
-        )  # lag: what came in time may be read so late
+        self.until = until
+        self.lag = request.handle.request_class.outer_limit  # what came in time may be read so late
         self.request: OpenRequest | None = request  # until its ticket is closed
         self.ran = False
         self.result: bytes | None = None  # of the run that ended well
@@ -43,6 +43,7 @@
     """`tell` takes each ticket that shared a run, with its result or None where the run failed."""
 
     def __init__(self, tell: Callable[[OpenRequest, bytes | None], None]) -> None:
+        """Nothing is known; see the class for `tell`."""
         self.tell = tell
         self.entries: dict[Work, Entry] = {}  # emptied in the order of their ends by expire()
         self.ids: dict[str, Entry] = {}  # those that ran, by the id of their try; emptied with them
@@ -51,10 +52,12 @@
         self.batch: dict[Work, OpenRequest] = {}  # the last try read before this turn, whose end empties it
 
     def first(self, request: OpenRequest, arrived: int) -> str:
-        """The try that this one repeats, or ''. One that came while an entry stood repeats it, however late
-        it is read; so does one that finds the first still open, though the window may be over.
+        """The attempt that this one repeats, or ''.
 
-        Raises NoTicket for another body under the same key: it would get the result of what it did not ask.
+        One that came while an entry stood repeats it, however late it is read; so does one that finds the
+        first still open, though the window may be over.
+
+        Raises InvalidRequestError for another body under the same key: it would get another's result.
         """
         entry = self.entries.get(request.work)
         if entry is not None and entry.request is None and arrived > entry.until:
@@ -68,7 +71,7 @@
     def again(self, arrival: Arrival, work: Work) -> Entry | None:
         """The entry of the very same try, where it has run and ended: it crossed a close and came again.
 
-        Raises NoTicket for anything else under its id, which the farm agent would take for that try.
+        Raises InvalidRequestError for anything else under its id: the worker agent would take it for this.
         """
         entry = self.ids.get(arrival.id)
         if entry is None or entry.request is not None:
@@ -78,6 +81,7 @@
         return entry
 
     def keep(self, request: OpenRequest, until: int) -> None:
+        """Keeps the entry of a request until `until` microseconds."""
         entry = self.entries.get(request.work)
         if entry is not None and entry.id == request.id:
             entry.until = max(entry.until, until)
@@ -86,6 +90,7 @@
         heapq.heappush(self.ends, (until + entry.lag, next(self.numbers), entry))
 
     def forget(self, request: OpenRequest) -> None:
+        """Drops the entry of a request that did not run."""
         entry = self.entries.get(request.work)
         if entry is not None and entry.id == request.id and not entry.ran:
             del self.entries[request.work]
@@ -102,6 +107,7 @@
         self.ids[request.id].ran = True
 
     def share(self, request: OpenRequest) -> None:
+        """A request waits for the run of an earlier one, or gets its result."""
         entry = self.entries.get(request.work)
         if entry is not None and entry.request is not None and entry.result is None:
             entry.followers.append(request)
@@ -123,6 +129,7 @@
             self._over(entry, result)
 
     def closed(self, request: OpenRequest) -> None:
+        """The module has closed a request."""
         entry = self.ids.get(request.id) or self.entries.get(request.work)
         if entry is None or entry.request is not request:
             return
--- a/crowwing/routing/step_router.py
+++ b/crowwing/routing/step_router.py
@@ -8,6 +8,8 @@
 
 
 class StepRouter:
+    """Carries out the steps of the module. Owned by `Dispatcher`."""
+
     def __init__(
         self,
         open_requests: dict[str, OpenRequest],
@@ -16,6 +18,7 @@
         recorder: EventRecorder,
         abandon: Callable[[OpenRequest], None],
     ) -> None:
+        """Steps of requests go to `by_ticket`, others to `outward`; `abandon` ends a request on a defect."""
         self.open_requests, self.by_ticket, self.outward = open_requests, by_ticket, outward
         self.recorder, self.abandon = recorder, abandon
 
--- a/crowwing/routing/storm_monitor.py
+++ b/crowwing/routing/storm_monitor.py
@@ -16,6 +16,8 @@
 
 
 class StormMonitor:
+    """Feeds the storm detector. Owned by `Dispatcher`, where the operator wants storms seen."""
+
     def __init__(
         self,
         now: Callable[[], int],
@@ -44,6 +46,7 @@
         return print_, likely and view.storm and self.lowers
 
     def ended(self, print_: int, good: bool) -> None:
+        """A final answer went out for a request with this print."""
         self.sight.ended(self.now(), print_, good)
         if self.tells is not None and not good:
             self.tells(print_)
--- a/crowwing/routing/wake_timer.py
+++ b/crowwing/routing/wake_timer.py
@@ -20,10 +20,12 @@
         recorder: EventRecorder,
         turn: Callable[[], None],
     ) -> None:
+        """Nothing was asked for."""
         self.loop, self.now, self.send, self.recorder, self.turn = loop, now, send, recorder, turn
         self.sampled_at = 0  # the last sample that came back
 
     def ask(self, span: float) -> None:
+        """Wakes the module in `span` microseconds."""
         self._at(self.now() + round(span), span / 1e6)
 
     def sampled(self, tag: str) -> bool:
--- a/crowwing/routing/worker_commands.py
+++ b/crowwing/routing/worker_commands.py
@@ -22,6 +22,8 @@
 
 
 class Command(NamedTuple):
+    """One command, until a sample proves that it arrived."""
+
     number: int
     data: bytes
     still: Callable[[], bool]  # whether it has a point
@@ -30,6 +32,8 @@
 
 
 class WorkerCommands:
+    """The link to the worker agent, and the commands that are under way. Owned by `Dispatcher`."""
+
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
@@ -39,6 +43,7 @@
         hear: Callable[[agent.Notice], None],
         patience: float,
     ) -> None:
+        """Connects to `address`; `hear` gets each notice, and `patience` is in seconds."""
         self.loop, self.recorder, self.hear, self.patience = loop, recorder, hear, patience
         self.link = Link(loop, address, pool, self._opened, self._received, self._closed)
         self.reader = agent.AgentReader()
@@ -47,13 +52,13 @@
         self.issued = self.tag = 0
         self.asked = 0.0  # when the sample that is out was asked for, or the greeting
         self.unproven: deque[Command] = deque()  # emptied by samples
-        self.tags: dict[
-            str, int
-        ] = {}  # sample out -> the last command before it; emptied by answers and breaks
+        # Sample out -> the last command before it; emptied by answers and breaks.
+        self.tags: dict[str, int] = {}
 
     # Commands
 
     def launch(self, request: OpenRequest, _: float = 0) -> None:
+        """Starts a run."""
         self.recorder.holds(not request.launched, "launched while its run is on")
         request.launched = True
         request.runs += 1
@@ -61,13 +66,14 @@
         self._issue(agent.launch(request.id, request.type, request.body), self._still_runs(request), once)
 
     def freeze(self, request: OpenRequest, _: float = 0) -> None:
-        if (
-            self.fenced or request.frozen != request.runs
-        ):  # asked again and again, it waits for the link but once
+        """Stops a run."""
+        # Asked again and again, it waits for the link but once.
+        if self.fenced or request.frozen != request.runs:
             request.frozen = request.runs
             self._issue(agent.freeze(request.id), self._still_runs(request))
 
     def deliver(self, request: OpenRequest, reply: bytes) -> None:
+        """Gives a run the response that it waits for."""
         asks = request.asks
         self._issue(agent.deliver(request.id, reply), lambda: request.launched and request.asks == asks)
 
@@ -87,6 +93,7 @@
         return True
 
     def exercise(self, tag: str) -> bool:
+        """Asks for some work to be done; whether it could."""
         if self.fenced:
             self.link.send(agent.exercise(tag))
         return self.fenced
@@ -132,6 +139,7 @@
             self.hear(notice)
 
     def greeting(self) -> None:
+        """The worker agent has greeted on this link."""
         self.greeted = True
         self._sample()  # the fence
 
--- a/tests/test_emulator_models.py
+++ b/tests/test_emulator_models.py
@@ -90,7 +90,7 @@
     machine = Machine(0, MachineFacts(cores=2, read_part=0.5), 1.0, cold=False)
     machine.arrive(0, "t", 20 * MS)
     assert machine.next_at() == 10 * MS and machine.happened(10 * MS) == [("read", "t")]
-    machine.recorder("t", 50.0)
+    machine.book("t", 50.0)
     machine.launch(10 * MS, "t", 50.0, 30 * MS, 0.5)
     assert machine.held_kb == 50.0 * 8 and machine.on_cores() == 1
     assert machine.happened(machine.next_at()) == [("calls", "t")] and machine.on_cores() == 0
