--- a/crowwing/contract.py
+++ b/crowwing/contract.py
@@ -67,39 +67,6 @@
 Id = int | str  # of a ticket, as the wire gives it
 
 
-@dataclass(slots=True)
-class IncomingRequest:
-    """A request as it was read. Times are microseconds.
-
-    Attributes:
-        id: its id on the wire.
-        class_index: the place of its class.
-        tenant: the place of its tenant.
-        rank: its priority from 0 to 1.
-        size_kb: what it takes in memory while it waits.
-        arrived: when it came.
-        deadline: when its caller gives up, 0 where that is not told.
-        caller: who sent it.
-        repeat_of: the id of an earlier attempt, 0 where none is known.
-        key: names what it reads or writes, 0 where nothing does.
-        write: whether it writes that.
-        is_likely_retry: likely a retry in a storm, though nothing marks it.
-    """
-
-    id: Id
-    class_index: int
-    tenant: int
-    rank: float
-    size_kb: float
-    arrived: int
-    deadline: int
-    caller: int
-    repeat_of: Id
-    key: Id
-    write: bool
-    is_likely_retry: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class TrafficType:
     """One traffic type of a deployment."""
--- a/crowwing/drill/adapter.py
+++ b/crowwing/drill/adapter.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from crowwing.contract import IncomingRequest, Outcome, Result, Step
+from crowwing.contract import Outcome, Result, Step
 from crowwing.drill import frames
 from crowwing.logic.manager import LoadManager
-from crowwing.logic.request import Request
+from crowwing.logic.ticket import Ticket
 from crowwing.premises import BadPremises, decode, us
 
 _OUTCOMES = {
@@ -63,23 +63,21 @@
     def __init__(self, now: int, entropy: int, settings: bytes) -> None:
         facts, names = decode(settings)
         self.gauges = names.gauges
-        self.tickets: dict[int, Request] = {}
+        self.tickets: dict[int, Ticket] = {}
         self.manager = LoadManager(facts, now, random.Random(entropy))
 
     def hear(self, now: int, event: tuple) -> list[Result]:
         code = event[0]
         if code == frames.ARRIVAL:
             (_, _, op_id, grade, team, key, due, _, kb, rank, attrs, by, age, repeats) = event
-            facts = self.manager.state.facts
-            types = facts.types
+            types = self.manager.facts.types
             if grade >= len(types):
                 raise frames.BadFrame(f"ARRIVAL names traffic type {grade} of {len(types)}")
-            if facts.shares and team >= len(facts.shares):
-                raise frames.BadFrame(f"ARRIVAL names customer {team} of {len(facts.shares)}")
-            incoming = IncomingRequest(
-                op_id, grade, team, rank, kb, now - us(age), us(due), by, repeats, key, bool(attrs & 4)
-            )
-            ticket = self.manager.take(now, incoming)
+            if self.manager.facts.shares and team >= len(self.manager.facts.shares):
+                raise frames.BadFrame(f"ARRIVAL names customer {team} of {len(self.manager.facts.shares)}")
+            ticket = self.manager.take(
+                now, op_id, grade, team, rank, kb, now - us(age), us(due), by, repeats, key, bool(attrs & 4)
+            )  # fmt: skip
             self.tickets[op_id] = ticket
             return []
         if code == frames.RING:
--- a/crowwing/logic/feedback.py
+++ b/crowwing/logic/feedback.py
@@ -35,7 +35,6 @@
     """Moves an inflight limit: up while workers idle and work waits, else down by a PID in velocity form."""
 
     def __init__(self, climb: float, proportional: float, integral: float, derivative: float) -> None:
-        """A loop with these gains."""
         self._gains = climb, proportional, integral, derivative
         self._last_error = self._error_before = 0.0
 
--- a/crowwing/program/backend.py
+++ b/crowwing/program/backend.py
@@ -11,8 +11,6 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from crowwing.logic.backend_state import BackendState
-from crowwing.logic.request import RequestState
 from crowwing.program.configuration import BadConfiguration, Configuration
 from crowwing.program.front import Front
 from crowwing.program.log import Log
@@ -286,7 +284,14 @@
             "lag_ms": round(self.lag * 1000, 1),
         }  # fmt: skip
         if manager is not None:
-            running |= _decision_figures(manager.state)
+            running |= {
+                "held": manager.counts[1], "running": manager.counts[2], "limit": round(manager.limit, 2),
+                "cut": round(manager.cut, 3), "errors": round(manager.errors, 3),
+                "unread_ms": round(manager.unread / 1000, 1), "asking": len(manager.asking),
+                "calling": manager.counts[4], "call_room": round(manager.call_room, 1),
+                "call_ms": round(manager.call_late / 1000, 1),
+                "call_usual_ms": round(manager.call_usual / 1000, 1),
+            }  # fmt: skip
         if self.dispatcher.storm_monitor is not None:
             view = self.dispatcher.storm_monitor.look()
             running |= {
@@ -299,21 +304,3 @@
         if self.front.turned_down:
             running["turned_down"], self.front.turned_down = dict(self.front.turned_down), Counter()
         self.log.write("figures", **running, counts=dict(counts))
-
-
-def _decision_figures(state: BackendState) -> dict[str, float]:
-    """What the log says of the decision module; the names of the fields are those of docs/oncall.md."""
-    counts, calls = state.table.counts, state.calls
-    return {
-        "held": counts[RequestState.QUEUED],
-        "running": counts[RequestState.RUNNING],
-        "limit": round(state.limiter.limit, 2),
-        "cut": round(state.threshold.value, 3),
-        "errors": round(state.health.error_rate, 3),
-        "unread_ms": round(state.arrivals.unread / 1000, 1),
-        "asking": len(state.table.awaiting_call),
-        "calling": counts[RequestState.CALLING],
-        "call_room": round(calls.call_room, 1),
-        "call_ms": round(calls.recent_latency / 1000, 1),
-        "call_usual_ms": round(calls.usual_latency / 1000, 1),
-    }
--- a/crowwing/program/together.py
+++ b/crowwing/program/together.py
@@ -82,12 +82,11 @@
 
     def _borrow(self, manager: LoadManager) -> float:
         now, loans = self.link.now(), self.member.loans
-        calls = manager.state.calls
-        (at, spent), self.spent = self.spent, (now, calls.call_time)
-        if at and now > at and calls.pace > 0:
-            used = (calls.call_time - spent) / (now - at) / calls.pace
+        (at, spent), self.spent = self.spent, (now, manager.below_time)
+        if at and now > at and manager.call_pace > 0:
+            used = (manager.below_time - spent) / (now - at) / manager.call_pace
             self.used += (used - self.used) / MEMORY
-        starved = bool(manager.state.table.awaiting_call) and calls.spent > calls.burst / 2
+        starved = bool(manager.asking) and manager.spent > manager.burst / 2
         want = wanted(self.used, loans.part(now), starved)
         loans.turn(now, self.member.membership.alive(), self.used, want)
         return loans.part(now)
@@ -119,23 +118,22 @@
 
     def _teach(self, manager: LoadManager) -> None:
         """Only what was measured here."""
-        latencies = manager.state.latencies
         kinds = tuple(
-            (latencies.queue_timeouts[k], latencies.medians[k]) if len(runs) >= ENOUGH else (0, 0)
-            for k, runs in enumerate(latencies.runs)
+            (manager.timeout[k], manager.median[k]) if len(runs) >= ENOUGH else (0, 0)
+            for k, runs in enumerate(manager.runs)
         )
-        call = manager.state.calls.usual_latency if manager.state.calls.ended_count > 2 * ENOUGH else 0
+        call = manager.call_usual if manager.ended_calls > 2 * ENOUGH else 0
         if call or any(kinds):
-            learned = lesson.Lesson(kinds, manager.state.limiter.limit, call)
+            learned = lesson.Lesson(kinds, manager.limit, call)
             self._put(self.link.wall(), f"lesson/{self.member.me}", learned.told(), LESSON_LIFE)
 
     def _learn(self, manager: LoadManager) -> None:
         """Once, when this member has caught up."""
         self.taught = True
         lessons = (entry.value for _, entry in self.member.copies.under("lesson/"))
-        start = lesson.taken(lessons, len(manager.state.facts.types))
+        start = lesson.taken(lessons, len(manager.facts.types))
         if start is not None:
-            manager.adopt(self.dispatcher.now(), start.kinds, start.limit, start.call)
+            manager.taught(self.dispatcher.now(), start.kinds, start.limit, start.call)
             self.recorder.event("taught", call_ms=start.call / 1000, limit=round(start.limit, 2))
 
     def _put(self, wall: int, key: str, value: object, life: int) -> None:
--- a/crowwing/routing/dispatcher.py
+++ b/crowwing/routing/dispatcher.py
@@ -14,7 +14,7 @@
 
 from crowwing.contract import Names, Outcome, Premises, Repeat, Step
 from crowwing.logic.manager import LoadManager
-from crowwing.logic.request import RequestState
+from crowwing.logic.ticket import NEW
 from crowwing.protocol import agent
 from crowwing.protocol.arrival import Arrival
 from crowwing.routing.backend_calls import BackendCalls
@@ -175,8 +175,8 @@
         """What a dismissal tells its caller, which a storm may pace."""
         if self.storm_monitor is not None:
             try:
-                brings = self.manager.state.arrivals.weights.get(request.by, 1.0)
-                return self.storm_monitor.away(request.by, brings, round(away), request.handle.deadline)
+                brings = self.manager.weights.get(request.by, 1.0)
+                return self.storm_monitor.away(request.by, brings, round(away), request.handle.due)
             except Exception:
                 self._blind("returns", request)
         return away
@@ -216,7 +216,7 @@
                     self._abandon(request)
         if self.manager is not None:
             self._decide(now)
-            if len(self.open_requests) != len(self.manager.state.table.by_id):
+            if len(self.open_requests) != len(self.manager.open):
                 for request in [
                     request
                     for request in self.open_requests.values()
@@ -224,8 +224,7 @@
                 ]:
                     self._close(request)
             self.recorder.holds(
-                len(self.open_requests) == len(self.manager.state.table.by_id),
-                "the desk's tickets are the module's",
+                len(self.open_requests) == len(self.manager.open), "the desk's tickets are the module's"
             )
         self.repeats.expire(now)
 
@@ -236,11 +235,11 @@
             return
         except Exception:
             self.recorder.defect("turn", None)
-        self.manager.state.table.arrivals.clear()
+        self.manager.arrivals.clear()
         overdue = [
             s
             for s in self.open_requests.values()
-            if s.handle and (now >= s.handle.deadline or s.handle.state == RequestState.NEW)
+            if s.handle and (now >= s.handle.due or s.handle.state == NEW)
         ]
         for request in overdue:
             self._abandon(request)
@@ -257,11 +256,11 @@
         if handle is not None and not handle.closed:
             handle.answered = True
             try:
-                self.manager.abandon(handle)
+                self.manager.close(handle)
             except Exception:
                 self.recorder.defect("close", request.id)
                 handle.closed = True
-                self.manager.state.table.by_id.pop(request.id, None)
+                self.manager.open.pop(request.id, None)
         self._close(request)
 
     def _close(self, request: OpenRequest) -> None:
@@ -369,11 +368,7 @@
     def _ended(self, now: int, request: OpenRequest, notice: agent.Ended) -> list:
         request.launched, request.wanted = False, None
         end = notice.end
-        if (
-            end == "STOPPED"
-            and not request.answered
-            and request.handle.request_class.repeat is not Repeat.REDOABLE
-        ):
+        if end == "STOPPED" and not request.answered and request.handle.type.repeat is not Repeat.REDOABLE:
             # Guards against a run that was stopped though nobody asked: held again, it would run twice.
             end = "ERROR"
         self.repeats.ended(request, end == "OK", end != "MOOT", notice.result)
--- a/crowwing/routing/retry_table.py
+++ b/crowwing/routing/retry_table.py
@@ -32,7 +32,7 @@
         """The work of a request, kept until `until` microseconds."""
         self.work, self.id, self.content = request.work, request.id, request.content
         self.until = until
-        self.lag = request.handle.request_class.outer_limit  # what came in time may be read so late
+        self.lag = request.handle.type.outer_limit  # what came in time may be read so late
         self.request: OpenRequest | None = request  # until its ticket is closed
         self.ran = False
         self.result: bytes | None = None  # of the run that ended well
@@ -98,7 +98,7 @@
 
     def began(self, request: OpenRequest, now: int) -> None:
         """It runs: from now on it is known, also where the module had no entry to keep it by."""
-        kind = request.handle.request_class
+        kind = request.handle.type
         if kind.repeat is Repeat.REDOABLE:
             return
         labelled = kind.repeat is Repeat.LABELLED
@@ -124,7 +124,7 @@
                 del self.entries[request.work]
             del self.ids[request.id]
             self._over(entry, None)
-        elif good and request.handle.request_class.repeat is Repeat.LABELLED:
+        elif good and request.handle.type.repeat is Repeat.LABELLED:
             entry.result = result
             self._over(entry, result)
 
--- a/crowwing/routing/worker_commands.py
+++ b/crowwing/routing/worker_commands.py
@@ -62,7 +62,7 @@
         self.recorder.holds(not request.launched, "launched while its run is on")
         request.launched = True
         request.runs += 1
-        once = request if request.handle.request_class.repeat is not Repeat.REDOABLE else None
+        once = request if request.handle.type.repeat is not Repeat.REDOABLE else None
         self._issue(agent.launch(request.id, request.type, request.body), self._still_runs(request), once)
 
     def freeze(self, request: OpenRequest, _: float = 0) -> None:
--- a/tests/decision_recording.py
+++ b/tests/decision_recording.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from crowwing.contract import Halt, IncomingRequest, Outcome, Result, Signal, Step
+from crowwing.contract import Halt, Outcome, Result, Signal, Step
 from crowwing.logic.manager import LoadManager
 from tests.rig import MS, facts
 
@@ -49,9 +49,8 @@
                 self._note(results)
             self._note(self.manager.turn(self._now))
             self._requests = {key: held for key, held in self._requests.items() if not held.closed}
-            state = self.manager.state
-            figures = f"{state.limiter.limit!r} {state.threshold.value!r} {state.latencies.queue_timeouts}"
-            self.lines.append(f"{figures} {state.calls.call_room!r}")
+            manager = self.manager
+            self.lines.append(f"{manager.limit!r} {manager.cut!r} {manager.timeout} {manager.call_room!r}")
 
     def _note(self, results: list[Result]) -> None:
         for step, request, figure in results:
@@ -71,7 +70,7 @@
             )
             yield self.manager.wake(self._now, gauges)
         if number == 20:
-            self.manager.adopt(self._now, ((300 * MS, 200 * MS),) * 3, 6.0, 40 * MS)
+            self.manager.taught(self._now, ((300 * MS, 200 * MS),) * 3, 6.0, 40 * MS)
         if number % 150 == 149:
             self.manager.allot(draw.uniform(0.5, 1.5), [draw.uniform(0.5, 1.5) for _ in self._facts.shares])
         if number == MOMENTS - 60:
@@ -84,11 +83,11 @@
         repeats = draw.choice(list(self._requests)) if self._requests and draw.random() < 0.2 else 0
         due = arrived + draw.choice((5000, 5000, 2500, 900)) * MS if draw.random() < 0.8 else 0
         team = draw.randrange(len(self._facts.shares)) if self._facts.shares else 0
-        incoming = IncomingRequest(
-            self._next_id, draw.randrange(3), team, draw.random(), draw.uniform(5, 60), arrived, due,
-            draw.randrange(7), repeats, draw.choice((0, 0, 5, 6)), draw.random() < 0.3, draw.random() < 0.05,
+        self._requests[self._next_id] = self.manager.take(
+            self._now, self._next_id, draw.randrange(3), team, draw.random(), draw.uniform(5, 60), arrived,
+            due, draw.randrange(7), repeats, draw.choice((0, 0, 5, 6)), draw.random() < 0.3,
+            draw.random() < 0.05,
         )  # fmt: skip
-        self._requests[self._next_id] = self.manager.take(self._now, incoming)
 
     def _news_of(self, request: Any) -> Iterator[list[Result]]:  # noqa: ANN401
         draw, now = self._random, self._now
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -11,19 +11,9 @@
 
 import uvloop
 
-from crowwing.contract import (
-    Halt,
-    IncomingRequest,
-    Outcome,
-    Premises,
-    Repeat,
-    Result,
-    Signal,
-    Step,
-    TrafficType,
-)
+from crowwing.contract import Halt, Outcome, Premises, Repeat, Result, Signal, Step, TrafficType
 from crowwing.logic.manager import LoadManager
-from crowwing.logic.request import Request
+from crowwing.logic.ticket import Ticket
 from crowwing.premises import decode
 from crowwing.program.backend import Backend
 from crowwing.program.configuration import Configuration
@@ -62,7 +52,7 @@
         self.now, self.ids, self.callers = 10_000_000, 0, callers
         self.facts = facts(**changes)
         self.manager = LoadManager(self.facts, self.now, random.Random(seed + 1))
-        self.tickets: dict[int, Request] = {}
+        self.tickets: dict[int, Ticket] = {}
         self.state: dict[int, str] = {}  # what the world knows of each open ticket
         self.answers: dict[int, Step] = {}
         self.gone: set[int] = set()
@@ -87,10 +77,9 @@
         repeats = self.batch.get(self.work[op_id], first if until >= arrived else 0)
         self.batch[self.work[op_id]] = op_id
         due = arrived + left if left else 0
-        incoming = IncomingRequest(
-            op_id, kind, team, rank, 25.0, arrived, due, op_id % self.callers, repeats, 0, False
+        self.tickets[op_id] = self.manager.take(
+            self.now, op_id, kind, team, rank, 25.0, arrived, due, op_id % self.callers, repeats, 0, False
         )
-        self.tickets[op_id] = self.manager.take(self.now, incoming)
         self.state[op_id] = "held"
         return op_id
 
@@ -113,7 +102,7 @@
                 self.state[op_id] = "halting"
             elif step in (Step.DISMISS, Step.DISMISS_ALL):
                 assert was == "held" and op_id not in self.answers, "one answer, and no dismissal of what ran"
-                assert ticket.request_class.repeat is Repeat.REDOABLE or not ticket.has_run
+                assert ticket.type.repeat is Repeat.REDOABLE or not ticket.ran
                 self.answer(ticket, step)
                 del self.state[op_id]
             elif step is Step.FORFEIT:
@@ -125,7 +114,7 @@
                 self.state[op_id] = "calling"
                 self.calls[op_id] = self.now + figure
             elif step is Step.GO_ON:
-                assert was == "asking" and ticket.request_class.credit_without > 0
+                assert was == "asking" and ticket.type.credit_without > 0
                 self.state[op_id] = "running"
             elif step is Step.KEEP:
                 self.kept[self.work[op_id]] = (op_id, self.now + figure)
@@ -134,16 +123,16 @@
             elif step is Step.SHARE:
                 self.state[op_id] = "sharing"
 
-    def start(self, ticket: Request) -> None:
+    def start(self, ticket: Ticket) -> None:
         if self.notice:
             assert ticket.arrived <= self.notice + self.facts.grace, "nothing late is run in a drain"
         before = self.ran.setdefault(self.work[ticket.id], [])
-        if ticket.request_class.repeat is Repeat.LABELLED:
-            assert all(ticket.arrived - at > ticket.request_class.window for at in before), "no effect twice"
-        assert ticket.request_class.repeat is not Repeat.IRREVERSIBLE or not before, "no effect twice"
+        if ticket.type.repeat is Repeat.LABELLED:
+            assert all(ticket.arrived - at > ticket.type.window for at in before), "no effect twice"
+        assert ticket.type.repeat is not Repeat.IRREVERSIBLE or not before, "no effect twice"
         before.append(ticket.arrived)
 
-    def answer(self, ticket: Request, step: Step) -> None:
+    def answer(self, ticket: Ticket, step: Step) -> None:
         assert ticket.id not in self.answers, "one answer"
         self.answers[ticket.id] = step
 
@@ -176,9 +165,9 @@
         on_cores = 0
         for op_id, state in self.state.items():
             t = self.tickets[op_id]
-            due = min(t.deadline, self.stop) if self.stop else t.deadline
+            due = min(t.due, self.stop) if self.stop else t.due
             assert op_id in self.answers or op_id in self.gone or self.now <= due + slack, "no ticket is lost"
-            heavy += t.size_kb * (1 if state in ("held", "sharing") else f.run_factor)
+            heavy += t.kb * (1 if state in ("held", "sharing") else f.run_factor)
             on_cores += state in ("running", "halting")
         live = sum(until > self.now for _, until in self.kept.values())
         assert heavy + live * f.key_kb <= f.memory_kb, "memory"
@@ -186,9 +175,7 @@
         speed = f.cold_from + (1 - f.cold_from) * warm
         assert on_cores <= f.cores * (1 + (f.crowd - 1) * speed), "the crowd on the cores"
         assert sum(self.area) <= f.calls_share * len(self.area), "what all backends call"
-        assert len(self.manager.state.table.by_id) <= len(self.state) and len(
-            self.manager.state.entries.expires_at
-        ) <= len(self.kept)
+        assert len(self.manager.open) <= len(self.state) and len(self.manager.kept) <= len(self.kept)
 
     def advance(self, ms: int) -> None:
         for _ in range(ms):
@@ -336,10 +323,7 @@
     def check(self) -> None:
         """What must hold once nothing is open: no defect, nothing left in a table, every ticket run once."""
         assert not self.counts["defects"] and not self.counts["stray_defect"], self.lines
-        assert (
-            not self.backend.dispatcher.open_requests
-            and not self.backend.dispatcher.manager.state.table.by_id
-        )
+        assert not self.backend.dispatcher.open_requests and not self.backend.dispatcher.manager.open
         once = (
             times
             for ident, times in self.farm.begun.items()
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -12,9 +12,9 @@
 
 import pytest
 
-from crowwing.contract import IncomingRequest, Outcome, Repeat, Result, Step
+from crowwing.contract import Outcome, Repeat, Result, Step
 from crowwing.logic.manager import LoadManager
-from crowwing.logic.request import Request
+from crowwing.logic.ticket import Ticket
 from tests.rig import MS, World, facts
 
 HEEDED, FALL, LISTED = (
@@ -47,7 +47,7 @@
         self.told: dict[int, tuple[float, int]] = {}  # caller -> what it was told, and until when it minds
         self.away, self.out = [0] * callers, [0] * callers
         self.left: dict[int, float] = {}  # run -> work to do
-        self.open: dict[int, Request] = {}
+        self.open: dict[int, Ticket] = {}
         self.by: dict[int, int] = {}
         self.got: list[tuple[int, bool]] = []  # when each came, and whether its caller had our word in mind
         self.apply(self.manager.begin(self.now))
@@ -81,16 +81,15 @@
         self.got.append((self.now, minds))
         due = self.now + 3000 * MS
         self.by[self.ids] = caller
-        incoming = IncomingRequest(
-            self.ids, 0, 0, self.chance.random(), 25.0, self.now, due, caller, 0, 0, False
+        self.open[self.ids] = self.manager.take(
+            self.now, self.ids, 0, 0, self.chance.random(), 25.0, self.now, due, caller, 0, 0, False
         )
-        self.open[self.ids] = self.manager.take(self.now, incoming)
         self.out[caller] += 1
 
     def step(self) -> None:
         """A millisecond of the machine, then the module's turn."""
         self.now += MS
-        each = min(1.0, 6 / max(1, len(self.left))) * self.manager.state.limiter.speed(self.now) * MS
+        each = min(1.0, 6 / max(1, len(self.left))) * self.manager.speed(self.now) * MS
         for ident in list(self.left):
             self.left[ident] -= each
             if self.left[ident] <= 0:
@@ -139,7 +138,7 @@
 
 def test_the_check_above_sees_a_backend_that_tells_callers_of_room_which_it_has_not() -> None:
     cold = ColdStart(1, 30)
-    cold.manager.advice.allowance = lambda room: 20.0
+    cold.manager.level = lambda room: 20.0
     cold.play(160, False)
     assert cold.worst() > 0
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -1,16 +1,14 @@
 """Plain cases of the guards: shares, repeats, outer limits, drains, hung work, connections, ages."""
 
 from crowwing.contract import Halt, Outcome, Signal, Step
-from crowwing.logic.tenant_fairness import TenantFairness
 from tests.rig import MS, World
 from tests.test_mechanism import FULL, IDLE, crowded, pass_time, steps
 
 
 def test_over_share_tickets_rank_below_all_others() -> None:
     world = crowded()
-    fairness = TenantFairness(World(1, shares=(0.1, 100.0)).facts, world.now)
-    fairness.traffic = {0: 200.0, 1: 100.0}
-    world.manager.state.fairness = fairness
+    world.manager.facts = World(1, shares=(0.1, 100.0)).facts
+    world.manager.flow, world.manager.parts = {0: 200.0, 1: 100.0}, [1.0, 1.0]
     flood, fair = world.arrive(0, 0.4, team=0), world.arrive(0, 0.99, team=1)
     world.turn(FULL)
     assert world.tickets[flood].rank < 0.1 and world.tickets[fair].rank == 0.99
@@ -18,9 +16,9 @@
 
 def test_allowance_shrinks_with_the_heaviest_caller_first() -> None:
     manager = crowded().manager
-    manager.state.arrivals.weights = {0: 30.0, 1: 2.0}
-    assert manager.advice.allowance(4.0) < manager.advice.allowance(400.0)
-    assert manager.advice.allowance(0.0) == 0
+    manager.weights = {0: 30.0, 1: 2.0}
+    assert manager.level(4.0) < manager.level(400.0)
+    assert manager.level(0.0) == 0
 
 
 def test_labelled_repeat_of_a_held_try_takes_its_place_and_of_a_run_one_shares() -> None:
@@ -66,11 +64,11 @@
     ids = [world.arrive(0, 0.5) for _ in range(6)]
     world.turn(FULL)
     pass_time(world, 1100, FULL, hung=True)
-    assert set(steps(world, Step.DISMISS)) == set(ids[4:]) and not world.manager.advice.is_ready
+    assert set(steps(world, Step.DISMISS)) == set(ids[4:]) and not world.manager.ready
     for op_id in ids[:4]:
         world.end(op_id, Outcome.GOOD)
     pass_time(world, 100, IDLE)
-    assert world.manager.advice.is_ready
+    assert world.manager.ready
 
 
 def test_quiet_backend_wakes_seldom_and_an_open_ticket_soon() -> None:
@@ -93,14 +91,14 @@
         for _ in range(200):
             world.arrive(0, 0.5, left=left * MS)
             pass_time(world, 20, gauges)
-            world.manager.state.arrivals.rejected_share = 0.2
+            world.manager.turned = 0.2
         assert world.figures.get(Step.IDLE, base) == base // parts
     world = World(1, 400, shares=())
     for _ in range(100):  # the first case again, once dismissed tickets come back with part of their time
         for n in range(8):
             world.arrive(0, 0.5, left=(5000 if n % 4 else 2000 + 37 * (world.now // MS % 59)) * MS)
         pass_time(world, 20, FULL)
-    assert world.manager.state.arrivals.retry_share > 0.1 and world.figures.get(Step.IDLE, base) == base
+    assert world.manager.again > 0.1 and world.figures.get(Step.IDLE, base) == base
 
 
 def test_a_try_with_part_of_the_outer_limit_left_is_as_old_as_the_rest() -> None:
@@ -110,14 +108,14 @@
         pass_time(world, 20, IDLE)
     for left, aim, rank in ((5000, 2000, 0.5), (1200, 1200, 0.5), (3800, 800, 0.5), (2900, 2000, 0.0)):
         ticket = world.tickets[world.arrive(0, 0.5, left=left * MS)]
-        assert (ticket.latency_target - ticket.arrived, ticket.rank) == (aim * MS, rank)
-    assert len(world.manager.state.arrivals.time_limits[0]) <= 8
+        assert (ticket.aim - ticket.arrived, ticket.rank) == (aim * MS, rank)
+    assert len(world.manager.bounds[0]) <= 8
 
 
 def test_other_backends_are_named_less_the_more_is_dismissed() -> None:
     for shed, step in ((0.0, Step.DISMISS), (0.6, Step.DISMISS_ALL)):
         world = crowded()
-        world.manager.state.limiter.stretch, world.manager.state.arrivals.rejection_rate = 3.0, shed
+        world.manager.stretch, world.manager.shed = 3.0, shed
         world.arrive(0, 0.0)
         world.turn(FULL)
         assert world.log[-1][0] is step
@@ -125,7 +123,7 @@
 
 def test_line_before_what_lies_below_dismisses_at_once_what_cannot_go_without() -> None:
     world = World(1, shares=())
-    world.manager.state.calls.call_room = 0
+    world.manager.call_room = 0
     ids = [world.arrive(1, 0.9) for _ in range(4)]
     world.turn()
     for op_id in ids:
@@ -152,13 +150,13 @@
         world.end(op_id, Outcome.GOOD, took=1000 * MS)
     ids = [world.arrive(0, 0.5) for _ in range(2)]
     pass_time(world, 1500, FULL, hung=True)
-    assert world.manager.advice.is_ready and set(ids) <= set(steps(world, Step.RUN))
+    assert world.manager.ready and set(ids) <= set(steps(world, Step.RUN))
 
 
 def test_the_first_long_runs_of_a_cold_backend_are_not_taken_for_hung_work() -> None:
     world = World(1, shares=(), cores=2, cold=True)
     ids = [world.arrive(0, 0.5) for _ in range(2)]
     pass_time(world, 1500, FULL, hung=True)  # a fifth of the speed: runs of a third of a second
-    assert world.manager.advice.is_ready and set(ids) <= set(steps(world, Step.RUN))
+    assert world.manager.ready and set(ids) <= set(steps(world, Step.RUN))
     pass_time(world, 2500, FULL, hung=True)
-    assert not world.manager.advice.is_ready
+    assert not world.manager.ready
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from crowwing.contract import IncomingRequest, Repeat
+from crowwing.contract import Repeat
 from crowwing.routing.open_request import OpenRequest
 from crowwing.routing.request_resolver import InvalidRequestError
 from crowwing.routing.retry_table import RetryTable, work_of
@@ -85,13 +85,13 @@
 def test_a_repeat_takes_the_place_of_a_first_try_that_still_waits_to_run() -> None:
     async def scene(town: Town) -> None:
         town.farm.hold = True
-        town.backend.dispatcher.manager.state.limiter.limit = 0.0
-        town.backend.dispatcher.manager.step_loops = lambda now: None
+        town.backend.dispatcher.manager.limit = 0.0
+        town.backend.dispatcher.manager.steer = lambda now: None
         first = again(town, 1)
-        await town.until(lambda: town.backend.dispatcher.manager.state.table.counts[1] == 1)
+        await town.until(lambda: town.backend.dispatcher.manager.counts[1] == 1)
         second = again(town, 2)
         assert (await first)[0] == 503
-        town.backend.dispatcher.manager.state.limiter.limit = 4.0
+        town.backend.dispatcher.manager.limit = 4.0
         await running(town, 2)
         town.farm.go_on(ident(2))
         assert (await second)[0] == 200 and town.farm.begun == {ident(2): 1}
@@ -131,8 +131,7 @@
         over = town.backend.dispatcher.repeats.ids[ident(1)].until
         await town.until(
             lambda: (
-                town.backend.dispatcher.now() > over + 100 * MS
-                and not town.backend.dispatcher.manager.state.entries.expires_at
+                town.backend.dispatcher.now() > over + 100 * MS and not town.backend.dispatcher.manager.kept
             )
         )
         second = again(town, 2)
@@ -363,9 +362,9 @@
     async def scene(town: Town) -> None:
         taken, take = [], town.backend.dispatcher.manager.take
 
-        def seen(now: int, incoming: IncomingRequest) -> object:
-            taken.append((incoming.class_index, incoming.tenant))
-            return take(now, incoming)
+        def seen(now: int, op_id: str, kind: int, team: int, *more: object) -> object:
+            taken.append((kind, team))
+            return take(now, op_id, kind, team, *more)
 
         town.backend.dispatcher.manager.take = seen
         for n, name in enumerate(names):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -19,7 +19,7 @@
     for _ in range(ms // 10):
         world.advance(10)
         if not hung:  # runs move, though none ends here
-            world.manager.state.health.progress_at = world.now
+            world.manager.moved = world.now
         world.turn(gauges)
 
 
@@ -35,7 +35,7 @@
 
 def test_cut_rises_and_dismisses_low_ranks_at_once() -> None:
     world = crowded()
-    assert world.manager.state.threshold.value > 0
+    assert world.manager.cut > 0
     low, high = world.arrive(0, 0.0), world.arrive(0, 0.99)
     world.turn(FULL)
     assert low in world.answers and high not in world.answers
@@ -47,12 +47,12 @@
         if n % 10 == 0:
             world.arrive(0, 0.5)
         pass_time(world, 10, FULL | {"core_use": 0.5})
-    assert world.manager.state.threshold.value == 0
+    assert world.manager.cut == 0
     world = crowded()
     for op_id in [op_id for op_id, state in world.state.items() if state == "running"]:
         world.end(op_id, Outcome.GOOD)
     pass_time(world, 9000, IDLE)
-    assert world.manager.state.threshold.value == 0
+    assert world.manager.cut == 0
 
 
 def test_cut_never_reaches_the_highest_tier() -> None:
@@ -60,7 +60,7 @@
     for _ in range(400):
         world.arrive(0, 0.99)
         pass_time(world, 10, FULL)
-    assert world.manager.state.threshold.value <= 5 / 6
+    assert world.manager.cut <= 5 / 6
 
 
 def test_highest_rank_starts_first() -> None:
@@ -91,10 +91,7 @@
             pass_time(world, 10, IDLE)
         held = [world.arrive(0, 0.5, left=left * MS) for _ in range(5)][4]
         for _ in range(100):
-            world.manager.state.arrivals.rejection_rate, world.manager.state.arrivals.rejected_share = (
-                shed,
-                0.2,
-            )
+            world.manager.shed, world.manager.turned = shed, 0.2
             pass_time(world, 10, FULL)
         assert (held not in world.answers) is stretched
 
@@ -106,19 +103,16 @@
         world.turn(IDLE)
         world.end(op_id, Outcome.GOOD, took=400 * MS)
         pass_time(world, 10, IDLE)
-    assert (
-        world.manager.state.latencies.queue_timeouts == [400 * MS] * 3
-        and world.manager.state.latencies.medians == [400 * MS] * 3
-    )
+    assert world.manager.timeout == [400 * MS] * 3 and world.manager.median == [400 * MS] * 3
 
 
 def test_limit_starts_at_the_cores_climbs_while_they_idle_and_stays_under_the_ceiling() -> None:
     world = World(1, shares=(), memory_kb=1e6)
-    assert world.manager.state.limiter.limit == 4
+    assert world.manager.limit == 4
     for _ in range(200):
         world.arrive(0, 0.5)
     pass_time(world, 500, IDLE)
-    assert 4 < world.manager.state.limiter.limit <= 4 * 5 * 0.75
+    assert 4 < world.manager.limit <= 4 * 5 * 0.75
 
 
 def test_quick_failures_do_not_shrink_the_timeout_and_send_work_elsewhere() -> None:
@@ -128,10 +122,7 @@
         world.turn(IDLE)
         if world.state.get(op_id) == "running":
             world.end(op_id, Outcome.FAILED, took=MS)
-    assert (
-        world.manager.state.latencies.queue_timeouts[0] == 2000 * MS
-        and world.manager.state.limiter.limit >= 4
-    )
+    assert world.manager.timeout[0] == 2000 * MS and world.manager.limit >= 4
     for _ in range(20):
         world.arrive(0, 0.9)
         world.turn(IDLE)
@@ -167,14 +158,14 @@
             world.arrive(2, 0.5)
         pass_time(world, 10, IDLE)
         for op_id in [op_id for op_id, state in world.state.items() if state == "running"]:
-            if world.tickets[op_id].call_requested_at:
+            if world.tickets[op_id].asked:
                 world.end(op_id, Outcome.GOOD)
             else:
                 world.needs_call(op_id)
         for kind, op_id in world.log[known:]:
             if kind is Step.CALL:
                 started[step // 100] += 1
-                bound = world.tickets[op_id].call_deadline - world.now
+                bound = world.tickets[op_id].call_until - world.now
                 assert step < 300 or bound >= 340 * MS, "given up before calls come back"
                 out[op_id] = world.now + 200 * MS
         known = len(world.log)
@@ -191,31 +182,29 @@
     world = World(1, shares=(), calls_share=0.72, memory_kb=1e6)
     manager = world.manager
     for _ in range(20):
-        manager.state.calls.record_call(50 * MS, Outcome.GOOD)
+        manager.learn_call(50 * MS, Outcome.GOOD)
     op_id = world.arrive(2, 0.5)
     world.turn(IDLE)
     world.needs_call(op_id)
     for medians, goes_out in ((7, []), (9, [op_id])):
-        manager.state.calls.spent = (
-            manager.state.calls.burst - manager.state.facts.lingers - medians * 50 * MS
-        )
+        manager.spent = manager.burst - manager.facts.lingers - medians * 50 * MS
         world.apply(manager.turn(world.now))
         assert steps(world, Step.CALL) == goes_out
-    assert world.tickets[op_id].call_deadline - world.now == 450 * MS
+    assert world.tickets[op_id].call_until - world.now == 450 * MS
 
 
 def test_the_pace_of_calls_follows_what_the_fleet_lends_and_the_burst_stays() -> None:
     world = World(1, shares=(), calls_share=0.72, memory_kb=1e6)
     manager = world.manager
-    burst, most = manager.state.calls.burst, manager.state.calls.max_calls
+    burst, most = manager.burst, manager.most_calls
     left = {}
     for part in (0.5, 1.0, 2.0):
         manager.allot(part, [])
-        manager.state.calls.spent = burst
-        manager.step_loops(manager._stepped_at + 100 * MS)
-        left[part] = burst - manager.state.calls.spent
+        manager.spent = burst
+        manager.steer(manager.last_step + 100 * MS)
+        left[part] = burst - manager.spent
     assert left[0.5] == pytest.approx(left[1.0] / 2) and left[2.0] == pytest.approx(2 * left[1.0])
-    assert manager.state.calls.burst == burst and manager.state.calls.max_calls >= most
+    assert manager.burst == burst and manager.most_calls >= most
 
 
 def test_a_customers_share_follows_its_part_of_the_quota() -> None:
@@ -225,7 +214,7 @@
         for _ in range(200):  # ten a second of a share of six
             ticket = world.tickets[world.arrive(0, 0.5)]
             pass_time(world, 100, IDLE)
-        return world.manager.state.fairness.expected_value(ticket.tenant, world.now)
+        return world.manager.share_left(ticket, world.now)
 
     assert 0.1 < expects(0.2) < expects(1.0) < 0.95 and expects(3.0) == 1.0
 
@@ -233,44 +222,35 @@
 def test_a_dear_ticket_of_a_customer_beyond_its_share_still_ranks_above_cheap_ones() -> None:
     world = World(1, shares=(0.1, 100.0))
     cheap, dear = (replace(world.facts.types[n], credit=credit) for n, credit in ((0, 1.0), (2, 10.0)))
-    world.manager.state.facts = replace(world.facts, types=(cheap, cheap, dear))
+    world.manager.facts = replace(world.facts, types=(cheap, cheap, dear))
     t = world.tickets[world.arrive(2, 0.9)]
-    t.request_class = dear
-    assert (
-        world.manager.admission.rank_by_value(t, 0.5) == 2 / 3
-        and world.manager.admission.rank_by_value(t, 0.05) == 0.9 * 0.05
-    )
-    assert world.manager.admission.rank_by_value(t, 1.0) == 0.9
+    t.type = dear
+    assert world.manager.worth(t, 0.5) == 2 / 3 and world.manager.worth(t, 0.05) == 0.9 * 0.05
+    assert world.manager.worth(t, 1.0) == 0.9
 
 
 def test_what_others_learned_is_a_start_and_never_goes_over_what_was_measured() -> None:
     world = World(1, shares=(), calls_share=0.72, memory_kb=1e6)
     manager = world.manager
-    kinds = len(manager.state.facts.types)
+    kinds = len(manager.facts.types)
     for _ in range(20):
-        world.manager.state.latencies.runs.add(0, 300 * MS)
-    mine = manager.state.latencies.queue_timeouts[0]
-    manager.adopt(world.now, tuple((77 * MS, 33 * MS) for _ in range(kinds)), 5.0, 40 * MS)
-    assert (
-        manager.state.latencies.queue_timeouts[0] == mine
-        and manager.state.latencies.queue_timeouts[1] == 77 * MS
-        and manager.state.latencies.medians[1] == 33 * MS
-    )
-    assert manager.state.calls.usual_latency == 40 * MS and manager.state.calls.ended_count
-    manager.state.calls.record_call(200 * MS, Outcome.GOOD)
-    assert manager.state.calls.usual_latency < 70 * MS, (
-        "the first call of a cold start is not taken for the usual one"
-    )
-    manager.adopt(world.now, ((0, 0),) * kinds, 5.0, 900 * MS)
-    assert manager.state.calls.usual_latency < 70 * MS
+        world.manager.runs.add(0, 300 * MS)
+    mine = manager.timeout[0]
+    manager.taught(world.now, tuple((77 * MS, 33 * MS) for _ in range(kinds)), 5.0, 40 * MS)
+    assert manager.timeout[0] == mine and manager.timeout[1] == 77 * MS and manager.median[1] == 33 * MS
+    assert manager.call_usual == 40 * MS and manager.ended_calls
+    manager.learn_call(200 * MS, Outcome.GOOD)
+    assert manager.call_usual < 70 * MS, "the first call of a cold start is not taken for the usual one"
+    manager.taught(world.now, ((0, 0),) * kinds, 5.0, 900 * MS)
+    assert manager.call_usual < 70 * MS
 
 
 def test_crowded_callee_shrinks_the_room_for_calls() -> None:
     world = World(1)
-    before = world.manager.state.calls.call_room
+    before = world.manager.call_room
     for took in [50 * MS] * 100 + [500 * MS] * 50:
-        world.manager.state.calls.record_call(took, Outcome.GOOD)
-    assert world.manager.state.calls.call_room < before
+        world.manager.learn_call(took, Outcome.GOOD)
+    assert world.manager.call_room < before
 
 
 def test_reading_line_too_long_leaves_the_list_and_comes_back() -> None:
@@ -279,9 +259,9 @@
         world.arrive(0, 0.5, age=1900 * MS)
     world.asleep_until = 0
     world.turn(FULL)
-    assert Step.UNREADY in world.figures and not world.manager.advice.is_ready
+    assert Step.UNREADY in world.figures and not world.manager.ready
     pass_time(world, 2000, IDLE)
-    assert world.manager.advice.is_ready
+    assert world.manager.ready
 
 
 def test_calls_that_are_never_answered_do_not_lengthen_the_bound_of_others() -> None:
@@ -290,14 +270,12 @@
         world = World(1, shares=(), memory_kb=1e6)
         for n in range(60):
             gone = lost and n % lost == 0
-            world.manager.state.calls.record_call(
-                600 * MS if gone else took, Outcome.UNSURE if gone else Outcome.GOOD
-            )
+            world.manager.learn_call(600 * MS if gone else took, Outcome.UNSURE if gone else Outcome.GOOD)
         op_id = world.arrive(kind, 0.9)
         world.turn(IDLE)
         world.needs_call(op_id)
         world.turn(IDLE)
-        return world.tickets[op_id].call_deadline - world.now
+        return world.tickets[op_id].call_until - world.now
 
     assert bound(0, 3 * MS) == bound(5, 3 * MS) == 60 * MS
     assert bound(0, 30 * MS) == 600 * MS  # where all are slow it follows
@@ -309,7 +287,7 @@
 def test_a_line_before_calls_keeps_no_caller_away_while_cores_have_room() -> None:
     for gauges, away in ((IDLE, False), (FULL, True)):
         world = World(1, shares=(), memory_kb=1e6)
-        world.manager.state.calls.call_room = 0
+        world.manager.call_room = 0
         for _ in range(4):
             op_id = world.arrive(1, 0.9)
             world.turn(gauges)
--- a/tests/test_module_at_size.py
+++ b/tests/test_module_at_size.py
@@ -8,8 +8,8 @@
 import pytest
 
 from crowwing.logic.feedback import ENOUGH, SAMPLES
+from crowwing.logic.intake import SHARE_SPAN
 from crowwing.logic.manager import LoadManager
-from crowwing.logic.tenant_fairness import SHARE_SPAN
 from tests.rig import MS, World, facts
 
 TENANTS = 170_000
@@ -27,16 +27,14 @@
 
 def share(world: World, team: int) -> float:
     """What a ticket of this customer can expect, come now."""
-    return world.manager.state.fairness.expected_value(
-        world.tickets[world.arrive(0, 0.5, team=team)].tenant, world.now
-    )
+    return world.manager.share_left(world.tickets[world.arrive(0, 0.5, team=team)], world.now)
 
 
 def test_a_ticket_touches_its_own_customer_alone() -> None:
     world = World(1, shares=(0.01,) * TENANTS)
     for team in range(10):
         share(world, team * 1000)
-    assert len(world.manager.state.fairness.traffic) == 10, "nothing is kept for customers that did not come"
+    assert len(world.manager.flow) == 10, "nothing is kept for customers that did not come"
 
 
 def test_customers_that_stay_away_are_forgotten() -> None:
@@ -46,10 +44,10 @@
     for _ in range(1000):  # another one goes on, a ticket in 200 ms
         world.now += 200 * MS
         share(world, 7)
-    assert set(world.manager.state.fairness.traffic) == {7}
+    assert set(world.manager.flow) == {7}
     world.now += SHARE_SPAN
     share(world, 9)
-    assert set(world.manager.state.fairness.traffic) == {9}, "a span without a ticket empties it at once"
+    assert set(world.manager.flow) == {9}, "a span without a ticket empties it at once"
 
 
 @pytest.mark.parametrize("seed", range(5))
@@ -76,8 +74,8 @@
 def ended(manager: LoadManager, world: World, kind: int, took: int) -> None:
     """A run of this type ended by itself."""
     t = world.tickets[world.arrive(0, 0.5)]
-    t.class_index = kind
-    manager.lifecycle.record_run(t, took, is_good=True)
+    t.kind = kind
+    manager.learn(t, took, good=True)
 
 
 def test_the_end_of_a_run_compares_as_little_among_many_traffic_types() -> None:
@@ -98,7 +96,7 @@
     chance, world, count = random.Random(seed), World(1), 6
     manager = of_types(count)
     runs = [deque(maxlen=SAMPLES) for _ in range(count)]
-    timeout, median = manager.state.latencies.queue_timeouts[:], manager.state.latencies.medians[:]
+    timeout, median = manager.timeout[:], manager.median[:]
     for _ in range(1200):
         k, took = (
             min(chance.randrange(20), count - 1),
@@ -110,13 +108,7 @@
             ranked = sorted(one for kind in runs for one in kind) if few else sorted(own)
             if (few or j == k) and len(ranked) >= ENOUGH:
                 median[j], p90 = ranked[len(ranked) // 2], ranked[len(ranked) * 9 // 10]
-                timeout[j] = max(
-                    manager.state.latencies.time_allowed[j] // 8,
-                    min(p90, manager.state.latencies.time_allowed[j] - p90),
-                )
+                timeout[j] = max(manager.span[j] // 8, min(p90, manager.span[j] - p90))
         ended(manager, world, k, took)
-        assert (manager.state.latencies.queue_timeouts, manager.state.latencies.medians) == (timeout, median)
-    assert (
-        sorted(one for kind in manager.state.latencies.runs for one in kind)
-        == manager.state.latencies.runs.ranked
-    )
+        assert (manager.timeout, manager.median) == (timeout, median)
+    assert sorted(one for kind in manager.runs for one in kind) == manager.runs.ranked
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -155,10 +155,7 @@
         town.farm.writer.write(town.farm.greet)
         await town.until(lambda: town.backend.front.good)
         manager = town.backend.dispatcher.manager
-        assert (
-            manager.state.facts.cold
-            and 900_000 < town.backend.dispatcher.now() - manager.state.limiter.started_at < 30_000_000
-        )
+        assert manager.facts.cold and 900_000 < town.backend.dispatcher.now() - manager.born < 30_000_000
         await town.until(lambda: town.backend.dispatcher.send.fenced)
         assert (await ask_one(town, 2))[0] == 200
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -38,7 +38,7 @@
             ticket, luck = world.tickets[op_id], chance.random()
             over = op_id in world.answers or op_id in world.gone
             if state == "running" and luck < 0.05:
-                if luck < 0.02 and ticket.request_class.calls and not over:
+                if luck < 0.02 and ticket.type.calls and not over:
                     world.needs_call(op_id)
                 else:
                     world.end(op_id, Outcome.FAILED if luck < 0.025 else Outcome.GOOD)
--- a/tests/test_storm_returns.py
+++ b/tests/test_storm_returns.py
@@ -81,7 +81,7 @@
         assert all(0 < away <= 1000 for away, _ in paced) and all(after == 1 for _, after in paced)
         town.backend.dispatcher.storm_monitor.sight.good_rate = 20.0
         manager = town.backend.dispatcher.manager
-        manager.state.facts = dataclasses.replace(manager.state.facts, stay_away_most=100_000)
+        manager.facts = dataclasses.replace(manager.facts, stay_away_most=100_000)
         spread = await asked_while_sick(town, 200, 12)
         assert len({away for away, _ in spread}) > 6 and max(away for away, _ in spread) > 150
         town.check()
@@ -92,7 +92,7 @@
 async def asked_while_sick(town: Town, first: int, count: int) -> list[tuple[int, int]]:
     """What so many sidecars are told when all is dismissed: milliseconds to stay away, and Retry-After."""
     told = []
-    town.backend.dispatcher.manager.state.health.is_stalled = lambda now: True
+    town.backend.dispatcher.manager.stalled = lambda now: True
     for n in range(first, first + count):
         side = await Sidecar(town).open()
         status, head, _ = await side.ask(Sidecar.ticket(f"{n:016x}", X_Router=str(n)))
@@ -111,10 +111,8 @@
         town.farm.hold = True
         dispatcher, taken = town.backend.dispatcher, []
         take = dispatcher.manager.take
-        dispatcher.manager.take = lambda now, given: (taken.append(given.is_likely_retry), take(now, given))[
-            1
-        ]
-        dispatcher.manager.state.health.is_stalled = lambda now: True
+        dispatcher.manager.take = lambda *given: (taken.append(given[-1]), take(*given))[1]
+        dispatcher.manager.stalled = lambda now: True
         for n in range(3):
             side = await Sidecar(town).open()
             assert (await side.ask(Sidecar.ticket(f"{n:016x}", "book", b"the same")))[0] == 503
@@ -132,7 +130,7 @@
 
         setattr(town.backend.dispatcher.storm_monitor, part, fails)
         if part == "away":
-            town.backend.dispatcher.manager.state.health.is_stalled = lambda now: True
+            town.backend.dispatcher.manager.stalled = lambda now: True
         for n in range(3):
             status, _, _ = await (await Sidecar(town).open()).ask(Sidecar.ticket(f"{n:016x}"))
             assert status == (503 if part == "away" else 200)
