--- a/tests/test_deploy_files.py
+++ b/tests/test_deploy_files.py
@@ -8,6 +8,7 @@
 import pytest
 
 ROOT = Path(__file__).parents[1]
+MAX_POLICY_LINES, MAX_LINE_LENGTH = 640, 110  # that are not blank, comments too, as the operators' pages say
 # Programs and modules that a build uses, with the Debian package that has each.
 PACKAGES = {r"\bpython3\b": "python3", r"-m pip\b": "python3-pip", r"-m venv\b": "python3-venv"}
 
@@ -31,3 +32,9 @@
     assert {str(path.relative_to(ROOT)) for path in (ROOT / "crowwing" / "logic").glob("*.py")} == set(
         deploy["policy"]
     )
+
+
+def test_the_decision_module_is_no_longer_than_the_operators_allow() -> None:
+    files = [(ROOT / path).read_text().splitlines() for path in deploy_file("balancer.toml")["policy"]]
+    assert sum(bool(line.strip()) for lines in files for line in lines) <= MAX_POLICY_LINES
+    assert all(len(line) <= MAX_LINE_LENGTH for lines in files for line in lines)
