--- a/tests/tier/simulation/machines.py
+++ b/tests/tier/simulation/machines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Coroutine
 from pathlib import Path
 from random import Random
@@ -127,9 +128,16 @@
         return Settings.model_validate({
             "node": f"node-{self.host}", "ip": self.host, "portRange": [PORT, PORT + 10],
             "seeds": [f"{host}:{PORT}" for host in world.seeds], "bootstrap": bootstrap,
-            "faultTolerance": {"machines": world.faults}, "limits": {"diskMb": world.disk_mb},
+            "faultTolerance": {"machines": world.faults}, "limits": self._limits(),
         })  # fmt: skip
 
+    def _limits(self) -> dict[str, float]:
+        uplink_bytes_per_s = self.world.network.uplink_bytes_per_s
+        limits: dict[str, float] = {"diskMb": self.world.disk_mb}
+        if uplink_bytes_per_s < math.inf:
+            limits["linkMbps"] = uplink_bytes_per_s * 8 / 1_000_000
+        return limits
+
 
 class Store(Machine):
     """A store machine."""
--- a/tests/tier/simulation/network.py
+++ b/tests/tier/simulation/network.py
@@ -26,6 +26,7 @@
     reader: asyncio.StreamReader
     peer: "Endpoint" = field(init=False, repr=False)
     closed: bool = False
+    queued: deque[bytes] = field(default_factory=deque)  # waits for the machine's uplink
     sent: deque[tuple[float, bytes]] = field(default_factory=deque)  # with the times of arrival
     arrives: float = 0.0
     free_at: float = 0.0  # when what was written before has been sent, at a bounded bandwidth
@@ -43,8 +44,8 @@
         return (self.peer.incarnation.host, 0) if name == "peername" else None
 
     def get_write_buffer_size(self) -> int:
-        """Bytes that the far side has not got yet."""
-        return sum(len(data) for _, data in self.sent)
+        """Bytes that the far side has not got yet, whether they have left this machine or not."""
+        return sum(map(len, self.queued)) + sum(len(data) for _, data in self.sent)
 
     def write(self, data: bytes) -> None:
         """Sends bytes."""
@@ -59,6 +60,11 @@
 
     # What the network does to it
 
+    def discard(self) -> None:
+        """Forgets what the far side has not got yet."""
+        self.queued.clear()
+        self.sent.clear()
+
     def fail(self, error: Exception) -> None:
         """The connection has ended for this side."""
         if not self.closed:
@@ -67,6 +73,49 @@
                 self.reader.set_exception(error)
 
 
+class Uplink:
+    """The one link over which a machine sends what all its connections write, in the order of the writes."""
+
+    def __init__(
+        self, loop: SimulatedLoop, bytes_per_s: float, transmit: Callable[[Endpoint, bytes], None]
+    ) -> None:
+        """An idle link; `transmit` takes what has left the machine."""
+        self._loop, self._bytes_per_s, self._transmit = loop, bytes_per_s, transmit
+        self._queue: deque[Endpoint] = deque()  # one of each write, the first one's bytes are leaving
+        self._is_busy = False
+
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that have not left the machine."""
+        return sum(len(data) for endpoint in set(self._queue) for data in endpoint.queued)
+
+    @property
+    def wait_s(self) -> float:
+        """How long the newest byte waits until it leaves."""
+        return self.queued_bytes / self._bytes_per_s
+
+    def send(self, sender: Endpoint, data: bytes) -> None:
+        """Queues bytes behind all that was written before."""
+        sender.queued.append(data)
+        self._queue.append(sender)
+        if not self._is_busy:
+            self._begin_next()
+
+    def _begin_next(self) -> None:
+        while self._queue and not self._queue[0].queued:  # its connection has ended meanwhile
+            self._queue.popleft()
+        self._is_busy = bool(self._queue)
+        if self._is_busy:
+            span_s = len(self._queue[0].queued[0]) / self._bytes_per_s
+            self._loop.call_at(self._loop.time() + span_s, self._finish_first, context=Context())
+
+    def _finish_first(self) -> None:
+        sender = self._queue.popleft()
+        if sender.queued:
+            self._transmit(sender, sender.queued.popleft())
+        self._begin_next()
+
+
 class SimulatedNetwork:
     """All connections between all machines."""
 
@@ -81,6 +130,8 @@
         self.powered_off: set[str] = set()  # without power
         self.loss = 0.0  # share of messages that have to be sent again
         self.bytes_per_s = math.inf  # of each connection
+        self.uplink_bytes_per_s = math.inf  # of each machine, over all its connections
+        self._uplinks: dict[str, Uplink] = {}
         self.bytes_sent: dict[str, int] = {}
 
     # Connections
@@ -130,8 +181,21 @@
     def _is_partitioned(self, a: str, b: str) -> bool:
         return (a, b) in self.partitioned_links or (b, a) in self.partitioned_links
 
+    def uplink(self, host: str) -> Uplink:
+        """The link over which a machine sends; its rate is that of the moment when it is first used."""
+        if host not in self._uplinks:
+            self._uplinks[host] = Uplink(self._loop, self.uplink_bytes_per_s, self._transmit)
+        return self._uplinks[host]
+
     def send(self, sender: Endpoint, data: bytes) -> None:
-        """Puts bytes on their way."""
+        """Puts bytes on their way, behind what the machine has written before where its uplink is bounded."""
+        if self.uplink_bytes_per_s < math.inf:
+            self.uplink(sender.incarnation.host).send(sender, data)
+        else:
+            self._transmit(sender, data)
+
+    def _transmit(self, sender: Endpoint, data: bytes) -> None:
+        """Bytes leave the machine."""
         near = sender.incarnation.host
         now = self._loop.time()
         arrives = now + self._delay()
@@ -156,7 +220,7 @@
         if sender.closed or sender.unacknowledged_since is None:
             return
         if sender.unacknowledged_since == since and self._is_unreachable(sender):
-            sender.sent.clear()
+            sender.discard()
             self._call_in_incarnation(sender, sender.fail, TimeoutError("not acknowledged"))
         else:
             self._watch(sender)
@@ -196,12 +260,12 @@
     def _reset(self, endpoint: Endpoint) -> None:
         near, far = endpoint.incarnation.host, endpoint.peer.incarnation.host
         if (far, near) not in self.partitioned_links and not endpoint.closed:
-            endpoint.sent.clear()
+            endpoint.discard()
             self._call_in_incarnation(endpoint, endpoint.fail, ConnectionResetError("reset"))
 
     def reset_peer(self, endpoint: Endpoint) -> None:
         """A side has ended; the other one gets a reset, unless they are partitioned."""
-        endpoint.sent.clear()
+        endpoint.discard()
         self._reset_later(endpoint.peer)
 
     # Faults
@@ -214,7 +278,7 @@
         if reset:
             for endpoint in self._endpoints:
                 if {endpoint.incarnation.host, endpoint.peer.incarnation.host} == {a, b}:
-                    endpoint.sent.clear()
+                    endpoint.discard()
                     self._call_in_incarnation(endpoint, endpoint.fail, ConnectionResetError("cut"))
 
     def heal(self) -> None:
@@ -239,7 +303,7 @@
         for endpoint in self._endpoints:
             if endpoint.incarnation is incarnation and not endpoint.closed:
                 endpoint.closed = True
-                endpoint.sent.clear()
+                endpoint.discard()
                 if not power:
                     self._reset_later(endpoint.peer)
         self._endpoints = [
