--- /dev/null
+++ b/tests/tier/test_saturated_uplink.py
@@ -0,0 +1,42 @@
+"""A burst that fills the store machines' uplinks, and the loss of the primary at its end.
+
+Bounds are those of the settings and of docs/serving-tier.md, not measured ones.
+"""
+
+import pytest
+
+from tests.tier.simulation.saturation import Findings, SaturationRun, Scenario
+
+ACK_S = 6.0  # ackMs of the large sites, for a valid change of the configuration
+CATCH_UP_S = 6.0  # catchUpS of the large sites
+PRIMARY_BACK_S = 2.0
+MAX_TERMS = 5  # that one loss may take, with the machine's return: a handful
+
+CASES = [(5, 6.0), (9, 6.0), (18, 1.0), (18, 2.0), (18, 6.0)]
+
+
+def shortcomings(findings: Findings) -> list[str]:
+    """What the control side owed its callers in a run and did not give them."""
+    found = []
+    if findings.longest_change_s > ACK_S:
+        found.append(f"a change of the configuration took {findings.longest_change_s:.1f} s")
+    if findings.primary_back_s > PRIMARY_BACK_S:
+        found.append(f"the next primary came {findings.primary_back_s:.1f} s after the loss")
+    if findings.job_back_s > CATCH_UP_S:
+        found.append(f"a job was acknowledged {findings.job_back_s:.1f} s after the loss")
+    if findings.longest_gap_s > ACK_S:
+        found.append(f"nothing was acknowledged for {findings.longest_gap_s:.1f} s of calm")
+    if findings.terms > MAX_TERMS:
+        found.append(f"{findings.terms} terms in a run with one loss")
+    if findings.lost_jobs is None:
+        found.append("no primary at the end")
+    elif findings.lost_jobs:
+        found.append(f"{len(findings.lost_jobs)} acknowledged jobs were lost")
+    return found
+
+
+@pytest.mark.parametrize(("machines", "load"), CASES)
+def test_a_saturated_uplink_stops_neither_elections_nor_changes(machines: int, load: float) -> None:
+    findings = SaturationRun(Scenario(machines, load, burst_s=8.0, calm_s=10.0)).play()
+    assert findings.changes and findings.job_acks
+    assert not shortcomings(findings)
