--- a/crowwing/tier/replication/campaign.py
+++ b/crowwing/tier/replication/campaign.py
@@ -6,7 +6,7 @@
 from crowwing.tier.replication.messages import Promise
 from crowwing.tier.replication.peers import NEVER
 from crowwing.tier.replication.terms import Term, View
-from crowwing.tier.replication.timing import SYNC_TIMEOUT_S
+from crowwing.tier.replication.timing import PREPARE_GRACE_S, SYNC_TIMEOUT_S
 
 
 class Phase(enum.Enum):
@@ -25,6 +25,8 @@
         phase: the present phase.
         since: when it began.
         released: term of the primary that has given up its lease for this campaign, NO_TERM where none has.
+        grace_s: how long it waits for further promises once a majority has promised.
+        silent: replicas that are known not to respond, and not waited for.
         promises: promises by sender.
         prepared: replicas that were sent a Prepare.
         majority_at: when a majority of the base view's witnesses had promised.
@@ -40,6 +42,8 @@
     phase: Phase
     since: float
     released: Term
+    grace_s: float = PREPARE_GRACE_S
+    silent: frozenset[str] = frozenset()
     promises: dict[str, Promise] = field(default_factory=dict)
     prepared: set[str] = field(default_factory=set)
     majority_at: float | None = None
--- a/crowwing/tier/replication/candidate.py
+++ b/crowwing/tier/replication/candidate.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import ClassVar
 
 from crowwing.tier.replication import messages, range_transfer
@@ -15,21 +14,12 @@
 from crowwing.tier.replication.timing import (
     ACCEPT_TIMEOUT_S,
     HEARTBEAT_INTERVAL_S,
-    PREPARE_GRACE_S,
     PREPARE_TIMEOUT_S,
     SYNC_GRACE_S,
     SYNC_TIMEOUT_S,
-    WITNESS_GONE_S,
-    WITNESS_REPLACED_S,
 )
-
-
-@dataclass(frozen=True)
-class ViewLimits:
-    """How small a view may get: more copies and witnesses than faults that are to be survived at once."""
-
-    min_replicas: int
-    min_witnesses: int
+from crowwing.tier.replication.view_limits import ViewLimits
+from crowwing.tier.replication.view_selection import choose_witnesses, limit_members
 
 
 class Candidate(RoleState):
@@ -50,7 +40,7 @@
         campaign = self.campaign
         elapsed_s = now - campaign.since
         if campaign.phase is Phase.PREPARE:
-            if campaign.majority_at is not None and now - campaign.majority_at >= PREPARE_GRACE_S:
+            if campaign.majority_at is not None and now - campaign.majority_at >= campaign.grace_s:
                 self._start_sync(now)
             elif elapsed_s >= PREPARE_TIMEOUT_S:
                 self._changes.step_down(now, "no majority of the witnesses answers")
@@ -99,7 +89,7 @@
         promised = set(campaign.promises) & set(base.witnesses)
         if len(promised) >= majority(len(base.witnesses)):
             campaign.majority_at = campaign.majority_at or now
-            if campaign.prepared <= set(campaign.promises):
+            if campaign.prepared <= campaign.promises.keys() | campaign.silent:
                 self._start_sync(now)
 
     def on_nack(self, now: float, nack: messages.Nack) -> None:
@@ -145,7 +135,7 @@
         """Returns who is to hold the data in the new view: those who promised.
 
         Where enough stay, without slow disks and without those that need a repair: these would delay the
-        view, and the primary brings them up to date.
+        view, and the primary brings them up to date. As many as a full view has, at most.
         """
         core = self._core
         promises = self.campaign.promises
@@ -155,7 +145,8 @@
         if len(quick) >= self._min_replicas():
             targets = quick
         near = {member for member in targets if member == core.me or core.log.contains(promises[member].last)}
-        return near if len(near) >= self._min_replicas() else targets
+        eligible = near if len(near) >= self._min_replicas() else targets
+        return limit_members(core.me, eligible, promises, self._base(), self._limits.max_replicas)
 
     def on_sync_response(self, now: float, response: messages.SyncResponse) -> None:
         """Sends a target more of the data, or counts it as synchronized."""
@@ -207,24 +198,16 @@
         campaign.phase = Phase.ACCEPT
         campaign.since = now
         members = tuple(sorted(campaign.synced))
-        witnesses = self._next_witnesses(now)
+        witnesses = self._next_witnesses()
         campaign.view = View(core.durable.promised, members, witnesses)
         for other in sorted({*self._base().witnesses, *witnesses, *members}):
             core.send(other, messages.Accept(core.me, campaign.view))
 
-    def _next_witnesses(self, now: float) -> tuple[str, ...]:
-        """The old witnesses and the members, without those that leave or that have long been silent."""
-        core = self._core
-        synced = self.campaign.synced
-        old = set(self._base().witnesses)
-        wanted = old | synced
-        silence_limit_s = WITNESS_REPLACED_S if synced - old else WITNESS_GONE_S
-        for witness in sorted(wanted - synced):
-            is_gone = now - core.peers.heard_at.get(witness, now) >= silence_limit_s
-            leaves = witness in core.excluded or is_gone
-            if leaves and len(wanted) - 1 >= min(self._limits.min_witnesses, len(old)):
-                wanted.discard(witness)
-        return tuple(sorted(wanted))
+    def _next_witnesses(self) -> tuple[str, ...]:
+        campaign = self.campaign
+        responsive = campaign.promises.keys() - campaign.silent
+        min_count = min(self._limits.min_witnesses, len(campaign.synced | set(self._base().witnesses)))
+        return choose_witnesses(campaign.synced, self._base(), responsive, self._core.excluded, min_count)
 
     def on_accepted(self, now: float, accepted: messages.Accepted) -> None:
         """Counts one acceptance; the view holds once majorities of old and new witnesses have accepted."""
--- /dev/null
+++ b/crowwing/tier/replication/catch_up.py
@@ -0,0 +1,146 @@
+"""The part of a primary that brings spares up to date, as many as its view lacks members."""
+
+from dataclasses import dataclass
+
+from crowwing.tier.replication import messages, range_transfer
+from crowwing.tier.replication.core import ReplicaCore
+from crowwing.tier.replication.spares import ZoneSpread
+from crowwing.tier.replication.terms import LOG_START, LogPosition, Term, View
+from crowwing.tier.replication.timing import (
+    HEARTBEAT_INTERVAL_S,
+    LEARNER_BACKOFF_S,
+    LEARNER_CHOICE_DELAY_S,
+    LEARNER_RANGES_WAIT_S,
+    LEARNER_STALLED_S,
+    LEARNER_TIMEOUT_S,
+    MAX_LEARNER_LAG_BYTES,
+    MAX_LEARNER_LAG_ENTRIES,
+    SLOW_DISK_SYNC_S,
+)
+from crowwing.tier.replication.view_limits import ViewLimits
+
+
+@dataclass
+class Learner:
+    """A spare that is being brought up to date.
+
+    Attributes:
+        heard_at: when it last responded.
+        moved_at: when it last got on.
+        last: the end of its log.
+        wait_until: before this it is sent nothing more, unless it responds.
+        is_ready: whether it is close enough behind to become a member.
+    """
+
+    heard_at: float
+    moved_at: float
+    last: LogPosition = LOG_START
+    wait_until: float = 0.0
+    is_ready: bool = False
+
+
+class CatchUp:
+    """Chooses learners among the spares and sends them what they lack; owned by one Primary."""
+
+    def __init__(self, core: ReplicaCore, view: View, limits: ViewLimits, now: float) -> None:
+        """No learners yet, for a view that begins `now`."""
+        self._core = core
+        self._view = view
+        self._limits = limits
+        self._choose_from = now + LEARNER_CHOICE_DELAY_S
+        self._learners: dict[str, Learner] = {}
+
+    @property
+    def learners(self) -> set[str]:
+        """The replicas that are being brought up to date."""
+        return set(self._learners)
+
+    def ready(self, now: float) -> frozenset[str]:
+        """The learners that may become members now."""
+        return frozenset(
+            host
+            for host, learner in self._learners.items()
+            if learner.is_ready and now - learner.heard_at < 2 * HEARTBEAT_INTERVAL_S
+        )
+
+    def tick(self, now: float) -> None:
+        """Gives up learners that are gone or don't get on, and chooses others in their place."""
+        for host, learner in list(self._learners.items()):
+            is_gone = now - learner.heard_at >= LEARNER_TIMEOUT_S
+            is_stalled = not learner.is_ready and now - learner.moved_at >= LEARNER_STALLED_S
+            if is_gone or is_stalled or host in self._core.excluded:
+                del self._learners[host]
+                self._core.spares.pass_over(host, now + LEARNER_BACKOFF_S)
+        missing = self._missing_count()
+        if missing > 0 and now >= self._choose_from:
+            self._choose(now, missing)
+
+    def _missing_count(self) -> int:
+        staying = set(self._view.members) - self._core.excluded
+        return self._limits.max_replicas - len(staying) - len(self._learners)
+
+    def _choose(self, now: float, count: int) -> None:
+        core = self._core
+        members = set(self._view.members)
+        zones = ZoneSpread(core.zones, (members - core.excluded) | self._learners.keys())
+        taken = members | core.excluded | self._learners.keys()
+        for host in core.spares.choose(now, count, taken, core.log, zones):
+            self._learners[host] = Learner(heard_at=now, moved_at=now)
+
+    def on_heartbeat_response(self, now: float, response: messages.HeartbeatResponse) -> None:
+        """Notes where a replica outside of the view stands, and sends it more if it is a learner."""
+        core = self._core
+        core.spares.note(now, response)
+        learner = self._learners.get(response.sender)
+        if learner is None:
+            return
+        learner.heard_at = now
+        if response.last != learner.last:
+            learner.last = response.last
+            learner.moved_at = now
+        has_quick_disk = response.sync_s < SLOW_DISK_SYNC_S / 2
+        learner.is_ready = self._is_near(response) and has_quick_disk
+        is_complete = response.last == core.log.last and response.synced == core.durable.promised
+        # Also what a complete learner is sent makes it write, which shows that a slow disk is quick again.
+        if not (is_complete and has_quick_disk) and now >= learner.wait_until:
+            learner.wait_until = now + core.send_sync(response.sender, response.last)
+
+    def _is_near(self, response: messages.HeartbeatResponse) -> bool:
+        log = self._core.log
+        if response.synced != self._core.durable.promised:
+            return False
+        lag_entries = log.last[1] - response.last[1]
+        if not 0 <= lag_entries <= MAX_LEARNER_LAG_ENTRIES:
+            return False
+        return log.bytes_between(response.last[1], log.last[1]) <= MAX_LEARNER_LAG_BYTES
+
+    def on_sync_response(self, now: float, response: messages.SyncResponse) -> None:
+        """Sends digests to a learner that could not follow; any other is sent more at its next response."""
+        learner = self._learners.get(response.sender)
+        if response.term != self._core.durable.promised or learner is None:
+            return
+        if response.matched:
+            learner.wait_until = now
+        else:
+            learner.wait_until = now + LEARNER_RANGES_WAIT_S
+            self._core.send_digests(response.sender)
+
+    def on_ranges_request(self, now: float, request: messages.RangesRequest) -> None:
+        """Sends ranges to a learner."""
+        if self._serves(request.term, request.sender):
+            range_transfer.send_ranges(self._core, request)
+            self._note_request(now, request.sender)
+
+    def on_entries_request(self, now: float, request: messages.EntriesRequest) -> None:
+        """Sends the entries that end a repair."""
+        serves = self._serves(request.term, request.sender)
+        if serves and range_transfer.send_entries_since(self._core, request):
+            self._note_request(now, request.sender)
+
+    def _serves(self, term: Term, sender: str) -> bool:
+        return term == self._core.durable.promised and sender in self._learners
+
+    def _note_request(self, now: float, host: str) -> None:
+        learner = self._learners[host]
+        learner.moved_at = now
+        learner.wait_until = now + LEARNER_RANGES_WAIT_S
--- a/crowwing/tier/replication/core.py
+++ b/crowwing/tier/replication/core.py
@@ -1,7 +1,7 @@
 """What all roles of a replica share."""
 
 import enum
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from itertools import chain
 
 from crowwing.tier.replication import messages
@@ -20,12 +20,14 @@
     Record,
     SyncedTermRecord,
 )
+from crowwing.tier.replication.spares import Spares
 from crowwing.tier.replication.terms import LogPosition, Term
 from crowwing.tier.replication.timing import (
     ELECTION_DISK_WRITES,
     ELECTION_JITTER_S,
     ELECTION_STAGGER_S,
     ELECTION_TIMEOUT_S,
+    JOIN_FANOUT,
     JOIN_RETRY_S,
     LEADER_STICKINESS_S,
     LEARNER_ENTRIES_WAIT_S,
@@ -64,6 +66,8 @@
         commit_index: up to which index entries were committed when this replica was last primary.
         excluded: replicas that are to leave the view.
         announced: every store machine that the state knows of.
+        zones: the zone of each replica, as far as it is known.
+        spares: replicas outside of the view that this one has heard of as primary.
         disk_stalled: whether a write has been under way for long.
         sync_s: seconds that this replica's disk takes for a write, smoothed.
         highest_seen_term_number: of terms that others were found to be bound to.
@@ -91,6 +95,8 @@
         self.commit_index = 0
         self.excluded: frozenset[str] = frozenset()
         self.announced: frozenset[str] = frozenset()
+        self.zones: Mapping[str, str] = {}
+        self.spares = Spares()
         self.disk_stalled = False
         self.sync_s = 0.0
         self.highest_seen_term_number = 0
@@ -167,10 +173,10 @@
         self.delay_campaign(now)
 
     def request_to_join(self, now: float) -> None:
-        """Asks all peers to be made a member, unless they were asked just before."""
+        """Asks some peers to be made a member, others each time, unless some were asked just before."""
         if now - self.peers.requested_at >= JOIN_RETRY_S:
             self.peers.requested_at = now
-            for peer in sorted(self.peers.known(self.durable.view)):
+            for peer in self.peers.next_in_turn(self.durable.view, JOIN_FANOUT):
                 self.send(peer, messages.JoinRequest(self.me, False))
 
     def send_nack(self, to: str, term: Term) -> None:
--- a/crowwing/tier/replication/follower.py
+++ b/crowwing/tier/replication/follower.py
@@ -13,7 +13,7 @@
 from crowwing.tier.replication.peers import NEVER
 from crowwing.tier.replication.roles import RoleChanges, RoleState, role_handlers
 from crowwing.tier.replication.terms import majority
-from crowwing.tier.replication.timing import PRE_VOTE_RETRY_S
+from crowwing.tier.replication.timing import PRE_VOTE_RETRY_S, SPARE_PATIENCE_S
 
 
 class Follower(RoleState):
@@ -33,9 +33,18 @@
             return
         if self._core.may_lead():
             self._request_pre_votes(now)
-        else:
+        elif not self._is_announced_spare(now):
             self._core.request_to_join(now)
 
+    def _is_announced_spare(self, now: float) -> bool:
+        """Whether this replica is no member, and heard a primary about as often as spares do."""
+        core = self._core
+        view = core.durable.view
+        is_member = view is not None and core.me in view.members
+        if is_member or core.monitor.leader is None:
+            return False
+        return now - core.monitor.heard_at < SPARE_PATIENCE_S
+
     def _request_pre_votes(self, now: float) -> None:
         """Asks all witnesses, and again after a while; campaigns at once where no other one is needed."""
         if now - self._pre_votes_requested_at < PRE_VOTE_RETRY_S:
--- a/crowwing/tier/replication/member_progress.py
+++ b/crowwing/tier/replication/member_progress.py
@@ -1,4 +1,4 @@
-"""What a primary knows of the other replicas' data: members, and learners that are to become members."""
+"""What a primary knows of the data of its view's members."""
 
 from collections.abc import Iterable
 
@@ -76,28 +76,3 @@
     def beyond_log(self, base: LogPosition) -> list[str]:
         """Returns the members that the log does not reach back to."""
         return [member for member, sent in self.sent.items() if sent < base[1]]
-
-
-class Learners:
-    """Replicas that are being brought up to date.
-
-    Attributes:
-        ready: learners that have caught up.
-    """
-
-    def __init__(self) -> None:
-        """No learners yet."""
-        self.ready: set[str] = set()
-        self._wait_until: dict[str, float] = {}
-
-    def may_be_sent(self, now: float, learner: str) -> bool:
-        """Whether a learner has responded, or had its time to."""
-        return now >= self._wait_until.get(learner, now)
-
-    def wait(self, learner: str, until: float) -> None:
-        """Sends a learner nothing more before `until`, unless it responds."""
-        self._wait_until[learner] = until
-
-    def stop_waiting(self, learner: str) -> None:
-        """Notes that a learner has responded."""
-        self._wait_until.pop(learner, None)
--- a/crowwing/tier/replication/peers.py
+++ b/crowwing/tier/replication/peers.py
@@ -23,6 +23,7 @@
         self.heard_at: dict[str, float] = {}
         self.joined_at: dict[str, float] = {}
         self.requested_at = NEVER
+        self._turn = 0
 
     def add(self, hosts: Iterable[str]) -> None:
         """Adds replicas that this one has heard of."""
@@ -40,6 +41,13 @@
             known |= set(view.members) | set(view.witnesses)
         return known - {self._me}
 
+    def next_in_turn(self, view: View | None, count: int) -> list[str]:
+        """Some of the known replicas, in turn: each call goes on where the last one ended."""
+        known = sorted(self.known(view))
+        start = self._turn % len(known) if known else 0
+        self._turn = start + count
+        return (known[start:] + known[:start])[:count]
+
     def joined_within(self, now: float, span_s: float) -> set[str]:
         """Replicas that asked to become members within the last `span_s` seconds."""
         return {host for host, at in self.joined_at.items() if now - at < span_s}
--- a/crowwing/tier/replication/primary.py
+++ b/crowwing/tier/replication/primary.py
@@ -4,28 +4,25 @@
 from collections.abc import Iterator
 from typing import ClassVar
 
-from crowwing.tier.replication import messages, range_transfer
-from crowwing.tier.replication.candidate import ViewLimits
+from crowwing.tier.replication import messages
+from crowwing.tier.replication.catch_up import CatchUp
 from crowwing.tier.replication.core import ReplicaCore, Role
 from crowwing.tier.replication.lease import Lease
-from crowwing.tier.replication.member_progress import Learners, MemberProgress
+from crowwing.tier.replication.member_progress import MemberProgress
 from crowwing.tier.replication.peers import NEVER
 from crowwing.tier.replication.records import LogEntry
 from crowwing.tier.replication.roles import RoleChanges, RoleState, role_handlers
-from crowwing.tier.replication.terms import Term, View
+from crowwing.tier.replication.terms import View
 from crowwing.tier.replication.timing import (
     ANNOUNCEMENT_INTERVAL_S,
     HEARTBEAT_INTERVAL_S,
-    JOIN_REQUEST_VALID_S,
     LEADER_STICKINESS_S,
-    LEARNER_RANGES_WAIT_S,
-    MAX_LEARNER_LAG_ENTRIES,
+    LEARNER_BACKOFF_S,
     MEMBER_TIMEOUT_S,
     RECONFIGURATION_PAUSE_S,
-    SLOW_DISK_SYNC_S,
     TRANSFER_PAUSE_S,
-    WITNESS_GONE_S,
 )
+from crowwing.tier.replication.view_limits import ViewLimits
 
 log = logging.getLogger("crowwing.replication")
 
@@ -41,7 +38,7 @@
         self._lease = lease
         self._limits = limits
         self._progress = MemberProgress(core.me, self._view().members, core.log.last[1])
-        self._learners = Learners()
+        self._catch_up = CatchUp(core, self._view(), limits, lease.active_since)
         self._heartbeat_at = NEVER
         self._announced_at = NEVER
         self._transfer_at = NEVER
@@ -102,16 +99,18 @@
         return self._lease.is_confirmed(number, self._view().witnesses)
 
     def send_heartbeat(self, now: float) -> None:
-        """Sends a heartbeat to the witnesses, to learners and, now and then, to all store machines."""
+        """Sends a heartbeat to the witnesses, to learners, to who asks to join, and now and then to all."""
         core = self._core
         view = self._view()
-        self._heartbeat_at = now
         sequence = self._lease.start_round(now, core.me)
-        receivers = {*view.witnesses, *core.peers.joined_within(now, 2 * JOIN_REQUEST_VALID_S)}
+        asked_to_join = core.peers.joined_within(now, 2 * HEARTBEAT_INTERVAL_S)
+        receivers = {*view.witnesses, *self._catch_up.learners, *asked_to_join}
+        self._heartbeat_at = now
         if now - self._announced_at >= ANNOUNCEMENT_INTERVAL_S:
             self._announced_at = now
             # A replica that lost its disk may have no other way to hear of this one.
             receivers |= core.announced - core.excluded
+            receivers |= core.spares.heard_within(now)
         heartbeat = messages.Heartbeat(core.durable.promised, core.me, sequence, view)
         for other in sorted(receivers - {core.me}):
             core.send(other, heartbeat)
@@ -132,7 +131,7 @@
         if response.sender in view.members:
             self._check_member(now, response)
         elif response.sender not in core.excluded:
-            self._bring_up_to_date(now, response)
+            self._catch_up.on_heartbeat_response(now, response)
 
     def transfer_leadership(self) -> None:
         """Gives up the lease and asks the member that is best up to date to take over, if there is one.
@@ -154,7 +153,7 @@
         self._lease.is_released = True
         core.send(freshest, messages.LeadershipTransfer(core.durable.promised, core.me))
 
-    # Members and learners
+    # Members
 
     def _check_member(self, now: float, response: messages.HeartbeatResponse) -> None:
         member = response.sender
@@ -178,42 +177,19 @@
             self._progress.sent[member] = response.last[1]
             self._send_windows(now, [member])
 
-    def _bring_up_to_date(self, now: float, response: messages.HeartbeatResponse) -> None:
-        core = self._core
-        learner = response.sender
-        core.peers.joined_at[learner] = now  # also one that was shown the primary and did not ask by itself
-        lag_entries = core.log.last[1] - response.last[1]
-        is_near = response.synced == core.durable.promised and 0 <= lag_entries <= MAX_LEARNER_LAG_ENTRIES
-        if is_near and response.sync_s < SLOW_DISK_SYNC_S / 2:
-            self._learners.ready.add(learner)
-            return
-        self._learners.ready.discard(learner)
-        if self._learners.may_be_sent(now, learner):  # also shows that a slow disk is quick again
-            wait_s = core.send_sync(learner, response.last)
-            self._learners.wait(learner, now + wait_s)
-
-    def on_sync_response(self, _now: float, response: messages.SyncResponse) -> None:
-        """Sends digests to a learner that could not follow; any other is sent more at its next response."""
-        if response.term != self._core.durable.promised:
-            return
-        if response.matched:
-            self._learners.stop_waiting(response.sender)
-        else:
-            self._core.send_digests(response.sender)
+    # Learners
+
+    def on_sync_response(self, now: float, response: messages.SyncResponse) -> None:
+        """Hands the response of a learner on."""
+        self._catch_up.on_sync_response(now, response)
 
     def on_ranges_request(self, now: float, request: messages.RangesRequest) -> None:
-        """Sends ranges to a learner."""
-        if self._serves(request.term):
-            range_transfer.send_ranges(self._core, request)
-            self._learners.wait(request.sender, now + LEARNER_RANGES_WAIT_S)
+        """Hands the request of a learner on."""
+        self._catch_up.on_ranges_request(now, request)
 
     def on_entries_request(self, now: float, request: messages.EntriesRequest) -> None:
-        """Sends the entries that end a repair."""
-        if self._serves(request.term) and range_transfer.send_entries_since(self._core, request):
-            self._learners.wait(request.sender, now + LEARNER_RANGES_WAIT_S)
-
-    def _serves(self, term: Term) -> bool:
-        return term == self._core.durable.promised
+        """Hands the request of a learner on."""
+        self._catch_up.on_entries_request(now, request)
 
     # Changes of the view
 
@@ -241,6 +217,7 @@
             self._changes.resign(now, "its disk does not answer")
             return
         self._progress.disk_sync_s[core.me] = core.sync_s
+        self._catch_up.tick(now)
         if self._should_hand_over() and now - self._transfer_at >= TRANSFER_PAUSE_S:
             self._transfer_at = now
             self.transfer_leadership()
@@ -248,7 +225,14 @@
         reason = next(self._reasons_to_change_view(now), None)
         if reason is not None:
             log.info("view_change_started reason=%r", reason)
-            self._changes.start_campaign(now)
+            self._change_view(now)
+
+    def _change_view(self, now: float) -> None:
+        """Campaigns for a view of its own, with the learners that are ready."""
+        joining = self._catch_up.ready(now)
+        for learner in joining:
+            self._core.spares.pass_over(learner, now + LEARNER_BACKOFF_S)  # unless the view takes it in
+        self._changes.start_campaign(now, joining=joining)
 
     def _should_hand_over(self) -> bool:
         """Whether this replica is to leave, or its disk is slow where enough members have better ones."""
@@ -260,7 +244,7 @@
 
     def _reasons_to_change_view(self, now: float) -> Iterator[str]:
         yield from self._reasons_of_members(now)
-        yield from self._reasons_of_witnesses(now)
+        yield from self._reasons_of_others(now)
 
     def _reasons_of_members(self, now: float) -> Iterator[str]:
         core = self._core
@@ -278,27 +262,15 @@
         if slow and len(members) - len(slow) >= self._limits.min_replicas:
             yield f"the disk of {', '.join(sorted(slow))} is slow"
 
-    def _reasons_of_witnesses(self, now: float) -> Iterator[str]:
+    def _reasons_of_others(self, now: float) -> Iterator[str]:
         core = self._core
-        heard_at = core.peers.heard_at
         view = self._view()
         leaving = core.excluded & {*view.members, *view.witnesses}
-        if leaving and len(set(view.witnesses) - leaving) >= self._limits.min_witnesses:
+        if leaving and len(set(view.members) - leaving) >= self._limits.min_witnesses:
             yield f"{', '.join(sorted(leaving))} is to leave"
-        ready = {
-            learner
-            for learner in self._learners.ready
-            if now - heard_at.get(learner, NEVER) < 2 * HEARTBEAT_INTERVAL_S
-        }
+        ready = self._catch_up.ready(now)
         if ready:
             yield f"{', '.join(sorted(ready))} has caught up"
-        gone = [
-            witness
-            for witness in view.witnesses
-            if now - heard_at.get(witness, now) >= WITNESS_GONE_S and witness != core.me
-        ]
-        if gone and len(view.witnesses) - 1 >= self._limits.min_witnesses:
-            yield f"{', '.join(gone)} is gone"
 
     handlers = role_handlers(
         {
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -16,7 +16,7 @@
 
 from crowwing.tier.replication import messages
 from crowwing.tier.replication.campaign import Campaign, Phase
-from crowwing.tier.replication.candidate import Candidate, ViewLimits
+from crowwing.tier.replication.candidate import Candidate
 from crowwing.tier.replication.core import ReplicaCore, Role
 from crowwing.tier.replication.follower import Follower
 from crowwing.tier.replication.leader_monitor import LeaderMonitor
@@ -24,11 +24,19 @@
 from crowwing.tier.replication.machine import Machine
 from crowwing.tier.replication.member import Member
 from crowwing.tier.replication.output import Output
+from crowwing.tier.replication.peers import NEVER
 from crowwing.tier.replication.primary import Primary
 from crowwing.tier.replication.recovery import Recovery
 from crowwing.tier.replication.roles import Handler, RoleState
 from crowwing.tier.replication.terms import NO_TERM, Term, View
-from crowwing.tier.replication.timing import JOIN_REQUEST_VALID_S
+from crowwing.tier.replication.timing import (
+    JOIN_REQUEST_VALID_S,
+    JOIN_RETRY_S,
+    MEMBER_TIMEOUT_S,
+    PREPARE_GRACE_S,
+    RECONFIGURATION_GRACE_S,
+)
+from crowwing.tier.replication.view_limits import ViewLimits
 from crowwing.tier.replication.witness import Witness
 
 log = logging.getLogger("crowwing.replication")
@@ -74,9 +82,7 @@
             started: when this incarnation began, if before `now`; nothing was answered in it yet.
         """
         super().__init__(settings.me, settings.seeds, machine, LeaderMonitor(now, started), random)
-        self.min_replicas = settings.faults + 1
-        self.min_witnesses = 2 * settings.faults + 1
-        self._limits = ViewLimits(self.min_replicas, self.min_witnesses)
+        self.limits = ViewLimits.of_faults(settings.faults)
         self._lease = Lease(now, confirmed_at=now)
         self._recovery = Recovery(self)
         self._witness = Witness(self, self)
@@ -174,9 +180,10 @@
     def _on_join_request(self, now: float, request: messages.JoinRequest) -> None:
         """Notes who wants to become a member, for a view of its own; forwards it once to the primary."""
         self.peers.add([request.sender])
+        was_noted = now - self.peers.joined_at.get(request.sender, NEVER) < JOIN_RETRY_S / 2
         if request.sender not in self.excluded:
             self.peers.joined_at[request.sender] = now
-        if self.role is Role.PRIMARY or request.forwarded:
+        if self.role is Role.PRIMARY or request.forwarded or was_noted:
             return
         if self.leader is not None and self.leader not in (self.me, request.sender):
             self.send(self.leader, messages.JoinRequest(request.sender, True))
@@ -209,31 +216,60 @@
         self.step_down(now, reason)
         self.monitor.leader = None
 
-    def start_campaign(self, now: float, released: Term = NO_TERM, above: Term = NO_TERM) -> None:
+    def start_campaign(
+        self,
+        now: float,
+        released: Term = NO_TERM,
+        above: Term = NO_TERM,
+        joining: frozenset[str] = frozenset(),
+    ) -> None:
         """Becomes a candidate, under a new term.
 
         Args:
             now: the present time.
             released: the term whose primary has handed over. A primary releases its own by campaigning.
             above: a term that others are bound to.
+            joining: replicas that are to become members.
         """
         view = self.durable.view
         assert view is not None, "only a replica that may lead campaigns"
-        receivers = {*view.witnesses, *view.members, self.me}
+        receivers = {*view.witnesses, *view.members, *joining, self.me}
         was_primary = self.role is Role.PRIMARY
         if was_primary:
             released = self.durable.promised
         # Members that are left beside a lost one may be too few to hold the data: others can take its place.
-        if was_primary or len(view.members) - 1 < self.min_replicas:
-            receivers |= self.peers.joined_within(now, JOIN_REQUEST_VALID_S)
+        if len(view.members) - 1 < self.limits.min_replicas:
+            receivers |= self._substitutes(now)
+        campaign = Campaign(
+            Phase.PREPARE,
+            now,
+            released,
+            RECONFIGURATION_GRACE_S if was_primary else PREPARE_GRACE_S,
+            self._silent_replicas(now),
+        )
         number = max(self.durable.promised[0], above[0], self.highest_seen_term_number) + 1
         self.durable.promise((number, self.me))
-        candidate = Candidate(self, self, Campaign(Phase.PREPARE, now, released), self._limits)
+        candidate = Candidate(self, self, campaign, self.limits)
         self._begin(candidate)
         if not was_primary:
             log.info("campaign_started term=%s", self.durable.promised)
         candidate.send_prepares(receivers)
 
+    def _substitutes(self, now: float) -> set[str]:
+        """Replicas outside of the view that may be there to hold the data."""
+        asked = self.peers.joined_within(now, JOIN_REQUEST_VALID_S)
+        return (asked | self.announced | self.spares.heard_within(now)) - self.excluded
+
+    def _silent_replicas(self, now: float) -> frozenset[str]:
+        """Replicas that this one, as primary, has not heard for long; none where it was not primary."""
+        heard_at = self.peers.heard_at
+        return frozenset(host for host, at in heard_at.items() if now - at >= MEMBER_TIMEOUT_S) - {self.me}
+
+    def available_replicas(self, now: float) -> set[str]:
+        """The replicas that may hold the data, as this replica knows as primary: the view's and spares."""
+        witnesses = self.durable.view.witnesses if self.durable.view is not None else ()
+        return {*witnesses, *self.spares.heard_within(now)}
+
     def activate(self, now: float, view: View, requested_at: float) -> None:
         """Becomes the primary of a view that the witnesses have accepted.
 
@@ -247,8 +283,9 @@
         self.durable.view = view
         self.hear_leader(now, self.me, view.term)
         self.peers.begin_view(now, view)
+        self.spares.forget(view.members)
         self.commit_index = self.log.last[1]
-        primary = Primary(self, self, self._lease, self._limits)
+        primary = Primary(self, self, self._lease, self.limits)
         self._begin(primary)
         log.info("primary_elected term=%s members=%s witnesses=%s", view.term, view.members, view.witnesses)
         primary.send_heartbeat(now)
--- a/crowwing/tier/replication/roles.py
+++ b/crowwing/tier/replication/roles.py
@@ -13,7 +13,13 @@
 class RoleChanges(Protocol):
     """Ends the present role and begins another; done by Replica (replica.py)."""
 
-    def start_campaign(self, now: float, released: Term = NO_TERM, above: Term = NO_TERM) -> None:
+    def start_campaign(
+        self,
+        now: float,
+        released: Term = NO_TERM,
+        above: Term = NO_TERM,
+        joining: frozenset[str] = frozenset(),
+    ) -> None:
         """Becomes a candidate."""
 
     def activate(self, now: float, view: View, requested_at: float) -> None:
--- a/crowwing/tier/replication/timing.py
+++ b/crowwing/tier/replication/timing.py
@@ -17,9 +17,12 @@
 # Responses to heartbeats that are older are not counted any more.
 HEARTBEAT_HISTORY_S = 2.0
 
-# Between heartbeats to store machines that are no witnesses.
+# Between heartbeats to store machines that are neither witnesses nor learners.
 ANNOUNCEMENT_INTERVAL_S = 1.0
 
+# Silence of the primary after which a spare asks to join: two announcements were lost.
+SPARE_PATIENCE_S = 2.5
+
 # Elections.
 
 # After a start, for heartbeats of a primary that is there already.
@@ -43,6 +46,9 @@
 # How long a candidate with a majority of promises waits for the others.
 PREPARE_GRACE_S = 0.08
 
+# The same for a primary that changes its own view: it knows who is silent and waits for the others alone.
+RECONFIGURATION_GRACE_S = 0.3
+
 # After which a candidate without a majority of promises steps down.
 PREPARE_TIMEOUT_S = 1.0
 
@@ -66,15 +72,21 @@
 # Silence after which the primary leaves a member out.
 MEMBER_TIMEOUT_S = 0.4
 
-# Silence after which a witness is dropped. Well under catchUpS, as the next one: a dead witness beside
-# its successor would make one more loss one too many.
-WITNESS_GONE_S = 2.0
+# A learner that is so close behind becomes a member, in entries and in bytes of their payloads.
+MAX_LEARNER_LAG_ENTRIES = 200
+MAX_LEARNER_LAG_BYTES = 256 * 1024
 
-# The same, where another witness takes its place.
-WITNESS_REPLACED_S = 1.0
+# After the start of a view, for spares to respond before learners are chosen among them.
+LEARNER_CHOICE_DELAY_S = 0.1
 
-# A learner that is so close behind becomes a member.
-MAX_LEARNER_LAG_ENTRIES = 200
+# Silence of a learner after which a spare takes its place.
+LEARNER_TIMEOUT_S = 0.4
+
+# Without progress, after which another spare takes a learner's place.
+LEARNER_STALLED_S = 2.5
+
+# For which a learner is passed over that made no progress, or that a view left out.
+LEARNER_BACKOFF_S = 2.0
 
 # A member whose disk takes so long for a write is left out where enough members stay, if it is also
 # SLOW_DISK_FACTOR slower than most. With half of that time it is taken back.
@@ -108,6 +120,9 @@
 # Between two requests to join.
 JOIN_RETRY_S = 0.3
 
+# Peers that one request to join is sent to, in turn, so that many machines that start at once ask few each.
+JOIN_FANOUT = 5
+
 # How long one request to join counts.
 JOIN_REQUEST_VALID_S = 1.0
 
--- a/crowwing/tier/store/decisions.py
+++ b/crowwing/tier/store/decisions.py
@@ -122,21 +122,21 @@
 
 
 def retire_store(
-    state: TierState, command: commands.RetireStore, witnesses: Collection[str], min_witnesses: int
+    state: TierState, command: commands.RetireStore, available: Collection[str], min_witnesses: int
 ) -> Decision:
-    """Starts the decommissioning of a store machine, if at least `min_witnesses` others stay witnesses.
+    """Starts the decommissioning of a store machine, if at least `min_witnesses` others can be witnesses.
 
     Args:
         state: The state that the decision is made on.
         command: The machine.
-        witnesses: The addresses of the view's witnesses.
+        available: The addresses of the view's witnesses and of the spares that respond.
         min_witnesses: How many the fault tolerance of the settings needs.
     """
     if command.node in state.retired:
         return DONE
     if command.node not in state.stores:
         return NOT_FOUND
-    remaining = set(witnesses) - state.retired_hosts() - {state.stores[command.node]}
+    remaining = set(available) - state.retired_hosts() - {state.stores[command.node]}
     if len(remaining) < min_witnesses:
         return _rejected(409, f"fewer than {min_witnesses} store machines would be left")
     return Decision((events.RetireRequested(command.node),), outcomes.Done())
--- a/crowwing/tier/store/machine.py
+++ b/crowwing/tier/store/machine.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from crowwing.tier.distribution.documents import Documents
@@ -78,8 +78,10 @@
         if is_primary:
             self.relay.root_heartbeats.send_now()
 
-    def _discover_stores(self) -> Iterable[str]:
-        return [peer.host for peer in self.relay.view.peers(STORE_ROLE)]
+    def _discover_stores(self) -> dict[str, str]:
+        """The zones of the store machines in the partial view, and this machine's own."""
+        zones = {peer.host: peer.zone for peer in self.relay.view.peers(STORE_ROLE)}
+        return {**zones, self._settings.ip: self._settings.zone}
 
     async def _handle(self, connection: Connection, body: Any) -> Any:  # noqa: ANN401  whatever the codec reads
         """Dispatches a request or a notification of another machine, and gives the response."""
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from crowwing.tier.replication.core import Role
@@ -55,7 +55,7 @@
         clock: The clocks of this incarnation.
         state: The replicated state, which only the replica changes.
         replica: The replica.
-        discover_stores: Gives addresses of store machines that are known from elsewhere.
+        discover_stores: Gives addresses of store machines that are known from elsewhere, with their zones.
         commit_listeners: Called at the primary with the commit index, when that or the lease has changed.
     """
 
@@ -80,7 +80,7 @@
         self._roles = RoleNotifier()
         self._changed = asyncio.Event()  # replaced at each step that may matter to who waits
         self._last_seen: tuple[Role, int, float] | None = None  # role, commit index, last confirmation
-        self.discover_stores: Callable[[], Iterable[str]] = lambda: ()
+        self.discover_stores: Callable[[], Mapping[str, str]] = dict
         self.commit_listeners: list[Callable[[int], None]] = []
 
     @property
@@ -121,7 +121,8 @@
             if not self.disk_failed:
                 self.replica.excluded = self.state.retired_hosts()
                 self.replica.announced = frozenset(self.state.stores.values())
-                self.replica.add_peers(self.discover_stores())
+                self.replica.zones = {**self.replica.zones, **self.discover_stores()}
+                self.replica.add_peers(self.replica.zones)
                 self.replica.disk_stalled = self._writer.is_stalled(self.clock.monotonic())
                 self.replica.tick(self.clock.monotonic())
                 self.step()
--- a/crowwing/tier/store/service.py
+++ b/crowwing/tier/store/service.py
@@ -58,6 +58,7 @@
         self._publisher = ConfigurationPublisher(node.state, documents)
         self.leasing = ItemLeasing(node, lambda: self._publisher.configuration)
         self._readers = BatchJobReaders()
+        self._is_registered = False  # whether a primary has confirmed it in this incarnation
         node.role_listeners.append(self._on_role_changed)
         node.commit_listeners.append(self._on_committed)
 
@@ -213,17 +214,17 @@
     # Store machines
 
     async def _retire_store(self, command: commands.RetireStore) -> outcomes.Outcome:
-        view = self._node.replica.view
-        witnesses = view.witnesses if view is not None else ()
-        min_witnesses = self._node.replica.min_witnesses
+        replica = self._node.replica
+        available = replica.available_replicas(self._clock.monotonic())
+        min_witnesses = replica.limits.min_witnesses
         return await self._node.decide(
-            lambda state: decisions.retire_store(state, command, witnesses, min_witnesses)
+            lambda state: decisions.retire_store(state, command, available, min_witnesses)
         )
 
     def _read_retirement(self, state: TierState, command: commands.ReadRetirement) -> Decision:
         view = self._node.replica.view
         assert view is not None  # decided by a primary, which has one
-        min_members = self._node.replica.min_witnesses
+        min_members = self._node.replica.limits.min_witnesses
         return decisions.read_retirement(state, command.node, view.members, view.witnesses, min_members)
 
     def _status(self) -> outcomes.StoreStatus:
@@ -250,11 +251,17 @@
         """Registers this machine, and expires jobs at the primary, for as long as the process runs."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-            if self._node.state.stores.get(self._settings.node) != self._settings.ip:
-                await self.execute(commands.RegisterStore(self._settings.node, self._settings.ip))
+            await self._register()
             if self._node.replica.holds_lease(self._clock.monotonic()):
                 await self._node.decide(self._expire_jobs)
 
+    async def _register(self) -> None:
+        """Registers this machine at the primary; a spare's own state does not show whether it is there."""
+        if self._is_registered or self._node.state.stores.get(self._settings.node) == self._settings.ip:
+            return
+        outcome = await self.execute(commands.RegisterStore(self._settings.node, self._settings.ip))
+        self._is_registered = isinstance(outcome, outcomes.Done)
+
     def _expire_jobs(self, state: TierState) -> Decision:
         retention_s = self._settings.bounds.status_s + RETENTION_MARGIN_S
         configuration = self._publisher.configuration
--- a/tests/tier/simulation/world.py
+++ b/tests/tier/simulation/world.py
@@ -11,6 +11,7 @@
 from crowwing.tier.replication.core import Role
 from crowwing.tier.replication.replica import Replica
 from crowwing.tier.replication.terms import NO_TERM, Term
+from crowwing.tier.replication.view_limits import ViewLimits
 from crowwing.tier.state import events
 from crowwing.tier.state.tier_state import TierState
 from crowwing.tier.store import commands, outcomes
@@ -205,6 +206,11 @@
             host for host in self.members() if replica is not None and synced.get(host) == replica.promised
         }
 
+    @property
+    def full_view(self) -> int:
+        """How many members a view has where there are enough machines."""
+        return ViewLimits.of_faults(self.faults).max_replicas
+
     def witnesses(self) -> set[str]:
         """The witnesses of the same view."""
         primary = self.primary()
