The test of a lost disk starts once the first view is full

The seeds' first view may lack one that started later; the change that takes it in, 1 s after the start, left no primary for the milliseconds in which the test looked for one (seen once with the bounded views: KeyError 'None'). Same assertions.

--- a/tests/tier/test_control_scenarios.py
+++ b/tests/tier/test_control_scenarios.py
@@ -247,6 +247,7 @@
     world = World(7, STORES)
     world.network.bytes_per_s = 60e6  # of each connection
     world.stabilize()
+    world.run_for(CATCH_UP_S)  # the first view may still lack a seed
     operator = Operator(world, "operator-a")
 
     async def fill() -> None:
