The relay tree: a child that has another parent gives the former one's capacity back

Cause: a parent counted a child until its connection closed, but a child that attaches elsewhere keeps the connection, since shuffles and calls share it. Each change of root left a backend in one more parent's four places; once all are taken, nobody can attach, and everybody goes on asking.

--- a/crowwing/tier/distribution/children.py
+++ b/crowwing/tier/distribution/children.py
@@ -54,6 +54,12 @@
             self._tracker.front_count,
         )
 
+    def detach(self, connection: Connection) -> None:
+        """Forgets a child that has another parent now."""
+        self._connections = {
+            host: child for host, child in self._connections.items() if child is not connection
+        }
+
     def push_document(self, document: Document) -> None:
         """Passes a newer document on."""
         for child in self._connections.values():
--- a/crowwing/tier/distribution/messages.py
+++ b/crowwing/tier/distribution/messages.py
@@ -55,6 +55,12 @@
     hosts: tuple[str, ...]
 
 
+@message("Detach")
+@dataclass(frozen=True)
+class DetachNotice:
+    """The receiver is not, or no longer, the parent of the sender, and has its capacity back."""
+
+
 @message("Beat")
 @dataclass(frozen=True)
 class RootHeartbeat:
@@ -112,4 +118,4 @@
 
 
 # What `Relay.handle` takes. Responses are not among them: they come back from the call.
-RELAY_MESSAGES = (AttachRequest, RootHeartbeat, DocumentPush, ShuffleRequest)
+RELAY_MESSAGES = (AttachRequest, DetachNotice, RootHeartbeat, DocumentPush, ShuffleRequest)
--- a/crowwing/tier/distribution/relay.py
+++ b/crowwing/tier/distribution/relay.py
@@ -13,6 +13,7 @@
     AttachRedirect,
     AttachRequest,
     AttachResponse,
+    DetachNotice,
     DocumentPush,
     RootHeartbeat,
     ShuffleRequest,
@@ -81,6 +82,8 @@
         match message:
             case AttachRequest():
                 return self.children.attach(connection, message)
+            case DetachNotice():
+                self.children.detach(connection)
             case RootHeartbeat():
                 self._on_root_heartbeat(connection, message)
             case DocumentPush(document):
@@ -90,8 +93,9 @@
         return None
 
     def _on_root_heartbeat(self, connection: Connection, message: RootHeartbeat) -> None:
-        """Passes a newer heartbeat on; a former parent's are ignored."""
+        """Passes a newer heartbeat on; a former parent hears that it is none any more."""
         if connection is not self.parent.connection:
+            connection.notify(DetachNotice())
             return
         if self.tracker.record_heartbeat(tuple(message.heartbeat), message.root):
             self.tracker.record_front_count(message.front_count)
--- /dev/null
+++ b/tests/tier/test_relay_tree.py
@@ -0,0 +1,152 @@
+"""Simulated runs of the relay tree at the size of a large deployment: capacity, requests, and documents."""
+
+import pytest
+
+from crowwing.tier.distribution.children import FANOUT
+from crowwing.tier.distribution.documents import CONFIGURATION
+from crowwing.tier.distribution.relay import Relay
+from tests.tier.simulation.clients import Operator
+from tests.tier.simulation.machines import Machine, Store
+from tests.tier.simulation.world import World
+
+STORES = ("m0", "m1", "m2")
+SETTLING_S = 6.0
+SEEDS = range(3)
+CONFIG_APPLY_S = 3.0  # of the large deployments
+
+
+def world_of(seed: int, fronts: int) -> World:
+    """A world whose relay tree has settled."""
+    world = World(seed, STORES, fronts=[f"f{number}" for number in range(fronts)])
+    world.stabilize()
+    world.run_for(SETTLING_S)
+    return world
+
+
+def relay_of(machine: Machine) -> Relay | None:
+    """The relay of a machine whose process runs."""
+    if isinstance(machine, Store):
+        return machine.machine.relay if machine.machine is not None else None
+    relay: Relay | None = getattr(machine, "relay", None)
+    return relay
+
+
+def relays_of(world: World) -> dict[str, Relay]:
+    """The relays of all running machines, by address."""
+    found = {machine.host: relay_of(machine) for machine in world.machines()}
+    return {host: relay for host, relay in found.items() if relay is not None}
+
+
+def children_of(relay: Relay) -> list[str]:
+    """The addresses of those that it passes documents on to."""
+    connections = relay.children._connections
+    return [host for host, connection in connections.items() if not connection.is_closed]
+
+
+def parent_of(relay: Relay) -> str | None:
+    """The address of the parent."""
+    connection = relay.parent.connection
+    return connection.remote if connection is not None and not connection.is_closed else None
+
+
+def attached(world: World) -> set[str]:
+    """The machines that the root's heartbeats reach."""
+    return {host for host, relay in relays_of(world).items() if relay.tracker.is_connected}
+
+
+def transfer_leadership(world: World) -> None:
+    """Another store machine becomes the primary, and thereby the root."""
+    primary = world.primary()
+    assert primary is not None
+    machine = world.stores[primary].machine
+    assert machine is not None
+    machine.transfer_leadership()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_backends_that_have_left_a_parent_use_up_none_of_its_capacity(seed: int) -> None:
+    world = world_of(seed, 40)
+    for _ in range(6):
+        transfer_leadership(world)
+        world.run_for(3.0)
+    relays = relays_of(world)
+    former = [
+        (host, child)
+        for host, relay in relays.items()
+        for child in children_of(relay)
+        if child not in relays or parent_of(relays[child]) != host
+    ]
+    assert not former, f"seed {seed}: {len(former)} of {FANOUT * len(relays)} places are taken by former ones"
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_all_backends_hear_a_new_root_soon_after_the_former_one_is_lost(seed: int) -> None:
+    world = world_of(seed, 30)
+    for _ in range(3):
+        lost = world.primary()
+        assert lost is not None
+        world.stop(lost, power=True)
+        world.stabilize()
+        world.run_for(CONFIG_APPLY_S)
+        missing = set(relays_of(world)) - attached(world)
+        assert not missing, f"seed {seed}: {sorted(missing)} are cut off"
+        world.start(lost)
+        world.run_for(SETTLING_S)
+
+
+def change(world: World, operator: Operator) -> int:
+    """Makes one change, and gives its version."""
+
+    async def work() -> int:
+        change = operator.change(await operator.read_until_definite())
+        assert await operator.put(change) == 200
+        return change.version
+
+    version: int = world.run(work())
+    return version
+
+
+def change_often(world: World, operator: Operator, times: int) -> None:
+    """Makes one change after the other."""
+
+    async def work() -> None:
+        version = await operator.read_until_definite()
+        for _ in range(times):
+            step = operator.change(version)
+            assert await operator.put(step) == 200
+            version = step.version
+
+    world.run(work())
+
+
+def restart_fronts(world: World, hosts: list[str]) -> None:
+    """Some fronts lose power at the same moment, and are back a second later."""
+    for host in hosts:
+        world.fronts[host].stop(power=True)
+    world.run_for(1.0)
+    for host in hosts:
+        world.fronts[host].start()
+
+
+def assert_in_force_in_time(world: World, operator: Operator) -> None:
+    """A change made now is at all fronts within the bound."""
+    version = change(world, operator)
+    world.run_for(CONFIG_APPLY_S)
+    late = []
+    for host, front in world.fronts.items():
+        document = front.documents.get(CONFIGURATION) if front.documents is not None else None
+        if document is None or document.version[0] < version:
+            late.append(host)
+    assert not late, f"version {version} is not in force at {late}"
+
+
+def test_a_confirmed_configuration_is_in_force_at_165_fronts_in_time_whatever_restarts() -> None:
+    world = world_of(1, 165)
+    operator = Operator(world, "operator-a")
+    assert_in_force_in_time(world, operator)
+    change_often(world, operator, 200)
+    assert_in_force_in_time(world, operator)
+    restart_fronts(world, world.random.sample(sorted(world.fronts), 55))
+    assert_in_force_in_time(world, operator)
+    world.stop(str(world.primary()), power=True)
+    assert_in_force_in_time(world, operator)
