Fronts search the primary once for all calls, rarer and rarer, and send jobs only there

Cause: StoreClient sent each command itself to one machine after another, each 0.08 s and without a backoff, and took a primary that had not answered for 0.7 s for lost, although it may take 3 s to commit. One batch job of 66 KB went out 30 times in 2.5 s; seven at one front were 10.2 MB, where its link carries 4.7 MB. Where commits took 1.3 s a job went out 2 or 3 times. It is a retry storm: work that the lack of a primary makes, and that a primary has to do first.

Change: PrimaryFinder asks two store machines at a time for their status, shared by all calls of a front, with jittered backoff up to 1.28 s, and follows whom they take for the primary; the relay tree's news of a new root ends it at once. A command goes only to a machine that said that it is the primary. Where that does not respond, others are asked whether there is a later one, shared likewise, and the call stays where there is none; the highest term under which one was the primary decides.

--- a/crowwing/tier/front/batch_api.py
+++ b/crowwing/tier/front/batch_api.py
@@ -71,7 +71,7 @@
         wait_ms = min(longest_wait_ms, MAX_WAIT_MS)
         command = commands.ReadBatchJob(job_id, start, wait_ms)
         limit_s = wait_ms / 1000 + READ_LIMIT_S
-        outcome = await self._store.call(command, limit_s, answer_s=wait_ms / 1000 + 0.6)
+        outcome = await self._store.call(command, limit_s, confirm_s=wait_ms / 1000 + 0.6)
         if isinstance(outcome, outcomes.BatchJobPage):
             results = [{"id": x.item, "state": x.state, "text": x.text} for x in outcome.results]
             page = {"total": outcome.total, "nextToken": start + len(results), "results": results}
--- a/crowwing/tier/front/batch_job_runner.py
+++ b/crowwing/tier/front/batch_job_runner.py
@@ -14,7 +14,7 @@
 log = logging.getLogger("crowwing.lots")
 
 LEASE_WAIT_MS = 600  # for which the primary may wait for items
-LEASE_TIMEOUT_S, LEASE_ATTEMPT_TIMEOUT_S = 2.0, 1.2  # of a call for leases, and of one attempt of it
+LEASE_TIMEOUT_S, LEASE_CONFIRM_S = 2.0, 1.2  # of a call for leases, and without a response to it
 REPORT_TIMEOUT_S = 4.0
 MAX_REPORT_CALLS = 8
 POLL_INTERVAL_S, MIN_POLL_INTERVAL_S = 0.15, 0.02
@@ -85,7 +85,7 @@
         wait_ms = LEASE_WAIT_MS if free_slots else LEASE_WAIT_MS // 2
         given_up = tuple(self._given_up)
         command = commands.LeaseItemsRequest(self._name, free_slots, tuple(self._running), wait_ms, given_up)
-        outcome = await self._store.call(command, LEASE_TIMEOUT_S, answer_s=LEASE_ATTEMPT_TIMEOUT_S)
+        outcome = await self._store.call(command, LEASE_TIMEOUT_S, confirm_s=LEASE_CONFIRM_S)
         if not isinstance(outcome, outcomes.LeaseItemsResponse):
             return None
         self._given_up.difference_update(given_up)
--- a/crowwing/tier/front/main.py
+++ b/crowwing/tier/front/main.py
@@ -55,7 +55,7 @@
         self.relay = Relay(
             me, settings.seed_hosts, self.documents, RelayEnvironment(self.connections, self.random)
         )
-        self.store = StoreClient(self.connections, self.store_hosts)
+        self.store = StoreClient(self.connections, self.store_hosts, self.random)
         self.proxy = Proxy(self.pool, BatchApi(self.store))
         self.runner = BatchJobRunner(settings.node, self.pool, self.store)
         self.client_limits = ClientLimits()
--- a/crowwing/tier/front/store_client.py
+++ b/crowwing/tier/front/store_client.py
@@ -1,19 +1,21 @@
 """Calls to the primary of the store machines, whichever machine that is."""
 
 import asyncio
-import logging
 from collections.abc import Callable
+from random import Random
 
 from crowwing.tier.clock import SYSTEM_CLOCK, Clock
+from crowwing.tier.front.primary_finder import PrimaryFinder
 from crowwing.tier.store import commands, outcomes
+from crowwing.tier.wire.codec import Decoded
 from crowwing.tier.wire.connection_pool import ConnectionPool
 from crowwing.tier.wire.errors import CallError
 
-log = logging.getLogger("crowwing.client")
-
-ATTEMPT_TIMEOUT_S = 0.7
-RETRY_PAUSE_S = 0.08
+CONFIRM_INTERVAL_S = 0.7  # without a response, after which others are asked whether the primary has changed
+MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S = 0.08, 0.64  # of one call, doubled with each of its attempts
+MIN_PAUSE_SHARE = 0.5  # of such a pause; the rest is drawn, so that fronts do not retry in step
 PRIMARY_MOVED = "the primary has moved"
+TIME_IS_UP = "no response in time"
 
 FrontCommand = (
     commands.SubmitBatchJob
@@ -39,32 +41,38 @@
 class StoreClient:
     """Finds the primary and calls it until there is a clear outcome or the time is up.
 
+    A command is sent to a machine that is known as the primary, and sent again only once that has failed or
+    is the primary no more: batch jobs are long, and a primary that is slow must not get them several times.
+
     Owned by the front's process; the batch interface and the batch job runner call it.
     """
 
     def __init__(
-        self, connections: ConnectionPool, hosts: Callable[[], list[str]], clock: Clock = SYSTEM_CLOCK
+        self,
+        connections: ConnectionPool,
+        hosts: Callable[[], list[str]],
+        random: Random,
+        clock: Clock = SYSTEM_CLOCK,
     ) -> None:
-        """Calls by `connections`; `hosts` names where the primary may be found."""
-        self._connections, self._hosts, self._clock = connections, hosts, clock
-        self._primary: str | None = None
-        self._moved = asyncio.Event()  # replaced at each change of the primary
+        """Calls by `connections`; `hosts` names where the primary may be found; `random` draws pauses."""
+        self._connections = connections
+        self._random = random
+        self._clock = clock
+        self._finder = PrimaryFinder(connections, hosts, random, clock)
 
     def moved(self, host: str) -> None:
         """The primary is at this host now; calls to a former one are made again there."""
-        self._primary = host
-        moved, self._moved = self._moved, asyncio.Event()
-        moved.set()
+        self._finder.moved(host)
 
     async def call(
-        self, command: FrontCommand, limit_s: float, answer_s: float = ATTEMPT_TIMEOUT_S
+        self, command: FrontCommand, limit_s: float, confirm_s: float = CONFIRM_INTERVAL_S
     ) -> FrontOutcome:
         """Sends a command to the primary.
 
         Args:
             command: What is asked.
             limit_s: The time for all attempts.
-            answer_s: The time for one attempt.
+            confirm_s: The time without a response after which to look whether there is another primary.
 
         Returns:
             The primary's outcome; Indeterminate where the command may have been carried out, NotPrimary
@@ -72,53 +80,58 @@
         """
         deadline = self._clock.monotonic() + limit_s
         indeterminate = False
-        hosts: list[str] = []
-        while (left := deadline - self._clock.monotonic()) > 0:
-            if self._primary is None:
-                hosts = hosts or self._hosts()
-                if not hosts:
-                    await asyncio.sleep(min(left, RETRY_PAUSE_S))
-                    continue
-                self._primary = hosts.pop(0)
-            host = self._primary
+        pause_s = MIN_RETRY_PAUSE_S
+        while (left_s := deadline - self._clock.monotonic()) > 0:
+            host = await self._finder.wait(left_s)
+            if host is None:
+                break
+            leader = None
             try:
-                outcome = await self._call_until_moved(host, command, min(left, answer_s))
+                outcome = await self._attempt(host, command, deadline, confirm_s)
             except CallError as error:
                 indeterminate = indeterminate or error.sent
-                self._forget(host)
-                await asyncio.sleep(min(left, RETRY_PAUSE_S))
-                continue
-            if isinstance(outcome, outcomes.NotPrimary):
-                self._forget(host)
-                if outcome.leader is not None and outcome.leader != host:
-                    self._primary = outcome.leader
-                await asyncio.sleep(min(left, RETRY_PAUSE_S))
-            elif isinstance(outcome, outcomes.Indeterminate):
-                indeterminate = True
-                self._forget(host)
-                await asyncio.sleep(min(left, RETRY_PAUSE_S))
             else:
-                return outcome
+                if not isinstance(outcome, outcomes.NotPrimary | outcomes.Indeterminate):
+                    return outcome
+                indeterminate = indeterminate or isinstance(outcome, outcomes.Indeterminate)
+                leader = outcome.leader if isinstance(outcome, outcomes.NotPrimary) else None
+            self._finder.forget(host, leader)
+            await self._pause(pause_s, deadline)
+            pause_s = min(MAX_RETRY_PAUSE_S, 2 * pause_s)
         return (
             outcomes.Indeterminate("no clear answer in time") if indeterminate else outcomes.NotPrimary(None)
         )
 
-    async def _call_until_moved(self, host: str, command: FrontCommand, limit_s: float) -> FrontOutcome:
-        """One attempt; raises CallError, also where the primary moves to another host meanwhile."""
+    async def _pause(self, pause_s: float, deadline: float) -> None:
+        drawn_s = pause_s * (MIN_PAUSE_SHARE + (1 - MIN_PAUSE_SHARE) * self._random.random())
+        await asyncio.sleep(max(0.0, min(drawn_s, deadline - self._clock.monotonic())))
+
+    async def _attempt(
+        self, host: str, command: FrontCommand, deadline: float, confirm_s: float
+    ) -> FrontOutcome:
+        """One attempt; raises CallError, also where the primary turns out to be at another host."""
+        request = commands.ForwardedCommand(command)
         call = asyncio.ensure_future(
-            self._connections.call(host, commands.ForwardedCommand(command), limit_s)
+            self._connections.call(host, request, deadline - self._clock.monotonic())
         )
-        moved = asyncio.ensure_future(self._moved.wait())
         try:
-            await asyncio.wait({call, moved}, return_when=asyncio.FIRST_COMPLETED)
-            if not call.done() and self._primary not in (None, host):
-                raise CallError(PRIMARY_MOVED, sent=True)
+            while not await self._is_done(call, min(confirm_s, deadline - self._clock.monotonic())):
+                if self._clock.monotonic() >= deadline:
+                    raise CallError(TIME_IS_UP, sent=True)
+                if not await self._finder.confirm(host):
+                    raise CallError(PRIMARY_MOVED, sent=True)
             outcome: FrontOutcome = await call
         finally:
-            moved.cancel()
             call.cancel()
         return outcome
 
-    def _forget(self, host: str) -> None:
-        if self._primary == host:
-            self._primary = None
+    async def _is_done(self, call: "asyncio.Task[Decoded]", limit_s: float) -> bool:
+        """Waits for a response, a change of the primary, or the limit; whether the response is there."""
+        changed = asyncio.ensure_future(self._finder.changed.wait())
+        try:
+            await asyncio.wait(
+                {call, changed}, timeout=max(0.0, limit_s), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            changed.cancel()
+        return call.done()
--- a/tests/tier/simulation/machines.py
+++ b/tests/tier/simulation/machines.py
@@ -213,7 +213,7 @@
             random.shuffle(hosts)
             return hosts
 
-        store = self.store = StoreClient(connections, stores, self.clock())
+        store = self.store = StoreClient(connections, stores, random, self.clock())
         relay.tracker.on_root_changed.append(store.moved)
         await serve(self.host, PORT, self._handle, network)
         for work in (relay.parent.run(), relay.shuffler.run(), self._run_items(store, random)):
@@ -231,7 +231,7 @@
         while True:
             room = 4 - len(self.running)
             command = commands.LeaseItemsRequest(self.host, max(0, room), tuple(self.running), 300)
-            outcome = await store.call(command, 2.0, answer_s=1.2)
+            outcome = await store.call(command, 2.0, confirm_s=1.2)
             if isinstance(outcome, outcomes.LeaseItemsResponse):
                 for key in outcome.stop:
                     task = self.running.pop(key, None)
