Pace a store machine's egress: control traffic never waits behind bulk data at the link

Change: where `limits.linkMbps` is given, one EgressPacer a process is shared by its two connection pools and the connections that it accepts. Control traffic is written at once and counted; bulk data leaves at 0.8 of the link in bursts of at most 20 ms, REPLICATION before RESPONSE before CATCH_UP, of which the last two have a quarter each guaranteed while they wait. Long frames leave in chunks, one frame at a time. What a candidate sends a replica is REPLICATION (its view waits for it), the same from a primary CATCH_UP. A repetition to a learner is dropped while the first still waits; a long response is dropped once its caller has given up. Where the budget covers a frame and nothing waits it is written at once, without task or timer. Without linkMbps, and at fronts, nothing changes.

Measured (simulated link of 120 Mbit/s, tests/tier/test_egress.py): control messages leave within 30 ms at 1, 2, 6 and 20 times the link.

--- a/crowwing/tier/settings.py
+++ b/crowwing/tier/settings.py
@@ -29,6 +29,7 @@
     max_fds: int = Field(1024, alias="maxFds", gt=0)
     memory_mb: int = Field(256, alias="memoryMb", gt=0)
     disk_mb: int = Field(0, alias="diskMb", ge=0)
+    link_mbps: float = Field(0.0, alias="linkMbps", ge=0)  # megabits (10^6) a second; 0: not known
 
 
 class FaultTolerance(BaseModel):
--- a/crowwing/tier/store/machine.py
+++ b/crowwing/tier/store/machine.py
@@ -23,8 +23,10 @@
 from crowwing.tier.store.message_sender import ReplicaConnections
 from crowwing.tier.store.node import ReplicaIdentity, ReplicaNode
 from crowwing.tier.store.service import StoreService, unknown_command
+from crowwing.tier.store.traffic_classes import make_classify
 from crowwing.tier.wire.connection import Connection
 from crowwing.tier.wire.connection_pool import ConnectionPool
+from crowwing.tier.wire.egress import EgressPacer
 from crowwing.tier.wire.network import Listener
 from crowwing.tier.wire.server import serve
 
@@ -48,10 +50,8 @@
         self._settings = settings
         self._environment = environment
         self.documents = Documents()
-        self._connections = ReplicaConnections(
-            data=ConnectionPool(settings.internal_port, self._handle, environment.network),
-            urgent=ConnectionPool(settings.internal_port, self._handle, environment.network),
-        )
+        self._pacer = self._make_pacer()
+        self._connections = ReplicaConnections(data=self._make_pool(), urgent=self._make_pool())
         faults = settings.fault_tolerance.store_machines
         identity = ReplicaIdentity(settings.ip, settings.seed_hosts, faults)
         self.node = ReplicaNode(identity, disk, self._connections, environment)
@@ -60,6 +60,16 @@
         self.relay = self._make_relay()
         self.node.role_listeners.append(self._on_role_changed)
 
+    def _make_pacer(self) -> EgressPacer | None:
+        link_mbps = self._settings.limits.link_mbps
+        if not link_mbps:
+            return None
+        return EgressPacer(link_mbps, self._environment.clock, make_classify(lambda: self.node.replica.role))
+
+    def _make_pool(self) -> ConnectionPool:
+        port, network = self._settings.internal_port, self._environment.network
+        return ConnectionPool(port, self._handle, network, self._pacer)
+
     def _make_relay(self) -> Relay:
         peer = Peer(self._settings.ip, STORE_ROLE, self._settings.zone, 0)
         environment = RelayEnvironment(
@@ -114,7 +124,11 @@
             log.error("disk_open_failed error=%r", str(error))
             await asyncio.sleep(DISK_RETRY_INTERVAL_S)
         listener: Listener = await serve(
-            self._settings.ip, self._settings.internal_port, self._handle, self._environment.network
+            self._settings.ip,
+            self._settings.internal_port,
+            self._handle,
+            self._environment.network,
+            self._pacer,
         )
         return listener
 
--- a/crowwing/tier/wire/connection.py
+++ b/crowwing/tier/wire/connection.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from crowwing.tier.wire.codec import Decoded
+from crowwing.tier.wire.egress import EgressPacer
 from crowwing.tier.wire.errors import (
     CallTimeoutError,
     ConnectError,
@@ -25,7 +26,9 @@
     encode_frame,
 )
 from crowwing.tier.wire.network import TCP, Network
+from crowwing.tier.wire.paced_flow import Chunk
 from crowwing.tier.wire.socket_options import set_socket_options
+from crowwing.tier.wire.traffic import TrafficClass
 
 log = logging.getLogger("crowwing.wire")
 
@@ -44,7 +47,11 @@
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, handler: Handler | None
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: Handler | None,
+        pacer: EgressPacer | None = None,
     ) -> None:
         """Makes a connection of an open stream.
 
@@ -53,6 +60,7 @@
             writer: what is sent to the peer.
             handler: gets the requests and notifications of the peer and returns the responses; None where
                 the peer's are ignored.
+            pacer: shares the machine's link among all connections; None where nothing is paced.
         """
         self._reader = reader
         self._writer = writer
@@ -61,6 +69,10 @@
         self._pending_calls: dict[int, asyncio.Future[Decoded]] = {}
         self._handler_tasks: set[asyncio.Task[None]] = set()
         self.is_closed = False
+        self._pacer = pacer
+        self._flow = (
+            pacer.open_flow(self._write_chunk, writer.transport.get_write_buffer_size) if pacer else None
+        )
         set_socket_options(writer)
 
     @property
@@ -114,33 +126,48 @@
 
     def _write(self, kind: FrameKind, call_number: int, body: object) -> None:
         if not self.is_closed:
-            self._write_frame(encode_frame(kind, call_number, body))
+            self._write_frame(encode_frame(kind, call_number, body), self._classify(body))
 
-    def _write_frame(self, frame: bytes) -> None:
+    def _classify(self, body: object) -> TrafficClass:
+        return TrafficClass.CONTROL if self._pacer is None else self._pacer.classify(body)
+
+    def _write_frame(self, frame: bytes, traffic_class: TrafficClass) -> None:
+        if self._flow is None:
+            self._write_chunk(frame)
+        else:
+            self._flow.send(frame, traffic_class)
+
+    def _write_chunk(self, chunk: Chunk) -> None:
         if self.is_closed:
             return
         try:
-            self._writer.write(frame)
+            self._writer.write(chunk)
         except (RuntimeError, OSError) as error:  # the loop has closed it, and the reader hears of it later
             log.debug("write_failed peer=%s error=%s", self.remote, error)
             self.close()
 
+    def _count_buffered_bytes(self) -> int:
+        buffered_bytes: int = self._writer.transport.get_write_buffer_size()
+        return buffered_bytes if self._flow is None else buffered_bytes + self._flow.waiting_bytes
+
     def notify(self, body: object) -> None:
         """Sends a message that has no response; it is dropped where the peer reads far too slowly.
 
         Args:
             body: a message or plain values.
         """
-        self.notify_frame(encode_frame(FrameKind.NOTIFICATION, NO_CALL, body))
+        frame = encode_frame(FrameKind.NOTIFICATION, NO_CALL, body)
+        self.notify_frame(frame, self._classify(body))
 
-    def notify_frame(self, frame: bytes) -> None:
+    def notify_frame(self, frame: bytes, traffic_class: TrafficClass) -> None:
         """Sends a notification that is encoded already, as `notify` does.
 
         Args:
             frame: what `encode_frame` made of a notification.
+            traffic_class: how urgent it is.
         """
-        if not self.is_closed and self._writer.transport.get_write_buffer_size() < MAX_BUFFERED_BYTES:
-            self._write_frame(frame)
+        if not self.is_closed and self._count_buffered_bytes() < MAX_BUFFERED_BYTES:
+            self._write_frame(frame, traffic_class)
 
     async def call(self, body: object, timeout_s: float) -> Decoded:
         """Sends a request and waits for its response.
@@ -179,15 +206,13 @@
                 future.set_exception(ConnectionLostError())
         for task in list(self._handler_tasks):
             task.cancel()
+        if self._flow is not None:
+            self._flow.close()
         self._writer.transport.abort()
 
 
 async def open_connection(
-    host: str,
-    port: int,
-    handler: Handler | None,
-    network: Network = TCP,
-    timeout_s: float = CONNECT_TIMEOUT_S,
+    host: str, port: int, handler: Handler | None, network: Network = TCP, pacer: EgressPacer | None = None
 ) -> Connection:
     """Connects to another backend. The caller runs `run()` of the connection as a task of its own.
 
@@ -196,14 +221,14 @@
         port: its internal port.
         handler: gets what the peer sends over this connection of its own accord.
         network: the network to go over.
-        timeout_s: how long connecting may take, in seconds.
+        pacer: shares the machine's link among all connections; None where nothing is paced.
 
     Raises:
         ConnectError: there is no connection, or not in time.
     """
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await network.connect(host, port)
     except (OSError, TimeoutError) as error:
         raise ConnectError(host, port, error) from None
-    return Connection(reader, writer, handler)
+    return Connection(reader, writer, handler, pacer)
--- a/crowwing/tier/wire/connection_pool.py
+++ b/crowwing/tier/wire/connection_pool.py
@@ -6,9 +6,11 @@
 
 from crowwing.tier.wire.codec import Decoded
 from crowwing.tier.wire.connection import Connection, Handler, open_connection
+from crowwing.tier.wire.egress import EgressPacer
 from crowwing.tier.wire.errors import CallError
 from crowwing.tier.wire.frames import NO_CALL, FrameKind, encode_frame
 from crowwing.tier.wire.network import TCP, Network
+from crowwing.tier.wire.traffic import TrafficClass
 
 log = logging.getLogger("crowwing.wire")
 
@@ -20,17 +22,25 @@
     other backends shares them.
     """
 
-    def __init__(self, port: int, handler: Handler | None = None, network: Network = TCP) -> None:
+    def __init__(
+        self,
+        port: int,
+        handler: Handler | None = None,
+        network: Network = TCP,
+        pacer: EgressPacer | None = None,
+    ) -> None:
         """Makes a pool without connections.
 
         Args:
             port: the internal port, the same at all hosts.
             handler: gets what peers send over these connections of their own accord.
             network: the network to go over.
+            pacer: shares the machine's link among all connections; None where nothing is paced.
         """
         self._port = port
         self._handler = handler
         self._network = network
+        self._pacer = pacer
         self._connections: dict[str, Connection] = {}
         self._connecting: dict[str, asyncio.Task[Connection]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -52,7 +62,7 @@
         return await asyncio.shield(connecting)
 
     async def _connect(self, host: str) -> Connection:
-        connection = await open_connection(host, self._port, self._handler, self._network)
+        connection = await open_connection(host, self._port, self._handler, self._network, self._pacer)
         self._connections[host] = connection
         self._start(connection.run())
         return connection
@@ -88,20 +98,21 @@
     def notify_all(self, hosts: Iterable[str], body: object) -> None:
         """Sends the same message, encoded once, to several hosts."""
         frame = encode_frame(FrameKind.NOTIFICATION, NO_CALL, body)
+        traffic_class = TrafficClass.CONTROL if self._pacer is None else self._pacer.classify(body)
         for host in hosts:
             connection = self._connections.get(host)
             if connection is not None and not connection.is_closed:
-                connection.notify_frame(frame)
+                connection.notify_frame(frame, traffic_class)
             else:
-                self._start(self._connect_and_notify(host, frame))
+                self._start(self._connect_and_notify(host, frame, traffic_class))
 
-    async def _connect_and_notify(self, host: str, frame: bytes) -> None:
+    async def _connect_and_notify(self, host: str, frame: bytes, traffic_class: TrafficClass) -> None:
         try:
             connection = await self.get(host)
         except CallError as error:
             log.debug("notification_dropped host=%s error=%s", host, error)
             return
-        connection.notify_frame(frame)
+        connection.notify_frame(frame, traffic_class)
 
     def close(self) -> None:
         """Closes all connections."""
--- /dev/null
+++ b/crowwing/tier/wire/egress.py
@@ -0,0 +1,114 @@
+"""Paces what a process sends, so that control traffic never queues behind bulk data at the machine's link.
+
+Control traffic is written at once. Bulk data leaves at a bounded share of the link, in short bursts, so that
+little of it ever stands in front of a control message; what the budget does not cover waits in `BulkQueue`.
+Long frames leave in chunks, between which the control traffic of the other connections passes.
+"""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+from crowwing.tier.clock import Clock
+from crowwing.tier.wire.bulk_queue import BulkQueue
+from crowwing.tier.wire.paced_flow import Chunk, PacedFlow
+from crowwing.tier.wire.traffic import Classify, TrafficClass
+
+BYTES_PER_MEGABIT = 1_000_000 / 8
+
+BULK_SHARE = 0.8  # of the link's rate; what control traffic takes is part of it
+BURST_S = 0.02  # of bulk data at its rate, which may stand in front of a control message at the link
+CHUNK_S = 0.005  # of bulk data at its rate: the shortest part of a frame that is worth a write
+MIN_CHUNK_BYTES = 1500  # the same on a slow link
+RETRY_INTERVAL_S = 0.005  # between looks at connections whose peers read too slowly
+MIN_TIMER_S = 0.001  # the resolution of the event loop's timers
+
+# After which a long response is dropped: its caller has given up (timeouts in front/), and a link that sends
+# responses to nobody never catches up with the calls.
+MAX_RESPONSE_WAIT_S = 1.2
+
+
+class EgressPacer:
+    """The budget of a machine's link, shared by all connections of a process; owned by `StoreMachine`."""
+
+    def __init__(self, link_mbps: float, clock: Clock, classify: Classify) -> None:
+        """A pacer with a full budget.
+
+        Args:
+            link_mbps: the link's rate in megabits (10^6) a second.
+            clock: the process's clock.
+            classify: gives the class of a message by its body.
+        """
+        self.classify = classify
+        self.bulk_bytes_per_s = BULK_SHARE * link_mbps * BYTES_PER_MEGABIT
+        self._clock = clock
+        self._chunk_bytes = max(MIN_CHUNK_BYTES, int(self.bulk_bytes_per_s * CHUNK_S))
+        self._burst_bytes = max(self._chunk_bytes, int(self.bulk_bytes_per_s * BURST_S))
+        self._budget_bytes = float(self._burst_bytes)  # negative after control traffic that it did not cover
+        self._refilled_at = clock.monotonic()
+        self._queue = BulkQueue()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def open_flow(self, write: Callable[[Chunk], None], count_buffered_bytes: Callable[[], int]) -> PacedFlow:
+        """The flow of a new connection; the arguments are those of `PacedFlow`."""
+        return PacedFlow(self, write, count_buffered_bytes)
+
+    def waiting_bytes(self, traffic_class: TrafficClass) -> int:
+        """Bytes of a class of bulk data that wait for the link."""
+        return self._queue.waiting_bytes(traffic_class)
+
+    # For the flows
+
+    def spend(self, length: int) -> None:
+        """Counts bytes of control traffic, which bulk data makes room for later."""
+        self._budget_bytes -= length
+
+    def send_bulk(self, flow: PacedFlow, frame: bytes, traffic_class: TrafficClass) -> None:
+        """Writes a frame at once where nothing waits and the budget covers it; else it waits.
+
+        What brings a replica up to date is sent one message at a time and repeated by its sender, so a second
+        one is dropped while the first still waits.
+        """
+        now = self._clock.monotonic()
+        self._refill(now)
+        is_covered = self._budget_bytes >= len(frame)
+        if is_covered and self._queue.is_empty and flow.is_ready(traffic_class):
+            self._budget_bytes -= len(frame)
+            flow.write(frame)
+        elif traffic_class is not TrafficClass.CATCH_UP or not flow.has_frames(traffic_class):
+            is_response = traffic_class is TrafficClass.RESPONSE
+            expires_at = now + MAX_RESPONSE_WAIT_S if is_response else math.inf
+            self._queue.add(flow, frame, traffic_class, expires_at)
+            self._send_waiting(now)
+
+    def forget(self, flow: PacedFlow) -> None:
+        """Removes a flow that is about to drop its frames."""
+        self._queue.forget(flow)
+
+    # The budget
+
+    def _refill(self, now: float) -> None:
+        earned_bytes = (now - self._refilled_at) * self.bulk_bytes_per_s
+        self._refilled_at = now
+        self._budget_bytes = min(self._burst_bytes, self._budget_bytes + earned_bytes)
+
+    def _send_waiting(self, now: float) -> None:
+        """Writes what the budget covers, and comes back for the rest."""
+        while (frame := self._queue.next_frame(now)) is not None:
+            needed_bytes = min(frame.flow.first_length(frame.traffic_class), self._chunk_bytes)
+            if self._budget_bytes < needed_bytes:
+                self._set_timer((needed_bytes - self._budget_bytes) / self.bulk_bytes_per_s)
+                return
+            self._budget_bytes -= self._queue.write(frame, int(self._budget_bytes))
+        if not self._queue.is_empty:
+            self._set_timer(RETRY_INTERVAL_S)
+
+    def _set_timer(self, delay_s: float) -> None:
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(max(delay_s, MIN_TIMER_S), self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        now = self._clock.monotonic()
+        self._refill(now)
+        self._send_waiting(now)
--- a/crowwing/tier/wire/server.py
+++ b/crowwing/tier/wire/server.py
@@ -4,10 +4,13 @@
 import contextlib
 
 from crowwing.tier.wire.connection import Connection, Handler
+from crowwing.tier.wire.egress import EgressPacer
 from crowwing.tier.wire.network import TCP, Listener, Network
 
 
-async def serve(host: str, port: int, handler: Handler, network: Network = TCP) -> Listener:
+async def serve(
+    host: str, port: int, handler: Handler, network: Network = TCP, pacer: EgressPacer | None = None
+) -> Listener:
     """Accepts connections of other backends. Each is run until it ends.
 
     Args:
@@ -15,6 +18,7 @@
         port: the internal port.
         handler: gets the requests and notifications of all connections and returns the responses.
         network: the network to listen on.
+        pacer: shares the machine's link among all connections; None where nothing is paced.
 
     Returns:
         The listener, which the caller closes. Connections that are open stay so.
@@ -25,6 +29,6 @@
 
     async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.CancelledError):  # the process ends
-            await Connection(reader, writer, handler).run()
+            await Connection(reader, writer, handler, pacer).run()
 
     return await network.listen(host, port, accept)
--- /dev/null
+++ b/tests/tier/test_egress.py
@@ -0,0 +1,369 @@
+"""The pacer of a machine's link, in simulated time."""
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+from typing import Any
+
+import pytest
+
+from crowwing.tier.clock import Clock
+from crowwing.tier.wire.egress import BULK_SHARE, BURST_S, BYTES_PER_MEGABIT, MAX_RESPONSE_WAIT_S, EgressPacer
+from crowwing.tier.wire.paced_flow import MAX_TRANSPORT_BYTES, SMALL_RESPONSE_BYTES, Chunk, PacedFlow
+from crowwing.tier.wire.traffic import BULK_CLASSES, TrafficClass, classify_as_control
+from tests.tier.simulation.loop import SimulatedLoop
+
+LINK_MBPS = 120.0
+LINK_BYTES_PER_S = LINK_MBPS * BYTES_PER_MEGABIT
+KILOBYTE = 1024
+CONTROL_BYTES = 300
+CONTROL_INTERVAL_S = 0.07
+MAX_CONTROL_DELAY_S = 0.03  # "some tens of milliseconds", far below the time-out of 0.4 s
+
+CONTROL, REPLICATION = TrafficClass.CONTROL, TrafficClass.REPLICATION
+RESPONSE, CATCH_UP = TrafficClass.RESPONSE, TrafficClass.CATCH_UP
+
+
+class Link:
+    """One first-in-first-out link that all connections of a machine share."""
+
+    def __init__(self, loop: SimulatedLoop) -> None:
+        self.loop = loop
+        self.free_at = 0.0
+        self.bytes_sent = 0
+
+    def send(self, length: int) -> float:
+        """When bytes that are written now have left the machine."""
+        self.free_at = max(self.loop.time(), self.free_at) + length / LINK_BYTES_PER_S
+        self.bytes_sent += length
+        return self.free_at
+
+
+class Wire:
+    """One connection: what was written to it, and when that has left the machine."""
+
+    def __init__(self, link: Link, pacer: EgressPacer) -> None:
+        self.link = link
+        self.written = bytearray()
+        self.chunks: list[tuple[float, int]] = []
+        self.left_at = 0.0
+        self.stalled_bytes = 0  # in its own buffer, as the peer does not read
+        self.is_stalled = False
+        self.flow: PacedFlow = pacer.open_flow(self._write, lambda: self.stalled_bytes)
+
+    def _write(self, chunk: Chunk) -> None:
+        self.written += chunk
+        self.chunks.append((self.link.loop.time(), len(chunk)))
+        if self.is_stalled:
+            self.stalled_bytes += len(chunk)
+        else:
+            self.left_at = self.link.send(len(chunk))
+
+
+class Play:
+    """A pacer with connections, on simulated time."""
+
+    def __init__(self, connections: int) -> None:
+        self.loop = SimulatedLoop()
+        self.link = Link(self.loop)
+        self.pacer = EgressPacer(LINK_MBPS, Clock(self.loop.time), classify_as_control)
+        self.wires = [Wire(self.link, self.pacer) for _ in range(connections)]
+
+    def run(self, work: Coroutine[Any, Any, None]) -> None:
+        self.loop.run_until_complete(work)
+
+    def timers(self) -> int:
+        return len(self.loop._scheduled)
+
+
+def frame(length: int, mark: bytes = b".") -> bytes:
+    return mark * length
+
+
+async def offer(
+    play: Play, wires: list[Wire], traffic_class: TrafficClass, rate: float, span_s: float
+) -> None:
+    """Offers frames of random lengths at a rate in bytes a second, to random connections."""
+    random = Random(f"{traffic_class}/{rate}")
+    until = play.loop.time() + span_s
+    while play.loop.time() < until:
+        length = random.randint(1, 250) * KILOBYTE
+        random.choice(wires).flow.send(frame(length), traffic_class)
+        await asyncio.sleep(length / rate)
+
+
+async def send_control(play: Play, wires: list[Wire], span_s: float, delays: list[float]) -> None:
+    """Sends a heartbeat to every connection each interval, and notes how long each took to leave."""
+    until = play.loop.time() + span_s
+    while play.loop.time() < until:
+        for wire in wires:
+            wire.flow.send(frame(CONTROL_BYTES), CONTROL)
+            delays.append(wire.left_at - play.loop.time())
+        await asyncio.sleep(CONTROL_INTERVAL_S)
+
+
+@pytest.mark.parametrize("load", [1, 2, 6, 20])
+def test_control_traffic_leaves_within_tens_of_milliseconds_at_any_load(load: float) -> None:
+    play = Play(34)
+    data, urgent = play.wires[:17], play.wires[17:]
+    delays: list[float] = []
+
+    async def work() -> None:
+        rate = load * LINK_BYTES_PER_S / len(BULK_CLASSES)
+        bulk = [offer(play, data, traffic_class, rate, 5.0) for traffic_class in BULK_CLASSES]
+        await asyncio.gather(*bulk, send_control(play, urgent, 5.0, delays))
+
+    play.run(work())
+    assert len(delays) > 1000
+    assert max(delays) < MAX_CONTROL_DELAY_S
+    if load > 1:
+        assert play.link.bytes_sent > 0.95 * BULK_SHARE * LINK_BYTES_PER_S * 5.0
+
+
+def test_control_traffic_of_one_connection_waits_for_no_more_than_its_frame_in_progress() -> None:
+    play = Play(2)
+    wire, other = play.wires
+
+    async def work() -> None:
+        for _ in range(4):
+            wire.flow.send(frame(KILOBYTE * KILOBYTE, b"b"), REPLICATION)
+            other.flow.send(frame(KILOBYTE * KILOBYTE, b"o"), REPLICATION)
+        await asyncio.sleep(0.03)
+        wire.flow.send(b"first", CONTROL)
+        wire.flow.send(b"second", CONTROL)
+        await asyncio.sleep(2.0)
+
+    play.run(work())
+    body = KILOBYTE * KILOBYTE
+    assert wire.written == frame(body, b"b") + b"firstsecond" + frame(3 * body, b"b")
+    assert wire.flow.waiting_bytes == 0
+
+
+def test_what_control_traffic_takes_is_part_of_the_budget() -> None:
+    play = Play(2)
+
+    async def work() -> None:
+        control = asyncio.ensure_future(send_bytes_as_control())
+        await offer(play, play.wires[1:], REPLICATION, 3 * LINK_BYTES_PER_S, 4.0)
+        await control
+
+    async def send_bytes_as_control() -> None:
+        for _ in range(400):
+            play.wires[0].flow.send(frame(30_000), CONTROL)  # a fifth of the link
+            await asyncio.sleep(0.01)
+
+    play.run(work())
+    assert play.link.bytes_sent <= BULK_SHARE * LINK_BYTES_PER_S * (4.0 + 2 * BURST_S)
+
+
+def test_the_more_urgent_class_goes_first_and_none_starves() -> None:
+    play = Play(3)
+    sent = dict.fromkeys(BULK_CLASSES, 0)
+
+    async def work() -> None:
+        offers = [
+            offer(play, [wire], traffic_class, 2 * LINK_BYTES_PER_S, 5.0)
+            for wire, traffic_class in zip(play.wires, BULK_CLASSES, strict=True)
+        ]
+        await asyncio.gather(*offers)
+        for wire, traffic_class in zip(play.wires, BULK_CLASSES, strict=True):
+            sent[traffic_class] = len(wire.written)
+
+    play.run(work())
+    total = sum(sent.values())
+    assert sent[REPLICATION] / total == pytest.approx(0.5, abs=0.05)
+    assert sent[RESPONSE] / total == pytest.approx(0.25, abs=0.05)
+    assert sent[CATCH_UP] / total == pytest.approx(0.25, abs=0.05)
+
+
+def test_catching_up_has_the_link_to_itself_where_nothing_else_waits() -> None:
+    play = Play(1)
+
+    async def work() -> None:
+        for _ in range(200):
+            play.wires[0].flow.send(frame(256 * KILOBYTE), CATCH_UP)
+            while play.wires[0].flow.waiting_bytes:
+                await asyncio.sleep(0.001)
+
+    play.run(work())
+    lasted_s = play.wires[0].chunks[-1][0]
+    assert len(play.wires[0].written) / lasted_s > 0.95 * BULK_SHARE * LINK_BYTES_PER_S
+
+
+def test_two_lost_replicas_are_restored_within_their_bound_at_full_load() -> None:
+    state_bytes, catch_up_s = 8_400_000, 6.0
+    play = Play(8)
+    learners = play.wires[:2]
+
+    async def catch_up(wire: Wire) -> None:
+        while len(wire.written) < state_bytes:
+            wire.flow.send(frame(128 * KILOBYTE), CATCH_UP)
+            while wire.flow.waiting_bytes:
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.005)  # the learner asks for the next ranges
+
+    async def work() -> None:
+        load = [
+            offer(play, play.wires[2:6], REPLICATION, 3 * LINK_BYTES_PER_S, catch_up_s),
+            offer(play, play.wires[6:], RESPONSE, 3 * LINK_BYTES_PER_S, catch_up_s),
+        ]
+        running = asyncio.gather(*load)
+        await asyncio.gather(*(catch_up(wire) for wire in learners))
+        assert play.loop.time() < catch_up_s
+        await running
+
+    play.run(work())
+
+
+def test_frames_of_one_class_keep_their_order_on_a_connection() -> None:
+    play = Play(3)
+    random = Random(7)
+    expected = {index: b"" for index in range(3)}
+
+    async def work() -> None:
+        for number in range(400):
+            index = random.randrange(3)
+            sent = number.to_bytes(2, "big") * random.randint(1, 40_000)
+            expected[index] += sent
+            play.wires[index].flow.send(sent, REPLICATION)
+            if random.random() < 0.2:
+                await asyncio.sleep(random.random() * 0.03)
+        await asyncio.sleep(5.0)
+
+    play.run(work())
+    assert {index: wire.written for index, wire in enumerate(play.wires)} == expected
+
+
+def test_connections_take_turns_within_a_class() -> None:
+    play = Play(4)
+
+    async def work() -> None:
+        for _ in range(50):
+            play.wires[0].flow.send(frame(64 * KILOBYTE), REPLICATION)
+        for wire in play.wires[1:]:
+            wire.flow.send(frame(64 * KILOBYTE), REPLICATION)
+        await asyncio.sleep(0.06)
+
+    play.run(work())
+    assert all(len(wire.written) == 64 * KILOBYTE for wire in play.wires[1:])
+
+
+def test_frames_of_a_closed_connection_are_dropped_and_the_others_go_on() -> None:
+    play = Play(2)
+    closed, kept = play.wires
+
+    async def work() -> None:
+        for wire in play.wires:
+            for traffic_class in (REPLICATION, RESPONSE):
+                for _ in range(20):
+                    wire.flow.send(frame(100 * KILOBYTE), traffic_class)
+        await asyncio.sleep(0.031)  # in the middle of a frame
+        closed.flow.close()
+        before = len(closed.written)
+        closed.flow.send(b"late", CONTROL)
+        closed.flow.send(frame(2000), REPLICATION)
+        await asyncio.sleep(1.0)
+        assert len(closed.written) == before
+        assert closed.flow.waiting_bytes == 0
+
+    play.run(work())
+    assert len(kept.written) == 40 * 100 * KILOBYTE
+    assert all(play.pacer.waiting_bytes(traffic_class) == 0 for traffic_class in BULK_CLASSES)
+    assert play.timers() == 0
+
+
+def test_a_connection_that_closes_as_it_is_written_to_harms_no_other() -> None:
+    play = Play(2)
+    wire, other = play.wires
+
+    def write_and_close(_chunk: Chunk) -> None:
+        flow.close()
+
+    flow = play.pacer.open_flow(write_and_close, lambda: 0)
+
+    async def work() -> None:
+        for one in (wire.flow, flow, other.flow):
+            for _ in range(4):
+                one.send(frame(200 * KILOBYTE), REPLICATION)
+        await asyncio.sleep(1.0)
+
+    play.run(work())
+    assert len(wire.written) == len(other.written) == 800 * KILOBYTE
+    assert play.pacer.waiting_bytes(REPLICATION) == 0
+
+
+def test_a_peer_that_does_not_read_holds_up_no_other() -> None:
+    play = Play(2)
+    stalled, other = play.wires
+    stalled.is_stalled = True
+
+    async def work() -> None:
+        for _ in range(100):
+            stalled.flow.send(frame(100 * KILOBYTE), REPLICATION)
+            other.flow.send(frame(100 * KILOBYTE), REPLICATION)
+        await asyncio.sleep(2.0)
+        assert len(other.written) == 100 * 100 * KILOBYTE
+        assert stalled.stalled_bytes < MAX_TRANSPORT_BYTES + BURST_S * LINK_BYTES_PER_S
+        stalled.is_stalled, stalled.stalled_bytes = False, 0
+        await asyncio.sleep(2.0)
+
+    play.run(work())
+    assert len(stalled.written) == 100 * 100 * KILOBYTE
+
+
+def test_a_frame_that_the_budget_covers_is_written_at_once_without_a_timer() -> None:
+    play = Play(1)
+    wire = play.wires[0]
+
+    async def work() -> None:
+        for _ in range(100):
+            wire.flow.send(frame(64 * KILOBYTE), REPLICATION)
+            assert wire.chunks[-1][0] == play.loop.time()
+            assert wire.flow.waiting_bytes == 0
+            assert play.timers() == 0
+            await asyncio.sleep(0.01)
+
+    play.run(work())
+    assert len(wire.chunks) == 100
+
+
+def test_small_responses_are_not_held_up() -> None:
+    play = Play(2)
+
+    async def work() -> None:
+        for _ in range(20):
+            play.wires[0].flow.send(frame(100 * KILOBYTE), RESPONSE)
+        play.wires[1].flow.send(frame(SMALL_RESPONSE_BYTES), RESPONSE)
+        assert len(play.wires[1].written) == SMALL_RESPONSE_BYTES
+
+    play.run(work())
+
+
+def test_a_response_that_nobody_waits_for_any_more_is_dropped() -> None:
+    play = Play(1)
+
+    async def work() -> None:
+        for _ in range(40):
+            play.wires[0].flow.send(frame(KILOBYTE * KILOBYTE), RESPONSE)
+        await asyncio.sleep(5.0)
+
+    play.run(work())
+    frames, rest = divmod(len(play.wires[0].written), KILOBYTE * KILOBYTE)
+    assert rest == 0  # never a part of a frame
+    assert play.wires[0].chunks[-1][0] < MAX_RESPONSE_WAIT_S + 0.1
+    assert frames < 20
+    assert play.pacer.waiting_bytes(RESPONSE) == play.wires[0].flow.waiting_bytes == 0
+
+
+def test_a_repeated_message_to_a_learner_does_not_add_to_the_first() -> None:
+    play = Play(1)
+
+    async def work() -> None:
+        for _ in range(30):
+            play.wires[0].flow.send(frame(KILOBYTE * KILOBYTE), REPLICATION)
+        for _ in range(20):
+            play.wires[0].flow.send(frame(256 * KILOBYTE, b"c"), CATCH_UP)
+            await asyncio.sleep(0.005)
+        assert play.pacer.waiting_bytes(CATCH_UP) <= 256 * KILOBYTE
+
+    play.run(work())
