--- a/crowwing/tier/replication/campaign.py
+++ b/crowwing/tier/replication/campaign.py
@@ -35,6 +35,7 @@
         synced: replicas that hold the candidate's data on disk.
         view: the view that is proposed.
         accepted: replicas that have accepted it.
+        phase_s: how long each earlier phase took.
     """
 
     phase: Phase
@@ -50,3 +51,34 @@
     synced: set[str] = field(default_factory=set)
     view: View | None = None
     accepted: set[str] = field(default_factory=set)
+    phase_s: dict[Phase, float] = field(default_factory=dict)
+
+    def enter(self, phase: Phase, now: float) -> None:
+        """Begins the next phase."""
+        self.phase_s[self.phase] = now - self.since
+        self.phase = phase
+        self.since = now
+
+    def durations(self, now: float) -> str:
+        """How long each phase has taken up to now, as it stands in the log."""
+        spans = {**self.phase_s, self.phase: now - self.since}
+        return " ".join(f"{phase.value}_s={span_s:.3f}" for phase, span_s in spans.items())
+
+    def left_out(self) -> dict[str, list[str]]:
+        """The members of the last view and the targets that are no members of the next one, by the reason.
+
+        Nobody is left out of a campaign that ends before it has chosen its targets.
+        """
+        if self.phase is Phase.PREPARE:
+            return {}
+        before = set(self.base.members) if self.base is not None else set()
+        after = set(self.view.members) if self.view is not None else self.synced
+        reasons: dict[str, list[str]] = {}
+        for replica in sorted((before | self.targets) - after):
+            reasons.setdefault(self._reason_to_leave_out(replica), []).append(replica)
+        return reasons
+
+    def _reason_to_leave_out(self, replica: str) -> str:
+        if replica not in self.promises:
+            return "no promise"
+        return "not synchronized" if replica in self.targets else "not chosen"
--- a/crowwing/tier/replication/candidate.py
+++ b/crowwing/tier/replication/candidate.py
@@ -132,8 +132,7 @@
                 core.durable.adopt_view(base)
             self._changes.step_down(now, "its data is older than the last view")
             return
-        campaign.phase = Phase.SYNC
-        campaign.since = now
+        campaign.enter(Phase.SYNC, now)
         campaign.targets = self._choose_targets()
         campaign.synced = {core.me}
         core.durable.mark_synced(core.durable.promised)
@@ -204,8 +203,7 @@
     def _start_accept(self, now: float) -> None:
         core = self._core
         campaign = self.campaign
-        campaign.phase = Phase.ACCEPT
-        campaign.since = now
+        campaign.enter(Phase.ACCEPT, now)
         members = tuple(sorted(campaign.synced))
         witnesses = self._next_witnesses(now)
         campaign.view = View(core.durable.promised, members, witnesses)
--- a/crowwing/tier/replication/primary.py
+++ b/crowwing/tier/replication/primary.py
@@ -5,6 +5,7 @@
 from typing import ClassVar
 
 from crowwing.tier.replication import messages, range_transfer
+from crowwing.tier.replication.backlog import Backlog
 from crowwing.tier.replication.candidate import ViewLimits
 from crowwing.tier.replication.core import ReplicaCore, Role
 from crowwing.tier.replication.lease import Lease
@@ -90,6 +91,22 @@
                 self._send_windows(now, [response.sender])
         core.commit_index = max(core.commit_index, progress.committed(self._view().members))
 
+    def backlog(self, now: float) -> Backlog:
+        """Returns how far the others are behind."""
+        core = self._core
+        members = self._view().members
+        learners = core.peers.joined_within(now, 2 * JOIN_REQUEST_VALID_S) - {*members, core.me}
+        first = min(
+            [self._progress.acknowledged[member] for member in members if member != core.me], default=None
+        )
+        last = core.log.last[1]
+        return Backlog(
+            members=len(members),
+            learners=len(learners),
+            lag_bytes=0 if first is None else core.log.bytes_between(max(first, 0), last),
+            uncommitted_bytes=core.log.bytes_between(core.commit_index, last),
+        )
+
     # The lease
 
     def start_heartbeat(self, now: float) -> int:
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 
 from crowwing.tier.replication import messages
+from crowwing.tier.replication.backlog import Backlog
 from crowwing.tier.replication.campaign import Campaign, Phase
 from crowwing.tier.replication.candidate import Candidate, ViewLimits
 from crowwing.tier.replication.core import ReplicaCore, Role
@@ -163,6 +164,10 @@
         if isinstance(self.role_state, Primary):
             self.role_state.send_entries(now)
 
+    def backlog(self, now: float) -> Backlog | None:
+        """Returns how far the others are behind this replica, or None where it is not the primary."""
+        return self.role_state.backlog(now) if isinstance(self.role_state, Primary) else None
+
     def take_output(self) -> Output:
         """Returns what is to be carried out since the last call."""
         return self.outbox.take()
@@ -249,6 +254,7 @@
         self.peers.begin_view(now, view)
         self.commit_index = self.log.last[1]
         primary = Primary(self, self, self._lease, self._limits)
+        self._log_phases(now)
         self._begin(primary)
         log.info("primary_elected term=%s members=%s witnesses=%s", view.term, view.members, view.witnesses)
         primary.send_heartbeat(now)
@@ -257,6 +263,7 @@
         """Becomes a follower, and waits for its turn before it campaigns again."""
         if self.role is not Role.FOLLOWER:
             log.info("stepped_down role=%s term=%s reason=%r", self.role.value, self.durable.promised, reason)
+            self._log_phases(now)
             self.peers.forget_heard()
             self._begin(Follower(self, self))
         self.monitor.campaign_at = max(self.monitor.campaign_at, self.next_campaign_at(now))
@@ -266,6 +273,13 @@
         if self.role is not Role.FOLLOWER:
             self.step_down(now, reason)
 
+    def _log_phases(self, now: float) -> None:
+        """Logs how long a campaign that ends now spent in its phases, and who has no place in its view."""
+        if isinstance(self.role_state, Candidate):
+            campaign = self.role_state.campaign
+            durations, left_out = campaign.durations(now), campaign.left_out()
+            log.info("campaign_ended term=%s %s left_out=%r", self.durable.promised, durations, left_out)
+
     def _begin(self, role_state: RoleState) -> None:
         self.role_state = role_state
         self._witness.own_lease = self._lease if role_state.role is Role.PRIMARY else None
--- a/crowwing/tier/store/message_sender.py
+++ b/crowwing/tier/store/message_sender.py
@@ -11,6 +11,7 @@
     RangesResponse,
     SyncRequest,
 )
+from crowwing.tier.store.replication_traffic import SentTraffic
 from crowwing.tier.wire.connection_pool import ConnectionPool
 
 DATA_MESSAGES = (AppendRequest, SyncRequest, RangeDigests, RangesResponse)  # which can be long
@@ -30,7 +31,11 @@
 
 
 class MessageSender:
-    """Delivers messages in the order in which the replica gave them; owned by `ReplicaNode`."""
+    """Delivers messages in the order in which the replica gave them; owned by `ReplicaNode`.
+
+    Attributes:
+        traffic: What was sent to other replicas.
+    """
 
     def __init__(
         self, address: str, connections: ReplicaConnections, receive: Callable[[Message], None]
@@ -45,6 +50,7 @@
         self._address = address
         self._connections = connections
         self._receive = receive
+        self.traffic = SentTraffic()
 
     def deliver(self, messages: list[tuple[str, Message]]) -> None:
         """Delivers messages, each with its receiver; one that goes to several in a row is encoded once."""
@@ -56,4 +62,5 @@
             if receivers:
                 is_data = isinstance(message, DATA_MESSAGES)
                 pool = self._connections.data if is_data else self._connections.urgent
-                pool.notify_all(receivers, message)
+                frame_bytes = pool.notify_all(receivers, message)
+                self.traffic.count(message, frame_bytes, len(receivers))
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -17,6 +17,7 @@
 from crowwing.tier.store.environment import Environment
 from crowwing.tier.store.message_sender import MessageSender, ReplicaConnections
 from crowwing.tier.store.pending_decisions import PendingDecisions
+from crowwing.tier.store.replication_traffic import TrafficLog
 from crowwing.tier.store.role_notifier import RoleListener, RoleNotifier
 from crowwing.tier.wire.codec import encode
 
@@ -76,6 +77,7 @@
         self._disk = disk
         self._writer = DiskWriter(self.replica, self.state, disk, self.clock)
         self._sender = MessageSender(identity.address, connections, self._receive_own)
+        self._traffic_log = TrafficLog(self.replica, self._sender.traffic, self._buffered_bytes)
         self._pending = PendingDecisions()
         self._roles = RoleNotifier()
         self._changed = asyncio.Event()  # replaced at each step that may matter to who waits
@@ -125,6 +127,7 @@
                 self.replica.disk_stalled = self._writer.is_stalled(self.clock.monotonic())
                 self.replica.tick(self.clock.monotonic())
                 self.step()
+            self._traffic_log.tick(self.clock.monotonic())
             await asyncio.sleep(TICK_INTERVAL_S)
 
     async def run_disk(self) -> None:
@@ -150,6 +153,9 @@
         self.step()
         await self._writer.recover()
 
+    def _buffered_bytes(self) -> int:
+        return self.connections.data.buffered_bytes + self.connections.urgent.buffered_bytes
+
     def transfer_leadership(self) -> None:
         """Asks another member to take over, where this replica is the primary."""
         self.replica.transfer_leadership(self.clock.monotonic())
--- a/crowwing/tier/wire/connection.py
+++ b/crowwing/tier/wire/connection.py
@@ -69,6 +69,11 @@
         peer_name = self._writer.get_extra_info("peername")
         return peer_name[0] if peer_name else ""
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that wait in this process to be sent."""
+        return self._writer.transport.get_write_buffer_size()
+
     async def run(self) -> None:
         """Reads frames until the connection ends; then every pending call fails."""
         try:
@@ -139,7 +144,7 @@
         Args:
             frame: what `encode_frame` made of a notification.
         """
-        if not self.is_closed and self._writer.transport.get_write_buffer_size() < MAX_BUFFERED_BYTES:
+        if not self.is_closed and self.buffered_bytes < MAX_BUFFERED_BYTES:
             self._write_frame(frame)
 
     async def call(self, body: object, timeout_s: float) -> Decoded:
--- a/crowwing/tier/wire/connection_pool.py
+++ b/crowwing/tier/wire/connection_pool.py
@@ -85,8 +85,8 @@
         """Sends a message without a response; it is lost where the host can't be reached."""
         self.notify_all((host,), body)
 
-    def notify_all(self, hosts: Iterable[str], body: object) -> None:
-        """Sends the same message, encoded once, to several hosts."""
+    def notify_all(self, hosts: Iterable[str], body: object) -> int:
+        """Sends the same message, encoded once, to several hosts; returns how many bytes each is sent."""
         frame = encode_frame(FrameKind.NOTIFICATION, NO_CALL, body)
         for host in hosts:
             connection = self._connections.get(host)
@@ -94,6 +94,7 @@
                 connection.notify_frame(frame)
             else:
                 self._start(self._connect_and_notify(host, frame))
+        return len(frame)
 
     async def _connect_and_notify(self, host: str, frame: bytes) -> None:
         try:
@@ -103,6 +104,13 @@
             return
         connection.notify_frame(frame)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that wait in this process to be sent."""
+        return sum(
+            connection.buffered_bytes for connection in self._connections.values() if not connection.is_closed
+        )
+
     def close(self) -> None:
         """Closes all connections."""
         for connection in self._connections.values():
--- a/tests/tier/simulation/world.py
+++ b/tests/tier/simulation/world.py
@@ -237,13 +237,13 @@
             step()
             self.check(host, node.replica)
 
-        def counted(hosts: Iterable[str], body: object) -> None:
-            self._count(host, list(hosts), body, notify_all)
+        def counted(hosts: Iterable[str], body: object) -> int:
+            return self._count(host, list(hosts), body, notify_all)
 
         node.step = watched_step  # type: ignore[method-assign]
         node.connections.data.notify_all = counted  # type: ignore[method-assign]
 
-    def _count(self, host: str, receivers: list[str], message: Any, send: Callable[..., None]) -> None:  # noqa: ANN401
+    def _count(self, host: str, receivers: list[str], message: Any, send: Callable[..., int]) -> int:  # noqa: ANN401
         entries = getattr(message, "entries", ())
         self.entry_bytes_sent += len(receivers) * sum(len(entry.payload) for entry in entries)
         if isinstance(message, messages.RangesResponse):
@@ -256,8 +256,8 @@
                     )
                     self._link_free_at[host, receiver] = free
                     self.loop.call_at(free, send, [receiver], message)
-                return
-        send(receivers, message)
+                return 0  # counted nowhere, and sent later
+        return send(receivers, message)
 
     def check(self, host: str, replica: Replica) -> None:
         """At most one lease, under rising terms, at a primary that has all acknowledged entries."""
