--- a/crowwing/tier/replication/primary.py
+++ b/crowwing/tier/replication/primary.py
@@ -5,6 +5,7 @@
 from typing import ClassVar
 
 from crowwing.tier.replication import messages
+from crowwing.tier.replication.backlog import Backlog
 from crowwing.tier.replication.catch_up import CatchUp
 from crowwing.tier.replication.core import ReplicaCore, Role
 from crowwing.tier.replication.lease import Lease
@@ -87,6 +88,21 @@
                 self._send_windows(now, [response.sender])
         core.commit_index = max(core.commit_index, progress.committed(self._view().members))
 
+    def backlog(self) -> Backlog:
+        """Returns how far the others are behind."""
+        core = self._core
+        members = self._view().members
+        first = min(
+            [self._progress.acknowledged[member] for member in members if member != core.me], default=None
+        )
+        last = core.log.last[1]
+        return Backlog(
+            members=len(members),
+            learners=len(self._catch_up.learners),
+            lag_bytes=0 if first is None else core.log.bytes_between(max(first, 0), last),
+            uncommitted_bytes=core.log.bytes_between(core.commit_index, last),
+        )
+
     # The lease
 
     def start_heartbeat(self, now: float) -> int:
--- a/crowwing/tier/wire/connection.py
+++ b/crowwing/tier/wire/connection.py
@@ -81,6 +81,12 @@
         peer_name = self._writer.get_extra_info("peername")
         return peer_name[0] if peer_name else ""
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that wait in this process to be sent."""
+        in_transport: int = self._writer.transport.get_write_buffer_size()
+        return in_transport if self._flow is None else in_transport + self._flow.waiting_bytes
+
     async def run(self) -> None:
         """Reads frames until the connection ends; then every pending call fails."""
         try:
@@ -146,10 +152,6 @@
             log.debug("write_failed peer=%s error=%s", self.remote, error)
             self.close()
 
-    def _count_buffered_bytes(self) -> int:
-        buffered_bytes: int = self._writer.transport.get_write_buffer_size()
-        return buffered_bytes if self._flow is None else buffered_bytes + self._flow.waiting_bytes
-
     def notify(self, body: object) -> None:
         """Sends a message that has no response; it is dropped where the peer reads far too slowly.
 
@@ -166,7 +168,7 @@
             frame: what `encode_frame` made of a notification.
             traffic_class: how urgent it is.
         """
-        if not self.is_closed and self._count_buffered_bytes() < MAX_BUFFERED_BYTES:
+        if not self.is_closed and self.buffered_bytes < MAX_BUFFERED_BYTES:
             self._write_frame(frame, traffic_class)
 
     async def call(self, body: object, timeout_s: float) -> Decoded:
--- a/crowwing/tier/wire/connection_pool.py
+++ b/crowwing/tier/wire/connection_pool.py
@@ -95,8 +95,8 @@
         """Sends a message without a response; it is lost where the host can't be reached."""
         self.notify_all((host,), body)
 
-    def notify_all(self, hosts: Iterable[str], body: object) -> None:
-        """Sends the same message, encoded once, to several hosts."""
+    def notify_all(self, hosts: Iterable[str], body: object) -> int:
+        """Sends the same message, encoded once, to several hosts; returns how many bytes each is sent."""
         frame = encode_frame(FrameKind.NOTIFICATION, NO_CALL, body)
         traffic_class = TrafficClass.CONTROL if self._pacer is None else self._pacer.classify(body)
         for host in hosts:
@@ -105,6 +105,7 @@
                 connection.notify_frame(frame, traffic_class)
             else:
                 self._start(self._connect_and_notify(host, frame, traffic_class))
+        return len(frame)
 
     async def _connect_and_notify(self, host: str, frame: bytes, traffic_class: TrafficClass) -> None:
         try:
@@ -114,6 +115,13 @@
             return
         connection.notify_frame(frame, traffic_class)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that wait in this process to be sent."""
+        return sum(
+            connection.buffered_bytes for connection in self._connections.values() if not connection.is_closed
+        )
+
     def close(self) -> None:
         """Closes all connections."""
         for connection in self._connections.values():
