--- a/tests/tier/simulation/network.py
+++ b/tests/tier/simulation/network.py
@@ -204,6 +204,10 @@
         endpoint.sent.clear()
         self._reset_later(endpoint.peer)
 
+    def endpoints_of(self, host: str) -> list[Endpoint]:
+        """The open sides of connections that a machine holds."""
+        return [one for one in self._endpoints if one.incarnation.host == host and not one.closed]
+
     # Faults
 
     def partition_link(self, a: str, b: str, refuse: bool = False, reset: bool = False) -> None:
