The relay tree: a search for a parent asks a bounded number of backends, and backs off

Cause: a backend without a root asked the seeds and all its 16 peers, followed every redirect (up to 85 backends below one of them), one after another, and began anew after 0.1 to 0.2 s. Without a primary that goes on as long as nobody leads, with the seeds, which have to elect one, hit most. Change: a search asks the probable root, the seeds and three peers, follows one child of a full backend, six times at most, and doubles the pause up to 0.8 s (1.6 s with the part by chance) after one without success. A new root ends its search.

--- a/crowwing/tier/distribution/parent.py
+++ b/crowwing/tier/distribution/parent.py
@@ -15,8 +15,9 @@
 
 ATTACH_TIMEOUT_S = 0.5
 CHECK_INTERVAL_S = 0.1  # between two looks at the parent, and at most as much again by chance
-MAX_REDIRECTS = 6
-REDIRECT_COST = 2  # of MAX_REDIRECTS for each one: three in a row are followed
+MAX_SEARCH_PAUSE_S = 0.8  # after searches without success, whose pauses double from CHECK_INTERVAL_S on
+MAX_PEERS = 3  # asked in one search, besides the probable root and the seeds
+MAX_REDIRECTS = 6  # followed from one of them, each a level down; six full levels hold 5,461 backends
 
 
 class ParentFinder:
@@ -53,46 +54,63 @@
 
     async def run(self) -> None:
         """Attaches anew whenever there is no parent, or its branch has lost the root; runs for ever."""
+        pause_s = CHECK_INTERVAL_S
         while True:
-            if not self._root_role.is_root and not self._is_attached():
-                await self._find()
-            await asyncio.sleep(CHECK_INTERVAL_S + CHECK_INTERVAL_S * self._random.random())
+            if self._has_place() or await self._find():
+                pause_s = CHECK_INTERVAL_S
+            else:
+                pause_s = min(MAX_SEARCH_PAUSE_S, 2 * pause_s)
+            await asyncio.sleep(pause_s + pause_s * self._random.random())
+
+    def _has_place(self) -> bool:
+        return self._root_role.is_root or self._is_attached()
 
     def _is_attached(self) -> bool:
         is_open = self.connection is not None and not self.connection.is_closed
         return is_open and self._tracker.is_connected
 
-    async def _find(self) -> None:
-        """Tries the probable root, the seeds, and the peers in a random order, until one accepts."""
-        peers = [peer.host for peer in self._view.peers()]
-        self._random.shuffle(peers)
-        candidates = (self._root_role.probable_root(), *self._view.seeds, *peers)
-        for host in dict.fromkeys(candidates):
-            if host is None or host == self._view.me.host:
-                continue
-            if await self._attach(host, MAX_REDIRECTS):
-                return
-
-    async def _attach(self, host: str, redirects: int) -> bool:
-        """Asks a backend to be the parent, and those that it redirects to."""
+    async def _find(self) -> bool:
+        """Tries the probable root, the seeds, and some peers, until one accepts; False where none does."""
+        for host in self._candidates():
+            if await self._attach_below(host) or self._root_role.is_root:
+                return True
+        return False
+
+    def _candidates(self) -> list[str]:
+        """Where a search begins, in the order in which they are asked."""
+        probable_root = self._root_role.probable_root()
+        seeds = self._random.sample(self._view.seeds, len(self._view.seeds))
+        known = [peer.host for peer in self._view.peers()]
+        peers = self._random.sample(known, min(MAX_PEERS, len(known)))
+        hosts = dict.fromkeys((probable_root, *seeds, *peers))
+        return [host for host in hosts if host is not None and host != self._view.me.host]
+
+    async def _attach_below(self, host: str) -> bool:
+        """Asks a backend to be the parent; one without capacity names its children, of which one is next."""
+        for _ in range(1 + MAX_REDIRECTS):
+            response = await self._ask(host)
+            if isinstance(response, AttachResponse):
+                return self._tracker.is_connected
+            children = response.hosts if isinstance(response, AttachRedirect) else ()
+            others = [child for child in children if child != self._view.me.host]
+            if not others:
+                return False
+            host = self._random.choice(others)
+        return False
+
+    async def _ask(self, host: str) -> AttachResponse | AttachRedirect | None:
+        """Asks one backend, which is the parent where it accepts; None where it does not respond."""
         try:
             connection = await self._connections.get(host)
             request = AttachRequest(self._view.me.host, self._documents.versions())
-            response = await connection.call(request, ATTACH_TIMEOUT_S)
+            response: AttachResponse | AttachRedirect = await connection.call(request, ATTACH_TIMEOUT_S)
         except CallError as error:
             log.debug("attach_failed host=%s error=%s", host, error)
-            return False
+            return None
         if isinstance(response, AttachResponse):
             self._accept(connection, response)
             log.info("attached parent=%s", host)
-            return self._tracker.is_connected
-        if isinstance(response, AttachRedirect) and redirects > 0:
-            for other in response.hosts:
-                if other == self._view.me.host:
-                    continue
-                if await self._attach(other, redirects - REDIRECT_COST):
-                    return True
-        return False
+        return response
 
     def _accept(self, connection: Connection, response: AttachResponse) -> None:
         for document in response.documents:
--- a/tests/tier/test_relay_tree.py
+++ b/tests/tier/test_relay_tree.py
@@ -1,10 +1,16 @@
 """Simulated runs of the relay tree at the size of a large deployment: capacity, requests, and documents."""
 
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import pytest
 
-from crowwing.tier.distribution.children import FANOUT
+from crowwing.tier.distribution.children import FANOUT, Children
 from crowwing.tier.distribution.documents import CONFIGURATION
+from crowwing.tier.distribution.messages import AttachRedirect, AttachRequest, AttachResponse
 from crowwing.tier.distribution.relay import Relay
+from crowwing.tier.wire.connection import Connection
 from tests.tier.simulation.clients import Operator
 from tests.tier.simulation.machines import Machine, Store
 from tests.tier.simulation.world import World
@@ -13,6 +19,7 @@
 SETTLING_S = 6.0
 SEEDS = range(3)
 CONFIG_APPLY_S = 3.0  # of the large deployments
+MAX_ATTACH_REQUESTS_PER_S = 10.0  # of one front, while nobody has a connection to a root
 
 
 def world_of(seed: int, fronts: int) -> World:
@@ -63,6 +70,25 @@
     machine.transfer_leadership()
 
 
+@contextmanager
+def counted_attach_requests() -> Iterator[Counter[str]]:
+    """Counts the requests to attach, by the address of the child."""
+    counts: Counter[str] = Counter()
+    original = Children.attach
+
+    def attach(
+        self: Children, connection: Connection, request: AttachRequest
+    ) -> AttachResponse | AttachRedirect:
+        counts[request.host] += 1
+        return original(self, connection, request)
+
+    Children.attach = attach  # type: ignore[method-assign]
+    try:
+        yield counts
+    finally:
+        Children.attach = original  # type: ignore[method-assign]
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_backends_that_have_left_a_parent_use_up_none_of_its_capacity(seed: int) -> None:
     world = world_of(seed, 40)
@@ -79,6 +105,20 @@
     assert not former, f"seed {seed}: {len(former)} of {FANOUT * len(relays)} places are taken by former ones"
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_fleet_without_a_root_is_not_flooded_with_requests_to_attach(seed: int) -> None:
+    world = world_of(seed, 60)
+    for host in STORES[1:]:
+        world.stop(host)
+    world.run_for(3.0)
+    assert world.primary() is None
+    span_s = 5.0
+    with counted_attach_requests() as counts:
+        world.run_for(span_s)
+    highest = max(counts[host] for host in world.fronts) / span_s
+    assert highest <= MAX_ATTACH_REQUESTS_PER_S, f"seed {seed}: {highest:.0f} a second of one front"
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_all_backends_hear_a_new_root_soon_after_the_former_one_is_lost(seed: int) -> None:
     world = world_of(seed, 30)
