A member that is being emptied holds the data until others do

Now a candidate takes in a leaving member where the others are too few, and asks spares where the members that stay would be.

--- a/crowwing/tier/replication/candidate.py
+++ b/crowwing/tier/replication/candidate.py
@@ -139,6 +139,8 @@
         core = self._core
         promises = self.campaign.promises
         targets = {member for member in promises if member not in core.excluded} | {core.me}
+        if len(targets) < self._min_replicas():
+            targets = {*promises, core.me}  # who is to leave holds the data until others do
         sync_s = {member: promise.sync_s for member, promise in promises.items()}
         quick = targets - slow_disks({**sync_s, core.me: core.sync_s}) | {core.me}
         if len(quick) >= self._min_replicas():
--- a/crowwing/tier/replication/replica.py
+++ b/crowwing/tier/replication/replica.py
@@ -243,7 +243,7 @@
         if was_primary:
             released = self.durable.promised
         # Members that are left beside a lost one may be too few to hold the data: others can take its place.
-        if len(view.members) - 1 < self.limits.min_replicas:
+        if len(set(view.members) - self.excluded) - 1 < self.limits.min_replicas:
             receivers |= self._substitutes(now)
         campaign = Campaign(
             Phase.PREPARE,
--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -239,6 +239,22 @@
     world.acknowledge("second")
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_primary_that_is_lost_for_good_while_a_member_is_being_emptied_is_replaced(seed: int) -> None:
+    world = quick_world(seed, HOSTS, HOSTS)
+    world.stabilize()
+    world.start("d")
+    world.run_for(CATCH_UP_S)
+    world.acknowledge("first")
+    lost = world.primary()
+    leaving = sorted(set(HOSTS) - {lost})[seed % 2]
+    world.retire(leaving)
+    world.run_for(0.05)
+    world.stop(lost, power=True, wipe=True)
+    world.stores.pop(lost)
+    world.acknowledge("second", 2 * CATCH_UP_S)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_a_machine_that_was_cut_off_alone_raises_no_ballot(seed: int) -> None:
     world = quick_world(seed, HOSTS, HOSTS)
