--- a/crowwing/tier/replication/campaign.py
+++ b/crowwing/tier/replication/campaign.py
@@ -34,6 +34,7 @@
         targets: replicas that are to be members.
         sync_limit_s: how long the synchronization may take; learners that get on extend it.
         progress_sent_at: when the others were last told that the synchronization goes on.
+        resend_at: when each target is sent the data again if it does not respond.
         synced: replicas that hold the candidate's data on disk.
         view: the view that is proposed.
         accepted: replicas that have accepted it.
@@ -52,6 +53,7 @@
     targets: set[str] = field(default_factory=set)
     sync_limit_s: float = SYNC_TIMEOUT_S
     progress_sent_at: float = NEVER
+    resend_at: dict[str, float] = field(default_factory=dict)
     synced: set[str] = field(default_factory=set)
     view: View | None = None
     accepted: set[str] = field(default_factory=set)
--- a/crowwing/tier/replication/candidate.py
+++ b/crowwing/tier/replication/candidate.py
@@ -10,10 +10,11 @@
 from crowwing.tier.replication.campaign import Campaign, Phase
 from crowwing.tier.replication.core import ReplicaCore, Role, slow_disks
 from crowwing.tier.replication.roles import RoleChanges, RoleState, role_handlers
-from crowwing.tier.replication.terms import Term, View, majority
+from crowwing.tier.replication.terms import LogPosition, Term, View, majority
 from crowwing.tier.replication.timing import (
     ACCEPT_TIMEOUT_S,
     HEARTBEAT_INTERVAL_S,
+    LEARNER_RANGES_WAIT_S,
     PREPARE_TIMEOUT_S,
     SYNC_GRACE_S,
     SYNC_TIMEOUT_S,
@@ -55,7 +56,13 @@
             self._start_accept(now)
         elif elapsed_s >= campaign.sync_limit_s:
             self._changes.step_down(now, "too few members hold the data")
-        elif now - campaign.progress_sent_at >= HEARTBEAT_INTERVAL_S:
+        else:
+            self._resend_to_silent_targets(now)
+            self._tell_progress(now)
+
+    def _tell_progress(self, now: float) -> None:
+        campaign = self.campaign
+        if now - campaign.progress_sent_at >= HEARTBEAT_INTERVAL_S:
             campaign.progress_sent_at = now
             core = self._core
             for other in sorted(campaign.promises.keys() - {core.me}):
@@ -127,9 +134,19 @@
         campaign.synced = {core.me}
         core.durable.mark_synced(core.durable.promised)
         for target in sorted(campaign.targets - {core.me}):
-            core.send_sync(target, campaign.promises[target].last)
+            self._send_sync(now, target, campaign.promises[target].last)
         self._accept_if_synced(now)
 
+    def _send_sync(self, now: float, target: str, last: LogPosition) -> None:
+        self.campaign.resend_at[target] = now + self._core.send_sync(target, last)
+
+    def _resend_to_silent_targets(self, now: float) -> None:
+        """Sends again what may have been lost on a connection to an earlier incarnation."""
+        campaign = self.campaign
+        for target in sorted(campaign.targets - campaign.synced):
+            if now >= campaign.resend_at[target]:
+                self._send_sync(now, target, campaign.promises[target].last)
+
     def _choose_targets(self) -> set[str]:
         """Returns who is to hold the data in the new view: those who promised.
 
@@ -156,6 +173,7 @@
         if response.term != core.durable.promised:
             return
         if not response.matched:
+            campaign.resend_at[response.sender] = now + LEARNER_RANGES_WAIT_S
             core.send_digests(response.sender)
         elif campaign.phase is Phase.SYNC and response.sender in campaign.targets:
             if response.last == core.log.last:
@@ -163,7 +181,7 @@
                 self._accept_if_synced(now)
             else:
                 self._learner_moved(now, response.sender)
-                core.send_sync(response.sender, response.last)
+                self._send_sync(now, response.sender, response.last)
 
     def _serves(self, term: Term) -> bool:
         """Whether this replica's data is what others are to be brought to under a term."""
@@ -184,6 +202,7 @@
         """Waits a while longer for a target that gets on."""
         campaign = self.campaign
         if learner in campaign.targets:
+            campaign.resend_at[learner] = now + LEARNER_RANGES_WAIT_S
             campaign.sync_limit_s = max(campaign.sync_limit_s, now - campaign.since + SYNC_TIMEOUT_S)
 
     def _accept_if_synced(self, now: float) -> None:
