Entries that a member does not acknowledge are sent again less and less often

Behind a full link the copies kept the link full: 512 KB each 0.35 s and member, where the first copy was still on its way. The wait doubles up to 2.8 s until the member acknowledges more.

--- a/crowwing/tier/replication/member_progress.py
+++ b/crowwing/tier/replication/member_progress.py
@@ -5,7 +5,12 @@
 from crowwing.tier.replication.core import slow_disks
 from crowwing.tier.replication.log import EntryLog
 from crowwing.tier.replication.terms import LogPosition
-from crowwing.tier.replication.timing import MAX_APPEND_BYTES, RESEND_AFTER_S, SEND_WINDOW_BYTES
+from crowwing.tier.replication.timing import (
+    MAX_APPEND_BYTES,
+    MAX_RESEND_WAIT_S,
+    RESEND_AFTER_S,
+    SEND_WINDOW_BYTES,
+)
 
 DATA_LOST = -1  # acknowledged index of a member that has come back without its data
 
@@ -25,6 +30,7 @@
         self.sent = {member: last_index for member in self.acknowledged if member != me}
         self.disk_sync_s: dict[str, float] = {}
         self._moved_at: dict[str, float] = {}  # when each acknowledged more, or began to have to
+        self._resend_wait_s: dict[str, float] = {}  # of members that were sent the same entries again
 
     def next_span(self, member: str, log: EntryLog) -> tuple[int, int] | None:
         """Returns the indexes behind which, and up to which, a member is sent entries next.
@@ -51,6 +57,7 @@
         if index > self.acknowledged.get(member, DATA_LOST) >= 0:
             self.acknowledged[member] = index
             self._moved_at[member] = now
+            self._resend_wait_s.pop(member, None)
 
     def committed(self, members: Iterable[str]) -> int:
         """Returns the index up to which every member has the entries on disk."""
@@ -63,11 +70,14 @@
     def is_stuck(self, now: float, member: str) -> bool:
         """Whether a member has not acknowledged more for long, though it was sent more."""
         is_waiting = 0 <= self.acknowledged.get(member, DATA_LOST) < self.sent[member]
-        return is_waiting and now - self._moved_at.get(member, now) >= RESEND_AFTER_S
+        wait_s = self._resend_wait_s.get(member, RESEND_AFTER_S)
+        return is_waiting and now - self._moved_at.get(member, now) >= wait_s
 
     def start_resending(self, now: float, member: str) -> None:
-        """Gives a stuck member time to acknowledge what it is sent again."""
+        """Gives a stuck member time to acknowledge what it is sent again, twice as long each time."""
         self._moved_at[member] = now
+        wait_s = self._resend_wait_s.get(member, RESEND_AFTER_S)
+        self._resend_wait_s[member] = min(MAX_RESEND_WAIT_S, 2 * wait_s)
 
     def slow_members(self, members: Iterable[str]) -> set[str]:
         """Returns the members whose disk is slow."""
--- a/crowwing/tier/replication/timing.py
+++ b/crowwing/tier/replication/timing.py
@@ -80,10 +80,10 @@
 LEARNER_CHOICE_DELAY_S = 0.1
 
 # Silence of a learner after which a spare takes its place.
-LEARNER_TIMEOUT_S = 0.4
+LEARNER_TIMEOUT_S = 1.0
 
 # Without progress, after which another spare takes a learner's place.
-LEARNER_STALLED_S = 2.5
+LEARNER_STALLED_S = 4.0
 
 # For which a learner is passed over that made no progress, or that a view left out.
 LEARNER_BACKOFF_S = 2.0
@@ -109,6 +109,9 @@
 # Without progress, after which a member is sent again what it lacks.
 RESEND_AFTER_S = 0.35
 
+# The most that this grows to for a member that makes no progress: copies would fill the link.
+MAX_RESEND_WAIT_S = 2.8
+
 # After which a learner that does not respond is sent entries once more.
 LEARNER_ENTRIES_WAIT_S = 0.5
 
