A learner's disk counts as slow beside those of the members

With all disks slow (disk_slow) no learner was ever ready, since its bound was absolute, and the view never full. Found by the review; the members' own bound is relative already.

--- a/crowwing/tier/replication/catch_up.py
+++ b/crowwing/tier/replication/catch_up.py
@@ -1,5 +1,6 @@
 """The part of a primary that brings spares up to date, as many as its view lacks members."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from crowwing.tier.replication import messages, range_transfer
@@ -15,6 +16,7 @@
     LEARNER_TIMEOUT_S,
     MAX_LEARNER_LAG_BYTES,
     MAX_LEARNER_LAG_ENTRIES,
+    SLOW_DISK_FACTOR,
     SLOW_DISK_SYNC_S,
 )
 from crowwing.tier.replication.view_limits import ViewLimits
@@ -42,8 +44,19 @@
 class CatchUp:
     """Chooses learners among the spares and sends them what they lack; owned by one Primary."""
 
-    def __init__(self, core: ReplicaCore, view: View, limits: ViewLimits, now: float) -> None:
-        """No learners yet, for a view that begins `now`."""
+    def __init__(
+        self, core: ReplicaCore, view: View, limits: ViewLimits, disk_sync_s: Mapping[str, float], now: float
+    ) -> None:
+        """No learners yet.
+
+        Args:
+            core: the replica.
+            view: the view, which begins now.
+            limits: how many members a full view has.
+            disk_sync_s: seconds that the disk of each member takes for a write, as they tell them.
+            now: the present time.
+        """
+        self._disk_sync_s = disk_sync_s
         self._core = core
         self._view = view
         self._limits = limits
@@ -98,13 +111,18 @@
         if response.last != learner.last:
             learner.last = response.last
             learner.moved_at = now
-        has_quick_disk = response.sync_s < SLOW_DISK_SYNC_S / 2
+        has_quick_disk = response.sync_s < self._slow_disk_s() / 2
         learner.is_ready = self._is_near(response) and has_quick_disk
         is_complete = response.last == core.log.last and response.synced == core.durable.promised
         # Also what a complete learner is sent makes it write, which shows that a slow disk is quick again.
         if not (is_complete and has_quick_disk) and now >= learner.wait_until:
             learner.wait_until = now + core.send_sync(response.sender, response.last)
 
+    def _slow_disk_s(self) -> float:
+        """Seconds for a write from which a disk is slow beside those of the members."""
+        sync_s = sorted(self._disk_sync_s.get(member, 0.0) for member in self._view.members)
+        return max(SLOW_DISK_SYNC_S, SLOW_DISK_FACTOR * sync_s[(len(sync_s) - 1) // 2])
+
     def _is_near(self, response: messages.HeartbeatResponse) -> bool:
         log = self._core.log
         if response.synced != self._core.durable.promised:
--- a/crowwing/tier/replication/primary.py
+++ b/crowwing/tier/replication/primary.py
@@ -39,7 +39,7 @@
         self._lease = lease
         self._limits = limits
         self._progress = MemberProgress(core.me, self._view().members, core.log.last[1])
-        self._catch_up = CatchUp(core, self._view(), limits, lease.active_since)
+        self._catch_up = CatchUp(core, self._view(), limits, self._progress.disk_sync_s, lease.active_since)
         self._heartbeat_at = NEVER
         self._announced_at = NEVER
         self._transfer_at = NEVER
