Control traffic is not dropped for bulk data that waits in the pacer

Heartbeats of the relay tree share a connection with responses to a front; with 2 MB of responses waiting they were dropped, and the front left the tree. They count the transport's own buffer alone. A long response expires after 2 s, no sooner than its callers (review).

--- a/crowwing/tier/wire/connection.py
+++ b/crowwing/tier/wire/connection.py
@@ -168,7 +168,9 @@
             frame: what `encode_frame` made of a notification.
             traffic_class: how urgent it is.
         """
-        if not self.is_closed and self.buffered_bytes < MAX_BUFFERED_BYTES:
+        is_control = traffic_class is TrafficClass.CONTROL
+        buffered_bytes = self._writer.transport.get_write_buffer_size() if is_control else self.buffered_bytes
+        if not self.is_closed and buffered_bytes < MAX_BUFFERED_BYTES:
             self._write_frame(frame, traffic_class)
 
     async def call(self, body: object, timeout_s: float) -> Decoded:
--- a/crowwing/tier/wire/egress.py
+++ b/crowwing/tier/wire/egress.py
@@ -25,7 +25,7 @@
 
 # After which a long response is dropped: its caller has given up (timeouts in front/), and a link that sends
 # responses to nobody never catches up with the calls.
-MAX_RESPONSE_WAIT_S = 1.2
+MAX_RESPONSE_WAIT_S = 2.0
 
 
 class EgressPacer:
