--- a/crowwing/tier/front/primary_finder.py
+++ b/crowwing/tier/front/primary_finder.py
@@ -78,6 +78,8 @@
 
         Calls that wait at the same time share the questions.
         """
+        if self._primary not in (None, host):
+            return False
         now = self._clock.monotonic()
         is_running = self._confirmation is not None and not self._confirmation.done()
         if not is_running and now - self._confirmed_at >= MIN_CONFIRM_INTERVAL_S:
--- a/crowwing/tier/front/store_client.py
+++ b/crowwing/tier/front/store_client.py
@@ -118,13 +118,23 @@
             while not await self._is_done(call, min(confirm_s, deadline - self._clock.monotonic())):
                 if self._clock.monotonic() >= deadline:
                     raise CallError(TIME_IS_UP, sent=True)
-                if not await self._finder.confirm(host):
+                if await self._has_moved(host, call, deadline):
                     raise CallError(PRIMARY_MOVED, sent=True)
             outcome: FrontOutcome = await call
         finally:
             call.cancel()
         return outcome
 
+    async def _has_moved(self, host: str, call: "asyncio.Task[Decoded]", deadline: float) -> bool:
+        """Looks whether another machine is the primary, until the response or the deadline comes."""
+        confirmation = asyncio.ensure_future(self._finder.confirm(host))
+        left_s = max(0.0, deadline - self._clock.monotonic())
+        try:
+            await asyncio.wait({call, confirmation}, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
+            return not call.done() and confirmation.done() and not confirmation.result()
+        finally:
+            confirmation.cancel()
+
     async def _is_done(self, call: "asyncio.Task[Decoded]", limit_s: float) -> bool:
         """Waits for a response, a change of the primary, or the limit; whether the response is there."""
         changed = asyncio.ensure_future(self._finder.changed.wait())
--- a/tests/tier/test_without_a_primary.py
+++ b/tests/tier/test_without_a_primary.py
@@ -1,17 +1,21 @@
 """What fronts send while no store machine is the primary, and how soon they are back once one is."""
 
+import asyncio
 import base64
 import json
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
+from random import Random
 
 import pytest
 
-from crowwing.tier.store import commands
+from crowwing.tier.clock import Clock
+from crowwing.tier.front.store_client import StoreClient
+from crowwing.tier.store import commands, outcomes
 from crowwing.tier.wire.codec import Decoded
 from crowwing.tier.wire.connection import Connection
-from tests.tier.simulation.loop import CURRENT_INCARNATION
+from tests.tier.simulation.loop import CURRENT_INCARNATION, SimulatedLoop
 from tests.tier.simulation.machines import BATCH_PREFIX
 from tests.tier.simulation.world import World
 
@@ -144,3 +148,34 @@
     world.close()
     assert status == 202
     assert counts["SubmitBatchJob"] == 1, counts
+
+
+class UnsureConnections:
+    """The primary responds after a while; other machines do not answer whether they are the primary."""
+
+    def __init__(self, response_s: float) -> None:
+        self._response_s = response_s
+
+    async def call(self, _host: str, body: commands.ForwardedCommand, timeout_s: float) -> Decoded:
+        """Waits for the response, or for ever."""
+        is_question = isinstance(body.command, commands.GetStatus)
+        await asyncio.sleep(100 * timeout_s if is_question else self._response_s)
+        return outcomes.Done()
+
+
+@pytest.mark.parametrize(("response_s", "limit_s"), [(0.75, 2.5), (9.0, 0.9)])
+def test_a_caller_hears_at_once_while_others_are_asked_whether_the_primary_has_moved(
+    response_s: float, limit_s: float
+) -> None:
+    loop = SimulatedLoop()
+
+    async def call() -> float:
+        connections = UnsureConnections(response_s)
+        clock = Clock(loop.time, lambda: 0)
+        client = StoreClient(connections, lambda: ["p", "x", "y"], Random(1), clock)  # type: ignore[arg-type]
+        client.moved("p")
+        began = loop.time()
+        await client.call(commands.EndBatchJob("j"), limit_s)
+        return loop.time() - began
+
+    assert loop.run_until_complete(call()) <= min(response_s, limit_s) + 0.01
