Batch jobs beyond what the link carries are rejected at once, and changes stay quick

Change: a primary proposes a batch job only while what is proposed and not committed is less than the link carries to the members in 0.5 s (4 MB where the link is not known); else 503 at once, with Retry-After 0.5 s, and nothing of the job is there. A front passes that on, but not where an earlier attempt may have been taken. Items are leased while their responses fit the link, so that responses come before their calls end. Windows are 256 KB, and what waits in the pacer already is not queued again.

--- a/crowwing/tier/front/batch_api.py
+++ b/crowwing/tier/front/batch_api.py
@@ -16,6 +16,7 @@
 BATCH_JOBS_PATH, ITEMS = "/lots/", "/items/"
 MAX_WAIT_MS = 1000
 RETRY_AFTER_S = 0.2
+OVERLOAD_RETRY_AFTER_S = 0.5  # by then the link has carried what waited for it (store/write_capacity.py)
 
 
 class BatchApi:
@@ -89,6 +90,8 @@
                 await respond(send, 200, body, [(b"content-type", b"application/octet-stream")])
             case outcomes.NotFound():
                 await respond_json(send, 404, {"error": "there is no such lot or item"})
+            case outcomes.Rejected(503, reason):
+                await respond_unavailable(send, reason, OVERLOAD_RETRY_AFTER_S)
             case outcomes.Rejected(status, reason):
                 await respond_json(send, status, {"error": reason}, [(b"retry-after", b"1")])
             case outcomes.Indeterminate(reason):
--- a/crowwing/tier/front/store_client.py
+++ b/crowwing/tier/front/store_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from http import HTTPStatus
 from random import Random
 
 from crowwing.tier.clock import SYSTEM_CLOCK, Clock
@@ -14,6 +15,7 @@
 CONFIRM_INTERVAL_S = 0.7  # without a response, after which others are asked whether the primary has changed
 MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S = 0.08, 0.64  # of one call, doubled with each of its attempts
 MIN_PAUSE_SHARE = 0.5  # of such a pause; the rest is drawn, so that fronts do not retry in step
+OVERLOAD_PAUSE_S = 0.5  # after which a primary that had no capacity is asked again
 PRIMARY_MOVED = "the primary has moved"
 TIME_IS_UP = "no response in time"
 
@@ -38,6 +40,11 @@
 )
 
 
+def is_overloaded(outcome: FrontOutcome) -> bool:
+    """Whether the primary has rejected a command for want of capacity, which is no matter of the command."""
+    return isinstance(outcome, outcomes.Rejected) and outcome.status == HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class StoreClient:
     """Finds the primary and calls it until there is a clear outcome or the time is up.
 
@@ -91,6 +98,9 @@
             except CallError as error:
                 indeterminate = indeterminate or error.sent
             else:
+                if indeterminate and is_overloaded(outcome):  # no promise: an earlier attempt may be done
+                    await asyncio.sleep(max(0.0, min(OVERLOAD_PAUSE_S, deadline - self._clock.monotonic())))
+                    continue
                 if not isinstance(outcome, outcomes.NotPrimary | outcomes.Indeterminate):
                     return outcome
                 indeterminate = indeterminate or isinstance(outcome, outcomes.Indeterminate)
--- a/crowwing/tier/replication/timing.py
+++ b/crowwing/tier/replication/timing.py
@@ -98,13 +98,13 @@
 # Entries on their way.
 
 # Sent to a member without its acknowledgement.
-SEND_WINDOW_BYTES = 512 * 1024
+SEND_WINDOW_BYTES = 256 * 1024
 
 # Of entries in one AppendRequest.
 MAX_APPEND_BYTES = 64 * 1024
 
 # Of entries that a learner is sent at once.
-MAX_SYNC_BYTES = 1024 * 1024
+MAX_SYNC_BYTES = 256 * 1024
 
 # Without progress, after which a member is sent again what it lacks.
 RESEND_AFTER_S = 0.35
--- a/crowwing/tier/store/decisions.py
+++ b/crowwing/tier/store/decisions.py
@@ -20,10 +20,18 @@
 
 @dataclass(frozen=True)
 class Decision:
-    """The events that a command makes, and its outcome once they are committed."""
+    """The events that a command makes, and its outcome once they are committed.
+
+    Attributes:
+        events: What is proposed.
+        outcome: What the caller is told.
+        rests_on_state: False where nothing is done whatever the state is, so that the caller may hear of it
+            at once.
+    """
 
     events: tuple[events.Event, ...]
     outcome: outcomes.Outcome
+    rests_on_state: bool = True
 
 
 DONE = Decision((), outcomes.Done())
@@ -34,6 +42,10 @@
     return Decision((), outcomes.Rejected(status, reason))
 
 
+def _overloaded(reason: str) -> Decision:
+    return Decision((), outcomes.Rejected(503, reason), rests_on_state=False)
+
+
 def put_configuration(state: TierState, command: commands.PutConfiguration) -> Decision:
     """Accepts a valid configuration that was built on the newest one.
 
@@ -64,20 +76,29 @@
 
 
 def submit_batch_job(
-    state: TierState, command: commands.SubmitBatchJob, now_ms: int, has_disk_capacity: bool
+    state: TierState,
+    command: commands.SubmitBatchJob,
+    now_ms: int,
+    has_disk_capacity: bool,
+    has_write_capacity: bool = True,
 ) -> Decision:
     """Accepts a batch job, once for each id.
 
+    One that is rejected for want of capacity has left nothing behind: that is a promise that none of it runs.
+
     Args:
         state: The state that the decision is made on.
         command: The job.
         now_ms: The primary's time of day, in milliseconds.
         has_disk_capacity: Whether the primary's disk may get further jobs.
+        has_write_capacity: Whether the members keep up with what was accepted before.
     """
     if command.job_id in state.jobs:
         return DONE
     if not has_disk_capacity:
-        return _rejected(503, "the disk is nearly full")
+        return _overloaded("the disk is nearly full")
+    if not has_write_capacity:
+        return _overloaded("too much waits to be committed")
     accepted = events.BatchJobAccepted(command.job_id, command.host, command.path, command.items, now_ms)
     return Decision((accepted,), outcomes.Done())
 
--- a/crowwing/tier/store/item_leasing.py
+++ b/crowwing/tier/store/item_leasing.py
@@ -13,6 +13,8 @@
 from crowwing.tier.store import commands, outcomes
 from crowwing.tier.store.leases import ItemKey, JobItem, Leases
 from crowwing.tier.store.node import ReplicaNode
+from crowwing.tier.store.response_capacity import ResponseCapacity
+from crowwing.tier.wire.egress import EgressPacer
 
 FRONT_TIMEOUT_S = 3.0  # after its last call a front is not counted any more
 LEASE_SCAN_INTERVAL_S = 0.1  # between scans for leases that have expired
@@ -31,17 +33,24 @@
 class ItemLeasing:
     """The leases of a store machine while it is the primary; owned by `StoreService`."""
 
-    def __init__(self, node: ReplicaNode, configuration: Callable[[], Configuration | None]) -> None:
+    def __init__(
+        self,
+        node: ReplicaNode,
+        configuration: Callable[[], Configuration | None],
+        pacer: EgressPacer | None = None,
+    ) -> None:
         """No leases.
 
         Args:
             node: Tells the role and the state of this machine.
             configuration: Gives the newest configuration, parsed.
+            pacer: Paces the responses to fronts, where they are paced.
         """
         self._node = node
         self._configuration = configuration
         self._clock = node.clock
         self._leases = Leases(self._clock.monotonic())
+        self._responses = ResponseCapacity(pacer)
         self._waiting: deque[WaitingFront] = deque()
         self._uncommitted: deque[tuple[int, str]] = deque()  # index in the log, and the job submitted there
         self._last_call_at: dict[str, float] = {}  # by front
@@ -122,23 +131,28 @@
         finally:
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
+            if future.done() and not future.cancelled():
+                self._responses.release(future.result())
 
     async def run(self) -> None:
-        """Leases out again what has expired, for as long as the process runs."""
+        """Leases out what has expired, or had to wait for the link, for as long as the process runs."""
         while True:
             await asyncio.sleep(LEASE_SCAN_INTERVAL_S)
             if self._waiting:
                 self._lease_to_waiting_fronts()
 
     def _lease_to_waiting_fronts(self) -> None:
-        """Divides the free items evenly among the waiting fronts, the longest waiting first."""
+        """Divides the free items evenly among the waiting fronts, the longest waiting first.
+
+        Where the link is full of items already, the other fronts go on waiting.
+        """
         now = self._clock.monotonic()
         if not self._waiting or not self._node.replica.holds_lease(now):
             return
         state = self._node.state
         self._leases.free_expired(state, now)
         is_past_deadline = self._deadline_check()
-        while self._waiting and (free := self._leases.free_count):
+        while self._waiting and self._responses.has_capacity() and (free := self._leases.free_count):
             waiting = self._waiting[0]
             max_items = min(waiting.max_items, math.ceil(free / len(self._waiting)))
             leased = self._leases.lease(state, waiting.front, max_items, now, is_past_deadline)
@@ -146,6 +160,7 @@
                 return
             self._waiting.popleft()
             if not waiting.leased.done():
+                self._responses.reserve(leased)
                 waiting.leased.set_result(leased)
 
     def _deadline_check(self) -> Callable[[BatchJob], bool]:
--- a/crowwing/tier/store/machine.py
+++ b/crowwing/tier/store/machine.py
@@ -43,6 +43,7 @@
         node: The replica.
         service: The commands.
         relay: The machine's position in the relay tree, whose root is the primary.
+        pacer: Paces what this machine sends; None where the settings don't tell its link's rate.
     """
 
     def __init__(self, settings: Settings, disk: Disk, environment: Environment) -> None:
@@ -50,7 +51,7 @@
         self._settings = settings
         self._environment = environment
         self.documents = Documents()
-        self._pacer = self._make_pacer()
+        self.pacer = self._make_pacer()
         self._connections = ReplicaConnections(data=self._make_pool(), urgent=self._make_pool())
         faults = settings.fault_tolerance.store_machines
         identity = ReplicaIdentity(settings.ip, settings.seed_hosts, faults)
@@ -68,7 +69,7 @@
 
     def _make_pool(self) -> ConnectionPool:
         port, network = self._settings.internal_port, self._environment.network
-        return ConnectionPool(port, self._handle, network, self._pacer)
+        return ConnectionPool(port, self._handle, network, self.pacer)
 
     def _make_relay(self) -> Relay:
         peer = Peer(self._settings.ip, STORE_ROLE, self._settings.zone, 0)
@@ -130,7 +131,7 @@
             self._settings.internal_port,
             self._handle,
             self._environment.network,
-            self._pacer,
+            self.pacer,
         )
         return listener
 
--- a/crowwing/tier/store/node.py
+++ b/crowwing/tier/store/node.py
@@ -218,7 +218,8 @@
         """Decides a command on the newest state; returns once all that the outcome rests on is committed.
 
         A decision without events rests on the state alone, which a later primary may have changed already:
-        its outcome also waits until it is certain that there was none before it.
+        its outcome also waits until it is certain that there was none before it. One that does not even rest
+        on the state waits for nothing.
 
         Args:
             decide: Makes the decision; called once, and only where this replica is the primary.
@@ -232,6 +233,8 @@
             return outcomes.NotPrimary(self.leader)
         now = self.clock.monotonic()
         decision = decide(self.state)
+        if not decision.rests_on_state:
+            return decision.outcome
         for event in decision.events:
             self.replica.propose(now, encode(event))
         if not await self._wait_until_committed(self.replica.log.last[1]):
--- a/crowwing/tier/store/service.py
+++ b/crowwing/tier/store/service.py
@@ -15,6 +15,7 @@
 from crowwing.tier.store.disk import Disk
 from crowwing.tier.store.item_leasing import ItemLeasing
 from crowwing.tier.store.node import Decide, ReplicaNode
+from crowwing.tier.store.write_capacity import WriteCapacity
 from crowwing.tier.wire.codec import wire_name
 from crowwing.tier.wire.connection_pool import ConnectionPool
 from crowwing.tier.wire.errors import CallError
@@ -56,7 +57,8 @@
         self._connections = connections
         self._clock = node.clock
         self._publisher = ConfigurationPublisher(node.state, documents)
-        self.leasing = ItemLeasing(node, lambda: self._publisher.configuration)
+        self.leasing = ItemLeasing(node, lambda: self._publisher.configuration, connections.pacer)
+        self._write_capacity = WriteCapacity(node.replica, connections.pacer)
         self._readers = BatchJobReaders()
         self._is_registered = False  # whether a primary has confirmed it in this incarnation
         node.role_listeners.append(self._on_role_changed)
@@ -168,7 +170,13 @@
     # Batch jobs
 
     def _submit_batch_job(self, state: TierState, command: commands.SubmitBatchJob) -> Decision:
-        decision = decisions.submit_batch_job(state, command, self._clock.now_ms(), self._has_disk_capacity())
+        decision = decisions.submit_batch_job(
+            state,
+            command,
+            self._clock.now_ms(),
+            self._has_disk_capacity(),
+            self._write_capacity.has_capacity(),
+        )
         if decision.events:
             self.leasing.on_job_proposed(self._next_index(), command.job_id)
         return decision
--- a/crowwing/tier/wire/connection_pool.py
+++ b/crowwing/tier/wire/connection_pool.py
@@ -20,6 +20,9 @@
 
     The process of a front or of a store machine owns its pools and closes them; whatever calls or notifies
     other backends shares them.
+
+    Attributes:
+        pacer: shares the machine's link among all connections; None where nothing is paced.
     """
 
     def __init__(
@@ -40,7 +43,7 @@
         self._port = port
         self._handler = handler
         self._network = network
-        self._pacer = pacer
+        self.pacer = pacer
         self._connections: dict[str, Connection] = {}
         self._connecting: dict[str, asyncio.Task[Connection]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -62,7 +65,7 @@
         return await asyncio.shield(connecting)
 
     async def _connect(self, host: str) -> Connection:
-        connection = await open_connection(host, self._port, self._handler, self._network, self._pacer)
+        connection = await open_connection(host, self._port, self._handler, self._network, self.pacer)
         self._connections[host] = connection
         self._start(connection.run())
         return connection
@@ -98,7 +101,7 @@
     def notify_all(self, hosts: Iterable[str], body: object) -> int:
         """Sends the same message, encoded once, to several hosts; returns how many bytes each is sent."""
         frame = encode_frame(FrameKind.NOTIFICATION, NO_CALL, body)
-        traffic_class = TrafficClass.CONTROL if self._pacer is None else self._pacer.classify(body)
+        traffic_class = TrafficClass.CONTROL if self.pacer is None else self.pacer.classify(body)
         for host in hosts:
             connection = self._connections.get(host)
             if connection is not None and not connection.is_closed:
--- a/crowwing/tier/wire/egress.py
+++ b/crowwing/tier/wire/egress.py
@@ -66,8 +66,8 @@
     def send_bulk(self, flow: PacedFlow, frame: bytes, traffic_class: TrafficClass) -> None:
         """Writes a frame at once where nothing waits and the budget covers it; else it waits.
 
-        What brings a replica up to date is sent one message at a time and repeated by its sender, so a second
-        one is dropped while the first still waits.
+        A sender that hears nothing repeats its message. What still waits is not sent twice: the repetitions
+        would fill the link that the message waits for.
         """
         now = self._clock.monotonic()
         self._refill(now)
@@ -75,12 +75,19 @@
         if is_covered and self._queue.is_empty and flow.is_ready(traffic_class):
             self._budget_bytes -= len(frame)
             flow.write(frame)
-        elif traffic_class is not TrafficClass.CATCH_UP or not flow.has_frames(traffic_class):
+        elif not self._is_repetition(flow, frame, traffic_class):
             is_response = traffic_class is TrafficClass.RESPONSE
             expires_at = now + MAX_RESPONSE_WAIT_S if is_response else math.inf
             self._queue.add(flow, frame, traffic_class, expires_at)
             self._send_waiting(now)
 
+    @staticmethod
+    def _is_repetition(flow: PacedFlow, frame: bytes, traffic_class: TrafficClass) -> bool:
+        """Whether a frame says what already waits; replicas are brought up to date a message at a time."""
+        if traffic_class is TrafficClass.CATCH_UP:
+            return flow.has_frames(traffic_class)
+        return flow.has_equal_frame(frame, traffic_class)
+
     def forget(self, flow: PacedFlow) -> None:
         """Removes a flow that is about to drop its frames."""
         self._queue.forget(flow)
--- a/crowwing/tier/wire/paced_flow.py
+++ b/crowwing/tier/wire/paced_flow.py
@@ -29,10 +29,16 @@
 
 @dataclass
 class _WaitingFrame:
-    """What is left of a frame, and when it is of no use any more, in seconds of the monotonic clock."""
+    """A frame, and when it is of no use any more, in seconds of the monotonic clock."""
 
-    rest: Chunk
+    frame: bytes
     expires_at: float
+    sent_bytes: int = 0
+
+    @property
+    def rest_bytes(self) -> int:
+        """Bytes that are left to be sent."""
+        return len(self.frame) - self.sent_bytes
 
 
 class PacedFlow:
@@ -97,13 +103,17 @@
         """Whether a frame of a class waits."""
         return bool(self._frames.get(traffic_class))
 
+    def has_equal_frame(self, frame: bytes, traffic_class: TrafficClass) -> bool:
+        """Whether the same bytes wait already."""
+        return any(waiting.frame == frame for waiting in self._frames.get(traffic_class, ()))
+
     def count_bytes(self, traffic_class: TrafficClass) -> int:
         """Bytes of a class that wait."""
-        return sum(len(frame.rest) for frame in self._frames.get(traffic_class, ()))
+        return sum(frame.rest_bytes for frame in self._frames.get(traffic_class, ()))
 
     def first_length(self, traffic_class: TrafficClass) -> int:
         """Bytes that are left of the first frame of a class."""
-        return len(self._frames[traffic_class][0].rest)
+        return self._frames[traffic_class][0].rest_bytes
 
     def is_ready(self, traffic_class: TrafficClass) -> bool:
         """Whether a frame of a class may be written: its peer reads, and no other frame is in progress."""
@@ -121,7 +131,7 @@
         frames = self._frames[traffic_class]
         dropped_bytes = 0
         while frames and frames[0].expires_at <= now:
-            dropped_bytes += len(frames.popleft().rest)
+            dropped_bytes += frames.popleft().rest_bytes
         self.waiting_bytes -= dropped_bytes
         return dropped_bytes
 
@@ -129,15 +139,15 @@
         """Takes the first frame of a class, or a part of it, which `write` has to be given next."""
         frames = self._frames[traffic_class]
         first = frames[0]
-        if len(first.rest) <= max_bytes:
-            frames.popleft()
-            self._in_progress = None
-            chunk = first.rest
-        else:
-            view = memoryview(first.rest)
-            chunk, first.rest = view[:max_bytes], view[max_bytes:]
+        begin, length = first.sent_bytes, min(first.rest_bytes, max_bytes)
+        chunk = first.frame if length == len(first.frame) else memoryview(first.frame)[begin : begin + length]
+        first.sent_bytes += length
+        if first.rest_bytes:
             first.expires_at = math.inf  # the peer can't read what follows without the rest
             self._in_progress = traffic_class
+        else:
+            frames.popleft()
+            self._in_progress = None
         self.waiting_bytes -= len(chunk)
         return chunk
 
--- a/tests/tier/test_egress.py
+++ b/tests/tier/test_egress.py
@@ -1,6 +1,7 @@
 """The pacer of a machine's link, in simulated time."""
 
 import asyncio
+import itertools
 from collections.abc import Coroutine
 from random import Random
 from typing import Any
@@ -76,8 +77,12 @@
         return len(self.loop._scheduled)
 
 
-def frame(length: int, mark: bytes = b".") -> bytes:
-    return mark * length
+frame_numbers = itertools.count()
+
+
+def frame(length: int) -> bytes:
+    """A frame that differs from all others."""
+    return next(frame_numbers).to_bytes(8, "big") + bytes(length - 8)
 
 
 async def offer(
@@ -124,18 +129,19 @@
     play = Play(2)
     wire, other = play.wires
 
+    frames = [frame(KILOBYTE * KILOBYTE) for _ in range(4)]
+
     async def work() -> None:
-        for _ in range(4):
-            wire.flow.send(frame(KILOBYTE * KILOBYTE, b"b"), REPLICATION)
-            other.flow.send(frame(KILOBYTE * KILOBYTE, b"o"), REPLICATION)
+        for one in frames:
+            wire.flow.send(one, REPLICATION)
+            other.flow.send(frame(KILOBYTE * KILOBYTE), REPLICATION)
         await asyncio.sleep(0.03)
         wire.flow.send(b"first", CONTROL)
         wire.flow.send(b"second", CONTROL)
         await asyncio.sleep(2.0)
 
     play.run(work())
-    body = KILOBYTE * KILOBYTE
-    assert wire.written == frame(body, b"b") + b"firstsecond" + frame(3 * body, b"b")
+    assert wire.written == frames[0] + b"firstsecond" + b"".join(frames[1:])
     assert wire.flow.waiting_bytes == 0
 
 
@@ -363,8 +369,28 @@
         for _ in range(30):
             play.wires[0].flow.send(frame(KILOBYTE * KILOBYTE), REPLICATION)
         for _ in range(20):
-            play.wires[0].flow.send(frame(256 * KILOBYTE, b"c"), CATCH_UP)
+            play.wires[0].flow.send(frame(256 * KILOBYTE), CATCH_UP)
             await asyncio.sleep(0.005)
         assert play.pacer.waiting_bytes(CATCH_UP) <= 256 * KILOBYTE
 
     play.run(work())
+
+
+def test_a_frame_that_is_repeated_while_it_waits_is_sent_once() -> None:
+    play = Play(2)
+    repeated, other = frame(500 * KILOBYTE), frame(500 * KILOBYTE)
+
+    async def work() -> None:
+        play.wires[1].flow.send(frame(KILOBYTE * KILOBYTE), REPLICATION)
+        for _ in range(3):
+            for one in (repeated, other):
+                for wire in play.wires:
+                    wire.flow.send(one, REPLICATION)
+        await asyncio.sleep(1.0)
+        assert play.wires[0].written == repeated + other
+        assert len(play.wires[1].written) == 2024 * KILOBYTE
+        play.wires[0].flow.send(repeated, REPLICATION)  # waits for nothing any more
+        await asyncio.sleep(1.0)
+        assert play.wires[0].written == repeated + other + repeated
+
+    play.run(work())
