--- a/tests/tier/simulation/plays.py
+++ b/tests/tier/simulation/plays.py
@@ -130,6 +130,8 @@
         violations.append(f"members are {sorted(members)}, not {expected_count} of {sorted(able)}")
     if world.synchronized_members() != members:
         violations.append(f"without data: {sorted(members - world.synchronized_members())}")
+    if len(members) == world.full_view and world.witnesses() != members:
+        violations.append(f"witnesses of a full view are {sorted(world.witnesses())}")
     if world.witnesses() - set(world.stores):
         violations.append(f"witnesses are {sorted(world.witnesses())}")
     return violations
--- a/tests/tier/test_node_concerns.py
+++ b/tests/tier/test_node_concerns.py
@@ -63,9 +63,10 @@
         super().__init__(1)
         self.sent: list[tuple[list[str], object]] = []
 
-    def notify_all(self, receivers: list[str], message: object) -> None:
-        """Notes it."""
+    def notify_all(self, receivers: list[str], message: object) -> int:
+        """Notes it; gives the length of the frame that it does not make."""
         self.sent.append((list(receivers), message))
+        return 0
 
 
 def test_a_message_to_several_replicas_is_sent_once_and_the_own_one_is_received() -> None:
