Batch results keep the text behind Unicode line separators

Cause: `parse_event` split the lines of an event with `str.splitlines`, which ends lines at all of these; the format of event streams ends them at CR LF, LF and CR only. What followed became a field with an unknown name and was dropped.

Change: lines are split at CR LF, LF and CR.

Why it works: no other step between the sidecar's bytes and the result splits or alters text.

--- a/crowwing/tier/front/events.py
+++ b/crowwing/tier/front/events.py
@@ -51,8 +51,8 @@
     """Parses the fields of one event."""
     event_id: int | None = None
     data: list[str] = []
-    for text in raw.decode("utf-8", "replace").splitlines():
-        name, _, value = text.partition(":")
+    for line in _split_lines(raw.decode("utf-8", "replace")):
+        name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id":
             number = parse_whole_number(value)
@@ -60,3 +60,11 @@
         elif name == "data":
             data.append(value)
     return StreamEvent(raw, event_id, "\n".join(data))
+
+
+def _split_lines(text: str) -> list[str]:
+    """Splits at CR LF, LF and CR, which alone end a line (HTML Standard, 9.2.5, "Server-sent events").
+
+    `str.splitlines` also splits at U+2028, form feed and other characters, which are part of the data here.
+    """
+    return text.replace("\r\n", "\n").replace("\r", "\n").split("\n")
