Comments of an event stream add nothing to a batch result

By the format a block without a data field is none.

Change: `StreamEvent.has_data`; only such events add to the text or are required to have an id. Bytes are passed on as before.

--- a/crowwing/tier/front/batch_item_run.py
+++ b/crowwing/tier/front/batch_item_run.py
@@ -102,7 +102,8 @@
         events = dispatcher.events(self.request, response)
         try:
             async for event in events:
-                self.data.append(event.data)
+                if event.has_data:
+                    self.data.append(event.data)
         except StreamBrokenError as error:
             log.info("item_broken job=%s item=%s reason=%s", job_id, item_id, error)
             return None
--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -211,7 +211,7 @@
         while True:
             try:
                 async for event in _read_events(request, response):
-                    without_id = without_id or event.id is None
+                    without_id = without_id or (event.has_data and event.id is None)
                     if event.id is not None:
                         request.last_event = event.id
                     yield event
--- a/crowwing/tier/front/events.py
+++ b/crowwing/tier/front/events.py
@@ -7,11 +7,19 @@
 
 @dataclass(frozen=True)
 class StreamEvent:
-    """One complete event: its bytes including the final blank line, its id if it has one, and its data."""
+    """One block of a stream, up to its blank line.
+
+    Attributes:
+        raw: Its bytes, including the blank line.
+        id: Its id, if it has one.
+        data: The text of its data fields, joined by line feeds.
+        has_data: Whether it has a data field. A block without one, such as a comment, is not an event.
+    """
 
     raw: bytes
     id: int | None
     data: str
+    has_data: bool
 
 
 class EventSplitter:
@@ -59,7 +67,7 @@
             event_id = event_id if number is None else number
         elif name == "data":
             data.append(value)
-    return StreamEvent(raw, event_id, "\n".join(data))
+    return StreamEvent(raw, event_id, "\n".join(data), bool(data))
 
 
 def _split_lines(text: str) -> list[str]:
--- a/tests/tier/test_batch_item_run.py
+++ b/tests/tier/test_batch_item_run.py
@@ -50,3 +50,9 @@
     texts = [f"first{separator}second" for separator in UNICODE_LINE_SEPARATORS]
     stream = "".join(f"id: {number}\ndata: {text}\n\n" for number, text in enumerate(texts, 1))
     assert run_item(lambda _: stream.encode()) == completed("\n".join(texts))
+
+
+def test_mixed_comments_and_empty_blocks_of_a_stream_add_nothing_to_the_text() -> None:
+    # Guards against results with line feeds that no event's data holds, from the heartbeats of a sidecar.
+    stream = b": heartbeat\n\nid: 1\ndata: one\n\n: heartbeat\n\n\n\nid: 2\ndata\n\nid: 3\ndata: three\n\n"
+    assert run_item(lambda _: stream) == completed("one\n\nthree")
--- a/tests/tier/test_request_path.py
+++ b/tests/tier/test_request_path.py
@@ -19,6 +19,7 @@
 from tests.tier.exchanges import HOST, Response, read_response, serve_front
 
 GONE_S = 0.5
+TWO_EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
 
 @dataclass
@@ -240,6 +241,21 @@
     assert found.body == b"id: 4\ndata: x\n\n" and got[0].headers["last-event-id"] == "3"
 
 
+def test_a_stream_with_comments_is_resumed_behind_its_last_event() -> None:
+    # Guards against streams that heartbeats make impossible to resume, as if an event had no id.
+    async def breaks_off(request: Request, writer: asyncio.StreamWriter) -> None:
+        if "last-event-id" in request.headers:
+            writer.write(answer(request, body=b"id: 2\ndata: b\n\n"))
+            return
+        writer.write(answer(request, body=b"id: 1\ndata: a\n\n: heartbeat\n\nid: 2\n")[:-1])
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    (found, _), got = play(breaks_off, lambda port: one(port, encoded("/stream/x", "Deadline-Ms: 3000\r\n")))
+    assert found.is_complete and found.body.replace(b": heartbeat\n\n", b"") == TWO_EVENTS
+    assert [request.headers.get("last-event-id") for request in got] == [None, "1"]
+
+
 def test_a_failure_keeps_the_sidecars_status_and_stamp_where_it_may_not_run_again() -> None:
     async def failing(request: Request, writer: asyncio.StreamWriter) -> None:
         writer.write(answer(request, 500, b"error"))
