An event stream's blank lines are found whatever ends its lines

What callers would see: of a stream whose lines end with lone CR no event was ever complete, so items were never finished and resumable streams broke; events separated by `\n\r\n` were joined; a blank line behind the last event did not reach the client of a resumable stream (MIXED: "a body other than the sidecar's whole body"); a byte order mark hid the first field.

Cause: `EventSplitter` knew two of the eight ends that an event may have, and the dispatcher dropped what was left when the stream ended.

Change: any pair of line ends ends an event; leading blank lines belong to the next block; `finish` gives the rest, and `is_inside_event` says whether the stream may end there.

--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -262,17 +262,23 @@
         TimeoutError: No chunk came in time.
     """
     splitter = EventSplitter()
-    after = request.last_event
     async for chunk in with_chunk_timeout(read_body(response.started), request):
         for event in splitter.feed(chunk):
-            if event.id is not None and after is not None and event.id != after + 1:
-                reason = f"event {event.id} after {after}"
-                raise StreamBrokenError(reason)
-            after = event.id if event.id is not None else after
+            _check_order(event, request.last_event)
             yield event
-    if splitter.rest.strip():
+    if splitter.is_inside_event:
         reason = "it ended inside an event"
         raise StreamBrokenError(reason)
+    for event in splitter.finish():
+        _check_order(event, request.last_event)
+        yield event
+
+
+def _check_order(event: StreamEvent, last_id: int | None) -> None:
+    """Raises StreamBrokenError if the id of an event does not follow the last one."""
+    if event.id is not None and last_id is not None and event.id != last_id + 1:
+        reason = f"event {event.id} after {last_id}"
+        raise StreamBrokenError(reason)
 
 
 async def with_chunk_timeout(
--- a/crowwing/tier/front/events.py
+++ b/crowwing/tier/front/events.py
@@ -1,9 +1,22 @@
-"""Server-sent events: splits a byte stream into complete events."""
+"""Server-sent events: splits a byte stream into complete events.
 
+Follows the HTML Standard, 9.2 "Server-sent events": CR LF, LF and CR end a line, a blank line ends an event,
+and a byte order mark may precede the stream. Bytes that belong to no event (blank lines, comments) are kept,
+so that the raw bytes of all events are the stream.
+"""
+
+import codecs
+import re
 from dataclasses import dataclass
 
 from crowwing.tier.front.whole_numbers import parse_whole_number
 
+# The end of a line and the blank line that ends its event. A last CR may be the first half of a CR LF, so it
+# counts only if another byte follows, or behind a lone CR, where the sender uses CR alone.
+_EVENT_END = re.compile(rb"\r\r\n?|(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))")
+_LINE_END_BYTES = b"\r\n"
+_FINAL_BLANK_LINE = (b"\n\r", b"\r\r")  # at the end of a stream, where no LF can follow any more
+
 
 @dataclass(frozen=True)
 class StreamEvent:
@@ -28,38 +41,47 @@
     def __init__(self) -> None:
         """Starts with an empty buffer."""
         self._rest = b""
+        self._is_at_start = True
 
     @property
     def rest(self) -> bytes:
         """The bytes of an incomplete event."""
         return self._rest
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the stream would be incomplete if it ended here."""
+        return bool(self._rest.strip(_LINE_END_BYTES)) and not self._rest.endswith(_FINAL_BLANK_LINE)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds bytes to the buffer; returns the events that are now complete."""
         self._rest += data
         events: list[StreamEvent] = []
         while True:
-            end, length = _find_end(self._rest)
-            if end < 0:
+            blank_bytes = len(self._rest) - len(self._rest.lstrip(_LINE_END_BYTES))
+            end = _EVENT_END.search(self._rest, blank_bytes)
+            if end is None:
                 return events
-            raw = self._rest[: end + length]
-            self._rest = self._rest[end + length :]
-            events.append(parse_event(raw))
+            events.append(self._take(end.end()))
 
+    def finish(self) -> list[StreamEvent]:
+        """Ends the stream, which must not be inside an event; returns what the buffer still holds."""
+        return [self._take(len(self._rest))] if self._rest else []
 
-def _find_end(data: bytes) -> tuple[int, int]:
-    """Returns where the first event ends (-1 if it is incomplete), and the length of its terminator."""
-    plain, carriage = data.find(b"\n\n"), data.find(b"\r\n\r\n")
-    if carriage >= 0 and (plain < 0 or carriage < plain):
-        return carriage, 4
-    return plain, 2
+    def _take(self, length: int) -> StreamEvent:
+        """Removes the first bytes from the buffer and parses them as an event."""
+        raw, self._rest = self._rest[:length], self._rest[length:]
+        event = parse_event(raw, self._is_at_start)
+        self._is_at_start = False
+        return event
 
 
-def parse_event(raw: bytes) -> StreamEvent:
-    """Parses the fields of one event."""
+def parse_event(raw: bytes, is_at_start: bool = False) -> StreamEvent:
+    """Parses the fields of one event; at the start of a stream a byte order mark is ignored."""
+    fields = raw.removeprefix(codecs.BOM_UTF8) if is_at_start else raw
     event_id: int | None = None
     data: list[str] = []
-    for line in _split_lines(raw.decode("utf-8", "replace")):
+    for line in _split_lines(fields.decode("utf-8", "replace")):
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id":
@@ -71,7 +93,7 @@
 
 
 def _split_lines(text: str) -> list[str]:
-    """Splits at CR LF, LF and CR, which alone end a line (HTML Standard, 9.2.5, "Server-sent events").
+    """Splits at CR LF, LF and CR, which alone end a line.
 
     `str.splitlines` also splits at U+2028, form feed and other characters, which are part of the data here.
     """
--- a/tests/tier/test_events.py
+++ b/tests/tier/test_events.py
@@ -1,5 +1,7 @@
 """Splitting the bytes of an event stream into complete events."""
 
+from itertools import product
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -46,3 +48,37 @@
 def test_mixed_any_text_without_a_line_end_comes_back_unchanged(data: str) -> None:
     # Guards against any other character that is taken for a line end or removed.
     assert [event.data for event in EventSplitter().feed(f"id: 1\ndata: {data}\n\n".encode())] == [data]
+
+
+LINE_ENDS = ["\n", "\r\n", "\r"]
+LINE_END_PAIRS = [pair for pair in product(LINE_ENDS, repeat=2) if pair != ("\r", "\n")]  # that is one CR LF
+
+
+@pytest.mark.parametrize(("line_end", "blank"), LINE_END_PAIRS)
+def test_a_blank_line_ends_an_event_whatever_ends_its_lines(line_end: str, blank: str) -> None:
+    # Guards against streams that seem to end inside an event, and events that are joined, by some line ends.
+    events = [f"id: {n}{line_end}data: {n}{line_end}data: more{line_end}{blank}" for n in (1, 2, 3)]
+    stream = "".join(events).encode()
+    for size in range(1, len(stream) + 1):
+        splitter = EventSplitter()
+        found = [e for at in range(0, len(stream), size) for e in splitter.feed(stream[at : at + size])]
+        assert not splitter.is_inside_event
+        found += splitter.finish()
+        assert [(e.id, e.data) for e in found if e.has_data] == [(n, f"{n}\nmore") for n in (1, 2, 3)]
+        assert b"".join(e.raw for e in found) == stream
+
+
+def test_a_byte_order_mark_at_the_start_of_a_stream_is_no_part_of_a_field() -> None:
+    # Guards against a first event that loses its id and data.
+    events = EventSplitter().feed("\ufeffid: 1\ndata: a\n\n\ufeffdata: b\n\n".encode())
+    assert [(event.id, event.data) for event in events] == [(1, "a"), (None, "")]
+
+
+@given(st.lists(st.sampled_from([b"\r", b"\n", b"data: x", b"id: 1", b":"]), max_size=12), st.integers(1, 9))
+def test_the_bytes_of_all_events_are_the_stream(parts: list[bytes], size: int) -> None:
+    # Guards against bytes that are lost or moved between events.
+    stream = b"".join(parts)
+    splitter = EventSplitter()
+    events = [event for at in range(0, len(stream), size) for event in splitter.feed(stream[at : at + size])]
+    events += splitter.finish()
+    assert b"".join(event.raw for event in events) == stream
--- a/tests/tier/test_request_path.py
+++ b/tests/tier/test_request_path.py
@@ -256,6 +256,16 @@
     assert [request.headers.get("last-event-id") for request in got] == [None, "1"]
 
 
+@pytest.mark.parametrize("body", [TWO_EVENTS + b"\n", TWO_EVENTS.replace(b"\n", b"\r")])
+def test_mixed_a_resumable_stream_reaches_the_client_byte_for_byte(body: bytes) -> None:
+    # Guards against bodies that lack blank lines behind the last event, and events whose lines end with CR.
+    async def reply(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(request, body=body))
+
+    (found, _), got = play(reply, lambda port: one(port, encoded("/stream/x")))
+    assert (found.is_complete, found.body, len(got)) == (True, body, 1)
+
+
 def test_a_failure_keeps_the_sidecars_status_and_stamp_where_it_may_not_run_again() -> None:
     async def failing(request: Request, writer: asyncio.StreamWriter) -> None:
         writer.write(answer(request, 500, b"error"))
