A stream that ends inside an event never looks complete

Cause: answers without a length end with their connection, which the operating system closes for a crashed process as for one that has finished. The check that a stream does not end inside an event was made only where events are parsed, on resumable routes and for batch items; other routes were relayed as bytes without it.

Change: `read_complete_body` reads the body on all paths and raises `StreamBrokenError` where a stream of events, by the route's kind or its media type, ends inside an event; the client's connection is closed without a last chunk. Streams are passed on without `Content-Length`, as they were on resumable routes.

--- a/crowwing/tier/front/batch_item_run.py
+++ b/crowwing/tier/front/batch_item_run.py
@@ -8,7 +8,8 @@
 
 from crowwing.tier.configuration import Route
 from crowwing.tier.front.admission import AdmissionRequest, rank_of
-from crowwing.tier.front.dispatch import OK_STATUS, Dispatcher, OpenResponse, SidecarRequest
+from crowwing.tier.front.complete_body import OK_STATUS
+from crowwing.tier.front.dispatch import Dispatcher, OpenResponse, SidecarRequest
 from crowwing.tier.front.errors import StreamBrokenError
 from crowwing.tier.front.prefix_cache import parse_prompt_prefix
 from crowwing.tier.front.service_pool import ServicePool
--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -8,6 +8,7 @@
 
 from crowwing.tier.configuration import Route
 from crowwing.tier.front.attempts import MIN_ERROR_STATUS
+from crowwing.tier.front.complete_body import OK_STATUS, read_complete_body
 from crowwing.tier.front.errors import StreamBrokenError
 from crowwing.tier.front.events import EventSplitter, StreamEvent
 from crowwing.tier.front.prefix_cache import PromptBlock
@@ -21,7 +22,6 @@
     ResponseStarted,
     close_after_answer,
     hop_by_hop,
-    read_body,
 )
 
 log = logging.getLogger("crowwing.dispatch")
@@ -29,7 +29,6 @@
 MAX_SENDS = 6  # per client request, including attempts that were not executed
 RESPONSE_TIMEOUT_S = 0.6  # without a response head, before an idempotent request is retried elsewhere
 EVENT_TIMEOUT_S = 1.0  # between the events of a stream that can be resumed elsewhere
-OK_STATUS = 200
 BAD_GATEWAY_STATUS = 502
 GATEWAY_TIMEOUT_STATUS = 504
 EXPECT_VERSION = b"expect-version"
@@ -262,13 +261,10 @@
         TimeoutError: No chunk came in time.
     """
     splitter = EventSplitter()
-    async for chunk in with_chunk_timeout(read_body(response.started), request):
+    async for chunk in with_chunk_timeout(read_complete_body(request.route, response.started), request):
         for event in splitter.feed(chunk):
             _check_order(event, request.last_event)
             yield event
-    if splitter.is_inside_event:
-        reason = "it ended inside an event"
-        raise StreamBrokenError(reason)
     for event in splitter.finish():
         _check_order(event, request.last_event)
         yield event
--- a/crowwing/tier/front/events.py
+++ b/crowwing/tier/front/events.py
@@ -15,7 +15,8 @@
 # counts only if another byte follows, or behind a lone CR, where the sender uses CR alone.
 _EVENT_END = re.compile(rb"\r\r\n?|(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))")
 _LINE_END_BYTES = b"\r\n"
-_FINAL_BLANK_LINE = (b"\n\r", b"\r\r")  # at the end of a stream, where no LF can follow any more
+_FINAL_BLANK_LINE = (b"\n\n", b"\n\r", b"\r\r")  # at the end of a stream, where no LF can follow any more
+_TAIL_BYTES = 3  # the last bytes of a stream that tell whether it ends with a blank line
 
 
 @dataclass(frozen=True)
@@ -48,11 +49,6 @@
         """The bytes of an incomplete event."""
         return self._rest
 
-    @property
-    def is_inside_event(self) -> bool:
-        """Whether the stream would be incomplete if it ended here."""
-        return bool(self._rest.strip(_LINE_END_BYTES)) and not self._rest.endswith(_FINAL_BLANK_LINE)
-
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds bytes to the buffer; returns the events that are now complete."""
         self._rest += data
@@ -65,7 +61,7 @@
             events.append(self._take(end.end()))
 
     def finish(self) -> list[StreamEvent]:
-        """Ends the stream, which must not be inside an event; returns what the buffer still holds."""
+        """Ends a stream that is not inside an event; returns what the buffer still holds."""
         return [self._take(len(self._rest))] if self._rest else []
 
     def _take(self, length: int) -> StreamEvent:
@@ -76,6 +72,23 @@
         return event
 
 
+class EventStreamEnd:
+    """Tracks whether a stream of events is inside an event. Owned by the reader of one response's body."""
+
+    def __init__(self) -> None:
+        """Starts at the beginning of a stream."""
+        self._tail = b""
+
+    def feed(self, data: bytes) -> None:
+        """Adds bytes of the stream."""
+        self._tail = (self._tail + data[-_TAIL_BYTES:])[-_TAIL_BYTES:]
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the stream would be incomplete if it ended here."""
+        return bool(self._tail.strip(_LINE_END_BYTES)) and not self._tail.endswith(_FINAL_BLANK_LINE)
+
+
 def parse_event(raw: bytes, is_at_start: bool = False) -> StreamEvent:
     """Parses the fields of one event; at the start of a stream a byte order mark is ignored."""
     fields = raw.removeprefix(codecs.BOM_UTF8) if is_at_start else raw
--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -26,14 +26,8 @@
     wait_disconnect,
 )
 from crowwing.tier.front.batch_api import BatchApi
-from crowwing.tier.front.dispatch import (
-    OK_STATUS,
-    Dispatcher,
-    Failed,
-    NotServed,
-    OpenResponse,
-    SidecarRequest,
-)
+from crowwing.tier.front.complete_body import OK_STATUS, is_event_stream, read_complete_body
+from crowwing.tier.front.dispatch import Dispatcher, Failed, NotServed, OpenResponse, SidecarRequest
 from crowwing.tier.front.errors import (
     BodyTimeoutError,
     BodyTooLargeError,
@@ -43,7 +37,6 @@
 from crowwing.tier.front.prefix_cache import parse_prompt_prefix
 from crowwing.tier.front.service_pool import ServicePool
 from crowwing.tier.front.upstream import Headers, hop_by_hop
-from crowwing.tier.front.upstream import read_body as read_response_body
 from crowwing.tier.front.whole_numbers import parse_whole_number
 
 log = logging.getLogger("crowwing.proxy")
@@ -206,7 +199,8 @@
         started = response.started
         route = sidecar_request.route
         is_resumable = route.kind == "stream" and started.status == OK_STATUS and route.resumable
-        headers = forwarded_headers(started.headers, keeps_length=not is_resumable)
+        # without a length, so that the client can tell a stream that ends early
+        headers = forwarded_headers(started.headers, keeps_length=not is_event_stream(route, started))
         body = ResponseBody(send)
         timeout_s = max(0.0, sidecar_request.deadline + RESPONSE_MARGIN_S - time.monotonic())
         try:  # so that a client that does not read can't hold a sidecar slot for longer
@@ -215,7 +209,7 @@
                 if is_resumable:
                     await self._relay_events(sidecar_request, response, body)
                 else:
-                    await self._relay_body(response, body)
+                    await self._relay_body(route, response, body)
         except (StreamBrokenError, TimeoutError) as error:
             if not body.is_client_blocked:
                 response.state.record_failure(time.monotonic())
@@ -232,9 +226,9 @@
             async for event in events:
                 await body.forward(event.raw)
 
-    async def _relay_body(self, response: OpenResponse, body: ResponseBody) -> None:
+    async def _relay_body(self, route: Route, response: OpenResponse, body: ResponseBody) -> None:
         """Relays the body as it arrives."""
-        async for chunk in read_response_body(response.started):
+        async for chunk in read_complete_body(route, response.started):
             await body.forward(chunk)
 
 
--- a/tests/tier/test_events.py
+++ b/tests/tier/test_events.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crowwing.tier.front.events import EventSplitter
+from crowwing.tier.front.events import EventSplitter, EventStreamEnd
 
 # Line ends to Unicode and to `str.splitlines`, but not to the format of event streams.
 UNICODE_LINE_SEPARATORS = ["\u2028", "\u2029", "\u0085", "\v", "\f", "\x1c", "\x1d", "\x1e"]
@@ -62,7 +62,6 @@
     for size in range(1, len(stream) + 1):
         splitter = EventSplitter()
         found = [e for at in range(0, len(stream), size) for e in splitter.feed(stream[at : at + size])]
-        assert not splitter.is_inside_event
         found += splitter.finish()
         assert [(e.id, e.data) for e in found if e.has_data] == [(n, f"{n}\nmore") for n in (1, 2, 3)]
         assert b"".join(e.raw for e in found) == stream
@@ -82,3 +81,17 @@
     events = [event for at in range(0, len(stream), size) for event in splitter.feed(stream[at : at + size])]
     events += splitter.finish()
     assert b"".join(event.raw for event in events) == stream
+
+
+@pytest.mark.parametrize(("line_end", "blank"), LINE_END_PAIRS)
+def test_a_stream_is_complete_only_behind_a_blank_line(line_end: str, blank: str) -> None:
+    # Guards against streams that are cut inside an event and look complete, whatever ends their lines.
+    stream = f"id: 1{line_end}data: 1{line_end}{blank}id: 2{line_end}data: 2{line_end}{blank}".encode()
+    for length in range(len(stream) + 1):
+        cut = stream[:length]
+        is_complete = not cut or cut.endswith((b"\n\n", b"\r\r", b"\n\r", b"\r\r\n", b"\n\r\n"))
+        for size in (1, 2, 3, 5, len(stream)):
+            end = EventStreamEnd()
+            for at in range(0, length, size):
+                end.feed(cut[at : at + size])
+            assert end.is_inside_event is not is_complete, cut
--- a/tests/tier/test_request_path.py
+++ b/tests/tier/test_request_path.py
@@ -99,7 +99,7 @@
     """One route of each kind."""
     common = {"host": HOST, "timeoutMs": 400, "sloMs": 20_000, "service": "s", "maxAttempts": 2, **changes}
     kinds = {"/safe/": "safe", "/unsafe/": "unsafe", "/stream/": "stream"}
-    listed = [{**common, "name": p, "pathPrefix": p, "kind": k, "resumable": True} for p, k in kinds.items()]
+    listed = [{"resumable": True, **common, "name": p, "pathPrefix": p, "kind": k} for p, k in kinds.items()]
     spec = {"version": 1, "routes": listed, "services": [{"name": common["service"], "maxConns": 400}]}
     return RoutingTable(Configuration.model_validate(spec))
 
@@ -266,6 +266,48 @@
     assert (found.is_complete, found.body, len(got)) == (True, body, 1)
 
 
+def framings(request: Request, body: bytes) -> dict[str, bytes]:
+    """A stream of events as a complete response of each framing; an unframed one ends with its connection."""
+    head = answer(request, body=b"").partition(b"Content-Length")[0]
+    chunks = b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+    return {
+        "unframed": head + b"\r\n" + body,
+        "chunked": head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks,
+        "with a length": head + b"Content-Length: %d\r\n\r\n" % len(body) + body,
+    }
+
+
+@pytest.mark.parametrize("framing", ["unframed", "chunked", "with a length"])
+@pytest.mark.parametrize(
+    ("path", "fields"),
+    [("/stream/x", ""), ("/unsafe/x", "Content-Type: text/event-stream; charset=utf-8\r\n")],
+)
+def test_mixed_a_stream_that_ends_inside_an_event_does_not_look_complete(
+    framing: str, path: str, fields: str
+) -> None:
+    # Guards against streams that are cut by a sidecar's crash and end as complete (issue 81, review/3).
+    async def cut(request: Request, writer: asyncio.StreamWriter) -> None:
+        response = framings(request, TWO_EVENTS[:-9])[framing]
+        writer.write(response.replace(b"\r\n", b"\r\n" + fields.encode(), 1))
+        await asyncio.sleep(0.05)  # so that the request's connection is not closed before the body arrived
+        writer.close()
+
+    (found, _), got = play(cut, lambda port: one(port, encoded(path)), resumable=False)
+    assert (found.status, found.is_complete, len(got)) == (200, False, 1)
+
+
+@pytest.mark.parametrize("framing", ["unframed", "chunked", "with a length"])
+def test_a_complete_stream_ends_as_complete_whatever_its_framing(framing: str) -> None:
+    # Guards against complete answers that are broken off by the check for streams that are cut.
+    async def complete(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(framings(request, TWO_EVENTS)[framing])
+        await asyncio.sleep(0.05)
+        writer.close()
+
+    (found, _), _ = play(complete, lambda port: one(port, encoded("/stream/x")), resumable=False)
+    assert (found.is_complete, found.body) == (True, TWO_EVENTS)
+
+
 def test_a_failure_keeps_the_sidecars_status_and_stamp_where_it_may_not_run_again() -> None:
     async def failing(request: Request, writer: asyncio.StreamWriter) -> None:
         writer.write(answer(request, 500, b"error"))
