An answer that ends with its connection is complete only if its sidecar lives

What callers would see: an answer without a length whose sidecar crashed between two events, before the first one or anywhere in a body that is no stream ended as complete, also on resumable routes (in place of being taken up elsewhere) and as a completed batch result (with an empty text at worst).

Cause: the end of the connection is all that ends such an answer, and the operating system closes it for a process that crashed as for one that has finished.

If it is gone the answer counts as broken. A draining sidecar is believed, as it may end with its last answer; so is one that gives no clear answer.

--- a/crowwing/tier/front/dispatch.py
+++ b/crowwing/tier/front/dispatch.py
@@ -261,7 +261,8 @@
         TimeoutError: No chunk came in time.
     """
     splitter = EventSplitter()
-    async for chunk in with_chunk_timeout(read_complete_body(request.route, response.started), request):
+    body = read_complete_body(request.route, response.started, response.state)
+    async for chunk in with_chunk_timeout(body, request):
         for event in splitter.feed(chunk):
             _check_order(event, request.last_event)
             yield event
--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -228,7 +228,7 @@
 
     async def _relay_body(self, route: Route, response: OpenResponse, body: ResponseBody) -> None:
         """Relays the body as it arrives."""
-        async for chunk in read_complete_body(route, response.started):
+        async for chunk in read_complete_body(route, response.started, response.state):
             await body.forward(chunk)
 
 
--- a/tests/tier/test_request_path.py
+++ b/tests/tier/test_request_path.py
@@ -28,6 +28,7 @@
 
     headers: dict[str, str]
     at: float
+    sidecars: "Scripted"
     body: bytes = b""
     gone_at: float | None = None  # when its connection ended
 
@@ -40,29 +41,43 @@
     """Scripted sidecars, and the requests that they received."""
 
     reply: Reply
+    pool: ServicePool  # of the front that they serve
     got: list[Request] = field(default_factory=list)
+    _writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
     async def start(self, count: int) -> SidecarList:
         """Listens at `count` addresses."""
         self._servers = [await asyncio.start_server(self._serve, "127.0.0.1", 0) for _ in range(count)]
-        ports = [server.sockets[0].getsockname()[1] for server in self._servers]
-        return SidecarList(
-            tuple(Sidecar(f"i{n}", "s", f"127.0.0.1:{port}", "z", 16, True) for n, port in enumerate(ports))
-        )
+        self._ports = [server.sockets[0].getsockname()[1] for server in self._servers]
+        return self.listed()
+
+    def listed(self, ready: bool = True) -> SidecarList:
+        """The endpoint list."""
+        addresses = enumerate(f"127.0.0.1:{port}" for port in self._ports)
+        return SidecarList(tuple(Sidecar(f"i{n}", "s", address, "z", 16, ready) for n, address in addresses))
 
     def stop(self) -> None:
         """Stops listening."""
         for server in self._servers:
             server.close()
 
+    def crash(self, request: Request) -> None:
+        """Closes all sockets of the sidecar that got a request, as the system does for a killed process."""
+        number = int(request.headers["target-instance"].removeprefix("i"))
+        self._servers[number].close()
+        for writer in self._writers:
+            if writer.get_extra_info("sockname")[1] == self._ports[number]:
+                writer.close()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         request: Request | None = None
+        self._writers.append(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
                 fields = (line.partition(":") for line in head[1:] if line)
                 headers = {name.lower(): value.strip() for name, _, value in fields}
-                request = Request(headers, time.monotonic())
+                request = Request(headers, time.monotonic(), self)
                 request.body = await reader.readexactly(int(headers.get("content-length", "0")))
                 self.got.append(request)
                 answering = asyncio.ensure_future(self.reply(request, writer))
@@ -114,8 +129,8 @@
     """Runs clients against a front with scripted sidecars; returns their result, and what sidecars got."""
 
     async def run() -> tuple[Any, list[Request]]:
-        scripted = Scripted(reply)
         pool = ServicePool()
+        scripted = Scripted(reply, pool)
         pool.table = routes(**changes)
         pool.apply_endpoint_list(await scripted.start(count))
         stop = asyncio.Event()
@@ -308,6 +323,47 @@
     assert (found.is_complete, found.body) == (True, TWO_EVENTS)
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/stream/x"])
+@pytest.mark.parametrize("body", [b"", TWO_EVENTS[: len(TWO_EVENTS) // 2]])
+def test_mixed_an_answer_without_a_length_does_not_look_complete_if_its_sidecar_crashed(
+    path: str, body: bytes
+) -> None:
+    # Guards against answers that a crash cut between two events, or before any, and that end as complete.
+    async def crashes(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(framings(request, body)["unframed"])
+        await asyncio.sleep(0.05)
+        request.sidecars.crash(request)
+
+    (found, _), got = play(crashes, lambda port: one(port, encoded(path)), resumable=False)
+    assert (found.status, found.body, found.is_complete, len(got)) == (200, body, False, 1)
+
+
+def test_a_stream_whose_sidecar_crashed_between_two_events_is_resumed() -> None:
+    # Guards against resumable streams that a crash cut between two events and that end as complete.
+    async def crashes(request: Request, writer: asyncio.StreamWriter) -> None:
+        if "last-event-id" in request.headers:
+            writer.write(answer(request, body=b"id: 2\ndata: b\n\n"))
+            return
+        writer.write(framings(request, b"id: 1\ndata: a\n\n")["unframed"])
+        await asyncio.sleep(0.05)
+        request.sidecars.crash(request)
+
+    (found, _), got = play(crashes, lambda port: one(port, encoded("/stream/x", "Deadline-Ms: 3000\r\n")))
+    assert (found.is_complete, found.body, len(got)) == (True, TWO_EVENTS, 2)
+
+
+def test_a_draining_sidecar_may_end_with_its_last_answer() -> None:
+    # Guards against complete answers that are broken off since their sidecar has left as planned.
+    async def leaves(request: Request, writer: asyncio.StreamWriter) -> None:
+        request.sidecars.pool.apply_endpoint_list(request.sidecars.listed(ready=False))
+        writer.write(framings(request, TWO_EVENTS)["unframed"])
+        await asyncio.sleep(0.05)
+        request.sidecars.crash(request)
+
+    (found, _), _ = play(leaves, lambda port: one(port, encoded("/stream/x")), resumable=False)
+    assert (found.is_complete, found.body) == (True, TWO_EVENTS)
+
+
 def test_a_failure_keeps_the_sidecars_status_and_stamp_where_it_may_not_run_again() -> None:
     async def failing(request: Request, writer: asyncio.StreamWriter) -> None:
         writer.write(answer(request, 500, b"error"))
