Exchanges: streams that can't be resumed, cut events, all line ends, separators in the data

Change: a fourth kind of route; streams cut inside an event with a regular end, framed or not; line ends and a separator by the request's id. The check compares byte by byte, as before.

--- a/tests/tier/exchanges.py
+++ b/tests/tier/exchanges.py
@@ -23,11 +23,15 @@
 from crowwing.tier.front.service_pool import ServicePool
 from crowwing.tier.http_server import make_server, serve_until
 from crowwing.tier.platform_list import Sidecar, SidecarList
-from tests.tier.misbehaving_sidecar import EVENTS, Ledger, MisbehavingSidecar, body_of
+from tests.tier.misbehaving_sidecar import STREAM_PATHS, Ledger, MisbehavingSidecar, body_of, events_of
 
 HOST = "shop.example"
 NEVER_RAN_STATUSES = (408, 421, 429, 503)  # the request was not and will not be executed
-KINDS = {"/safe/": ("safe", 3, False), "/unsafe/": ("unsafe", 1, False), "/stream/": ("stream", 3, True)}
+KINDS = {
+    "/safe/": ("safe", 3, False), "/unsafe/": ("unsafe", 1, False),
+    "/stream/": ("stream", 3, True), "/once/": ("stream", 1, False),
+}  # fmt: skip
+NON_IDEMPOTENT_PATHS = ("/unsafe/", "/once/")
 DEADLINE_MS = 400
 
 
@@ -60,7 +64,7 @@
 
 
 def routing_table() -> RoutingTable:
-    """Returns a safe, an unsafe and a resumable route."""
+    """Returns a safe and an unsafe route, and one each for resumable and other streams."""
     routes = [
         {
             "name": prefix, "host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": 2000,
@@ -193,12 +197,12 @@
 
     def _check_runs(self, sent: SentRequest) -> str:
         runs = self._ledger.runs[sent.id]
-        if sent.path.startswith("/unsafe/") and runs > 1:
+        if sent.path.startswith(NON_IDEMPOTENT_PATHS) and runs > 1:
             return f"executed {runs} times"
         if runs > 3:
             return f"executed {runs} times, more than its route allows"
         rejected = sent.response is not None and sent.response.status in NEVER_RAN_STATUSES
-        if rejected and runs and sent.path.startswith("/unsafe/"):
+        if rejected and runs and sent.path.startswith(NON_IDEMPOTENT_PATHS):
             return f"rejected with {sent.response.status} but executed"  # type: ignore[union-attr]
         return ""
 
@@ -210,9 +214,8 @@
             return "a response with another request id"
         if not response.is_complete:
             return ""
-        if sent.path.startswith("/stream/"):
-            events = "".join(f"id: {n}\ndata: {sent.id}-{n}\n\n" for n in range(1, EVENTS + 1)).encode()
-            is_correct = response.body == events
+        if sent.path.startswith(STREAM_PATHS):
+            is_correct = response.body == events_of(sent.id)
         else:
             bodies = self._ledger.bodies.get(sent.id, [])
             is_correct = any(response.body == body and f" {stamp} ".encode() in body for body in bodies)
--- a/tests/tier/misbehaving_sidecar.py
+++ b/tests/tier/misbehaving_sidecar.py
@@ -9,6 +9,8 @@
 from random import Random
 
 EVENTS = 5
+EVENT_LINE_ENDS = ("\n", "\r\n", "\r")
+STREAM_PATHS = ("/stream/", "/once/")
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # closing resets the connection
 
 
@@ -36,6 +38,15 @@
     return hashlib.blake2b((path + request_id).encode()).hexdigest().encode() * (1 + int(request_id, 36) % 40)
 
 
+def events_of(request_id: str, first: int = 1) -> bytes:
+    """The events of a stream from one on. Its line ends, and a separator in its data, depend on its id."""
+    number = int(request_id, 36)
+    line_end = EVENT_LINE_ENDS[number % len(EVENT_LINE_ENDS)]
+    separator = "\u2028\x0c\x1e:"[number % 4]
+    lines = ((f"id: {n}", f"data: {request_id}{separator}{n}", "", "") for n in range(first, EVENTS + 1))
+    return "".join(line_end.join(event) for event in lines).encode()
+
+
 class MisbehavingSidecar:
     """Answers by the protocol, or at random with one of several faults."""
 
@@ -110,10 +121,8 @@
         sent = body_of(request.path, request.id)
         if request.body != sent or request.headers.get("model") != f"m-{request.id}":
             ledger.spoilt.append(request.id)
-        if "/stream/" in request.path:
-            first = int(request.headers.get("last-event-id", "0")) + 1
-            events = [f"id: {n}\ndata: {request.id}-{n}\n\n" for n in range(first, EVENTS + 1)]
-            return "".join(events).encode(), "stream"
+        if request.path.startswith(STREAM_PATHS):
+            return events_of(request.id, int(request.headers.get("last-event-id", "0")) + 1), "stream"
         self._numbers += 1
         stamp = f"{self.name}.{self._numbers}"
         body = f"{request.id} {stamp} ".encode() * self._random.choice([1, 1, 1, 30, 3000])
@@ -155,9 +164,9 @@
 
     async def _misbehave(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
         ways = [
-            self._send_surplus, self._without_id, self._unframed, self._unframed_reset, self._truncate,
-            self._hang, self._informational, self._error, self._close_at_once, self._send_garbage,
-            self._refuse_and_go_on,
+            self._send_surplus, self._without_id, self._unframed, self._unframed_reset, self._cut_event,
+            self._truncate, self._hang, self._informational, self._error, self._close_at_once,
+            self._send_garbage, self._refuse_and_go_on,
         ]  # fmt: skip
         return await self._random.choice(ways)(request, writer)
 
@@ -201,6 +210,16 @@
         response, _ = self._framed(request, 200, body, stamp, unframed=True)
         return await self._break_off(writer, response[: self._random.randint(0, len(response))], resets=True)
 
+    async def _cut_event(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        """Ends a stream inside an event: regularly, by its framing or with its connection."""
+        body, stamp = self._run(request)
+        if request.path.startswith(STREAM_PATHS) and body:
+            body = body[: -self._random.randint(5, 12)]  # of the last event, whose lines are longer
+        unframed = self._random.random() < 0.5
+        response, keeps = self._framed(request, 200, body, stamp, unframed)
+        await self._write_in_chunks(writer, response)
+        return keeps
+
     async def _truncate(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
         body, stamp = self._run(request)
         response, _ = self._framed(request, 200, body, stamp)
