--- a/tests/tier/test_batch_item_run.py
+++ b/tests/tier/test_batch_item_run.py
@@ -11,8 +11,8 @@
 from crowwing.tier.store.commands import ReportItemResult
 from crowwing.tier.store.outcomes import LeasedItem
 from tests.tier.exchanges import HOST
+from tests.tier.scripted_sidecars import Reply, Request, ScriptedSidecars, answer, framings, routes
 from tests.tier.test_events import UNICODE_LINE_SEPARATORS
-from tests.tier.test_request_path import Reply, Request, Scripted, answer, framings, routes
 
 
 def run_item(reply: Reply) -> ItemReport | None:
@@ -20,7 +20,7 @@
 
     async def run() -> ItemReport | None:
         pool = ServicePool()
-        scripted = Scripted(reply, pool)
+        scripted = ScriptedSidecars(reply, pool)
         pool.table = table = routes()
         pool.apply_endpoint_list(await scripted.start(1))
         loops = asyncio.ensure_future(pool.run_loops())
--- a/tests/tier/test_request_head.py
+++ b/tests/tier/test_request_head.py
@@ -13,8 +13,8 @@
 from crowwing.tier.front.proxy import Proxy
 from crowwing.tier.front.upstream import ResponseStarted
 from tests.tier.exchanges import HOST
+from tests.tier.scripted_sidecars import Request, answer, encoded, one, play, routes
 from tests.tier.test_dispatch import scripted_pool
-from tests.tier.test_request_path import Request, answer, encoded, one, play, routes
 
 
 async def prompt(request: Request, writer: Any) -> None:  # noqa: ANN401
