An answer of another media type on a stream route is no stream of events

Cause: the kind of the route alone made an answer a stream. The sidecar says by `Content-Type` what it sent.

Change: the media type decides, and the kind of the route where there is none. A batch item's answer is always read as events, so that an answer without events is no result.

Evidence: the new test failed before (both routes) and passes now.

--- a/crowwing/tier/front/complete_body.py
+++ b/crowwing/tier/front/complete_body.py
@@ -18,16 +18,23 @@
 OK_STATUS = 200
 STATUSES_WITHOUT_BODY = (204, 304)
 EVENT_STREAM_TYPE = b"text/event-stream"
-EVENT_STREAM_KINDS = ("stream", "batch_queue")  # of routes whose sidecars answer with events
 CRASH_SETTLE_S = 0.02  # until all sockets of a process that crashed are closed
 CONNECT_TIMEOUT_S = 0.2
 
 
 def is_event_stream(route: Route, started: ResponseStarted) -> bool:
-    """Whether a response is a stream of events: by its route or its media type."""
-    if route.kind in EVENT_STREAM_KINDS and started.status == OK_STATUS:
+    """Whether a response is a stream of events.
+
+    A batch item's always is, since its result is made of events. Elsewhere the media type decides and, if
+    there is none, the kind of the route.
+    """
+    is_ok = started.status == OK_STATUS
+    if route.kind == "batch_queue" and is_ok:
         return True
-    media_type, _, _ = (started.header(b"content-type") or b"").partition(b";")
+    content_type = started.header(b"content-type")
+    if content_type is None:
+        return route.kind == "stream" and is_ok
+    media_type, _, _ = content_type.partition(b";")
     return media_type.strip().lower() == EVENT_STREAM_TYPE
 
 
--- a/crowwing/tier/front/proxy.py
+++ b/crowwing/tier/front/proxy.py
@@ -198,9 +198,11 @@
         """Relays a response to the client."""
         started = response.started
         route = sidecar_request.route
-        is_resumable = route.kind == "stream" and started.status == OK_STATUS and route.resumable
+        is_stream = is_event_stream(route, started)
+        is_ok = started.status == OK_STATUS
+        is_resumable = is_stream and is_ok and route.kind == "stream" and route.resumable
         # without a length, so that the client can tell a stream that ends early
-        headers = forwarded_headers(started.headers, keeps_length=not is_event_stream(route, started))
+        headers = forwarded_headers(started.headers, keeps_length=not is_stream)
         body = ResponseBody(send)
         timeout_s = max(0.0, sidecar_request.deadline + RESPONSE_MARGIN_S - time.monotonic())
         try:  # so that a client that does not read can't hold a sidecar slot for longer
--- a/tests/tier/scripted_sidecars.py
+++ b/tests/tier/scripted_sidecars.py
@@ -116,7 +116,7 @@
 def routes(**changes: Any) -> RoutingTable:  # noqa: ANN401
     """One route of each kind."""
     common = {"host": HOST, "timeoutMs": 400, "sloMs": 20_000, "service": "s", "maxAttempts": 2, **changes}
-    kinds = {"/safe/": "safe", "/unsafe/": "unsafe", "/stream/": "stream"}
+    kinds = {"/safe/": "safe", "/unsafe/": "unsafe", "/stream/": "stream", "/lot/": "batch_queue"}
     listed = [{"resumable": True, **common, "name": p, "pathPrefix": p, "kind": k} for p, k in kinds.items()]
     spec = {"version": 1, "routes": listed, "services": [{"name": common["service"], "maxConns": 400}]}
     return RoutingTable(Configuration.model_validate(spec))
--- a/tests/tier/test_batch_item_run.py
+++ b/tests/tier/test_batch_item_run.py
@@ -24,9 +24,9 @@
         pool.table = table = routes()
         pool.apply_endpoint_list(await scripted.start(1))
         loops = asyncio.ensure_future(pool.run_loops())
-        route = table.find(HOST, "/stream/x")
+        route = table.find(HOST, "/lot/x")
         assert route is not None
-        leased = LeasedItem("job", HOST, BatchItem("item", "/stream/x", (), b"", 0), 0)
+        leased = LeasedItem("job", HOST, BatchItem("item", "/lot/x", (), b"", 0), 0)
         report = await make_item_run(leased, route, "s").run(pool, Dispatcher(pool))
         loops.cancel()
         scripted.stop()
@@ -69,3 +69,11 @@
         request.sidecars.crash(request)
 
     assert run_item(crashes) is None
+
+
+def test_mixed_an_item_answered_with_another_media_type_is_not_completed() -> None:
+    # Guards against results that are listed as completed with an empty text, of an answer without events.
+    async def reply(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(request, body=b'{"text":"x"}', fields="Content-Type: application/json\r\n"))
+
+    assert run_item(reply) is None
--- a/tests/tier/test_complete_body.py
+++ b/tests/tier/test_complete_body.py
@@ -81,6 +81,16 @@
     assert (found.is_complete, found.body) == (True, TWO_EVENTS)
 
 
+@pytest.mark.parametrize("resumable", [True, False])
+def test_an_answer_of_another_media_type_is_no_stream_on_any_route(resumable: bool) -> None:
+    # Guards against complete answers that are broken off since they do not end with a blank line.
+    async def reply(request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(request, body=b'{"text":"x"}', fields="Content-Type: application/json\r\n"))
+
+    (found, _), got = play(reply, lambda port: one(port, encoded("/stream/x")), resumable=resumable)
+    assert (found.is_complete, found.body, len(got)) == (True, b'{"text":"x"}', 1)
+
+
 @pytest.mark.parametrize("body", [TWO_EVENTS + b"\n", TWO_EVENTS.replace(b"\n", b"\r")])
 def test_mixed_a_resumable_stream_reaches_the_client_byte_for_byte(body: bytes) -> None:
     # Guards against bodies that lack blank lines behind the last event, and events whose lines end with CR.
